core, port: set down the folders, core types and ports

Cause: the shape (ports and adapters, immutable values, generic containers, external test packages) has to hold from the first code on. Ruled out: wire types or JSON documents as core types; they would tie the decisions to one encoding. Conclusion: the parts can be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+BIN := bin
+TOOLS := $(CURDIR)/$(BIN)/tools
+GOFILES := $(shell git ls-files --cached --others --exclude-standard '*.go')
+
+.PHONY: build tools fmt lint vet test unit bounds demo generate clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+# The tools are pinned in tools/go.mod and installed into the work tree.
+tools:
+	mkdir -p $(TOOLS)
+	cd tools && go build -o $(TOOLS)/ github.com/mgechev/revive honnef.co/go/tools/cmd/staticcheck
+
+fmt:
+	gofmt -w $(GOFILES)
+
+lint: tools
+	@out=$$(gofmt -l $(GOFILES)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+	$(TOOLS)/staticcheck ./...
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race -count=1 ./...
+
+# Bounds on allocations, ratios and counts run without the race detector,
+# which changes all of them.
+bounds:
+	go test -count=1 -run '^TestBound' ./...
+
+test: lint vet build unit bounds
+
+demo: build
+	$(BIN)/balsambench demo
+
+# Needs buf on the PATH; the generated code is committed.
+generate:
+	cd tools && go build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(TOOLS):$$PATH buf generate
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/balsambench/main.go
@@ -0,0 +1,4 @@
+// Command balsambench is not composed yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsamfake/main.go
@@ -0,0 +1,4 @@
+// Command balsamfake is not composed yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsamwood/main.go
@@ -0,0 +1,4 @@
+// Command balsamwood is not composed yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/adapt/codec/config.go
@@ -0,0 +1,49 @@
+package codec
+
+import (
+	"encoding/json"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Config encodes a configuration as a JSON document.
+type Config struct{}
+
+type document struct {
+	Revision  ident.Revision    `json:"revision"`
+	Author    ident.Operator    `json:"author"`
+	Accounts  []config.Account  `json:"accounts"`
+	Upstreams []config.Upstream `json:"upstreams"`
+	Services  []config.Service  `json:"services"`
+}
+
+// Encode returns the document. Equal configurations have equal documents.
+func (Config) Encode(sn config.Snapshot) ([]byte, error) {
+	return json.Marshal(document{
+		Revision:  sn.Revision(),
+		Author:    sn.Author(),
+		Accounts:  sn.Accounts(),
+		Upstreams: sn.Upstreams(),
+		Services:  sn.Services(),
+	})
+}
+
+// Decode parses a document.
+func (Config) Decode(data []byte) (config.Snapshot, error) {
+	var doc document
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return config.Snapshot{}, err
+	}
+	sn := config.Snapshot{}.WithRevision(doc.Revision, doc.Author)
+	for _, ac := range doc.Accounts {
+		sn = sn.WithAccount(ac)
+	}
+	for _, up := range doc.Upstreams {
+		sn = sn.WithUpstream(up)
+	}
+	for _, se := range doc.Services {
+		sn = sn.WithService(se)
+	}
+	return sn, nil
+}
--- /dev/null
+++ b/internal/core/config/snapshot.go
@@ -0,0 +1,160 @@
+// Package config holds the configuration as an immutable value, its checks and
+// the rule by which a process follows revisions.
+package config
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Snapshot is one accepted configuration. It is immutable: With methods return
+// changed copies. The zero value has revision 0 and is not in force anywhere.
+type Snapshot struct {
+	revision  ident.Revision
+	author    ident.Operator
+	accounts  map[ident.Account]Account
+	keys      map[KeyHash]ident.Account
+	upstreams map[ident.Upstream]Upstream
+	services  map[ident.Service]Service
+}
+
+// Revision returns the revision.
+func (sn Snapshot) Revision() ident.Revision { return sn.revision }
+
+// Author returns the operator who made the revision.
+func (sn Snapshot) Author() ident.Operator { return sn.author }
+
+// Account returns the client account.
+func (sn Snapshot) Account(id ident.Account) (Account, bool) {
+	ac, ok := sn.accounts[id]
+	return ac, ok
+}
+
+// AccountByKey returns the client account that the API key's hash belongs to.
+func (sn Snapshot) AccountByKey(kh KeyHash) (Account, bool) {
+	id, ok := sn.keys[kh]
+	if !ok {
+		return Account{}, false
+	}
+	return sn.Account(id)
+}
+
+// Accounts returns all client accounts ordered by id.
+func (sn Snapshot) Accounts() []Account { return ordered(sn.accounts) }
+
+// Upstream returns the upstream.
+func (sn Snapshot) Upstream(id ident.Upstream) (Upstream, bool) {
+	up, ok := sn.upstreams[id]
+	return up, ok
+}
+
+// Upstreams returns all upstreams ordered by id.
+func (sn Snapshot) Upstreams() []Upstream { return ordered(sn.upstreams) }
+
+// Service returns the plain service.
+func (sn Snapshot) Service(id ident.Service) (Service, bool) {
+	se, ok := sn.services[id]
+	return se, ok
+}
+
+// Services returns all plain services ordered by id.
+func (sn Snapshot) Services() []Service { return ordered(sn.services) }
+
+// ServesModel reports whether some upstream serves the model.
+func (sn Snapshot) ServesModel(mo ident.Model) bool {
+	for _, up := range sn.upstreams {
+		if slices.Contains(up.Models, mo) {
+			return true
+		}
+	}
+	return false
+}
+
+// WithRevision returns a copy with the given revision and author.
+func (sn Snapshot) WithRevision(re ident.Revision, by ident.Operator) Snapshot {
+	sn.revision, sn.author = re, by
+	return sn
+}
+
+// WithAccount returns a copy in which the client account is added or replaced.
+func (sn Snapshot) WithAccount(ac Account) Snapshot {
+	sn.accounts = with(sn.accounts, ac.ID, ac)
+	sn.keys = keyIndex(sn.accounts)
+	return sn
+}
+
+// WithoutAccount returns a copy without the client account.
+func (sn Snapshot) WithoutAccount(id ident.Account) Snapshot {
+	sn.accounts = without(sn.accounts, id)
+	sn.keys = keyIndex(sn.accounts)
+	return sn
+}
+
+// WithUpstream returns a copy in which the upstream is added or replaced.
+func (sn Snapshot) WithUpstream(up Upstream) Snapshot {
+	sn.upstreams = with(sn.upstreams, up.ID, up)
+	return sn
+}
+
+// WithoutUpstream returns a copy without the upstream.
+func (sn Snapshot) WithoutUpstream(id ident.Upstream) Snapshot {
+	sn.upstreams = without(sn.upstreams, id)
+	return sn
+}
+
+// WithService returns a copy in which the plain service is added or replaced.
+func (sn Snapshot) WithService(se Service) Snapshot {
+	sn.services = with(sn.services, se.ID, se)
+	return sn
+}
+
+// WithoutService returns a copy without the plain service.
+func (sn Snapshot) WithoutService(id ident.Service) Snapshot {
+	sn.services = without(sn.services, id)
+	return sn
+}
+
+// Follow returns next if its revision is higher than that of cur, else cur.
+// A process applies it to every configuration it hears of, so the revision in
+// force never falls.
+func Follow(cur, next Snapshot) (Snapshot, bool) {
+	if next.revision <= cur.revision {
+		return cur, false
+	}
+	return next, true
+}
+
+func keyIndex(accounts map[ident.Account]Account) map[KeyHash]ident.Account {
+	index := make(map[KeyHash]ident.Account)
+	for _, ac := range accounts {
+		for _, kh := range ac.Keys {
+			index[kh] = ac.ID
+		}
+	}
+	return index
+}
+
+func with[K comparable, V any](ma map[K]V, key K, val V) map[K]V {
+	cp := maps.Clone(ma)
+	if cp == nil {
+		cp = make(map[K]V)
+	}
+	cp[key] = val
+	return cp
+}
+
+func without[K comparable, V any](ma map[K]V, key K) map[K]V {
+	cp := maps.Clone(ma)
+	delete(cp, key)
+	return cp
+}
+
+func ordered[K ~string, V any](ma map[K]V) []V {
+	out := make([]V, 0, len(ma))
+	for _, key := range slices.Sorted(maps.Keys(ma)) {
+		out = append(out, ma[key])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/shape/doc.go
@@ -0,0 +1,3 @@
+// Package shape holds the test of the dependency rule between the areas of the
+// source tree.
+package shape
--- /dev/null
+++ b/internal/port/peer/peer.go
@@ -0,0 +1,96 @@
+// Package peer is the port between a router and the sidecars of its upstreams.
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+// Dispatch is one attempt at a request.
+type Dispatch struct {
+	Request ident.Request
+	Attempt uint32
+	Account ident.Account
+	Budget  ident.Budget
+	// Router is the incarnation whose escrow covers the attempt.
+	Router ident.Incarnation
+	// Reserved is the escrow that covers the attempt. The sidecar stops the
+	// call before its usage exceeds it.
+	Reserved   ident.Tokens
+	Idempotent bool
+	// Fingerprint is a hash of the request, compared when a key is used again.
+	Fingerprint []byte
+	Call        engine.Call
+}
+
+// EventKind says which fields of an Event are set.
+type EventKind int
+
+const (
+	// Accepted means that the sidecar runs the attempt.
+	Accepted EventKind = iota
+	// Refused means that the sidecar did not and will not run the attempt.
+	Refused
+	// Data carries a chunk.
+	Data
+	// Final ends a complete answer.
+	Final
+	// Failed ends an attempt that may have run.
+	Failed
+)
+
+// Event is one step of an attempt. Seq numbers the chunks from 1; the final
+// event carries the number of chunks.
+type Event struct {
+	Request ident.Request
+	Attempt uint32
+	Seq     uint64
+	Kind    EventKind
+	Chunk   engine.Chunk
+	Result  engine.Result
+	// Charged is the usage that is charged to the dispatching incarnation. It
+	// is zero when another attempt with the same key was charged.
+	Charged ident.Tokens
+	Replay  bool
+	Refusal *refuse.Refusal
+}
+
+// Stream delivers the events of one attempt.
+type Stream interface {
+	// Recv returns the next event in sequence.
+	Recv(ctx context.Context) (Event, error)
+	// Ack tells the sidecar that all chunks up to seq were received.
+	Ack(seq uint64)
+	// Cancel stops the attempt and releases the stream.
+	Cancel()
+}
+
+// Report is what a sidecar last told about itself and its upstream.
+type Report struct {
+	Upstream ident.Upstream
+	VM       ident.VM
+	Domain   ident.Domain
+	Sidecar  ident.Incarnation
+	Revision ident.Revision
+	Load     engine.Load
+	// Received is the local time at which the report arrived.
+	Received time.Time
+	Leaving  bool
+}
+
+// Sidecar runs attempts. A router reaches it over a link; the sidecar's own use
+// case implements the same interface in process.
+type Sidecar interface {
+	// Open sends the attempt. An error that carries a refusal with the outcome
+	// notRun proves that the sidecar will not run it.
+	Open(ctx context.Context, di Dispatch) (Stream, error)
+	// Resume continues the output of an attempt at the chunk nextSeq. It fails
+	// with a refusal if the attempt is not known or its output was discarded.
+	Resume(ctx context.Context, re ident.Request, attempt uint32, nextSeq uint64) (Stream, error)
+	// Report returns the latest report and whether one has arrived.
+	Report() (Report, bool)
+}
--- /dev/null
+++ b/internal/port/store/table.go
@@ -0,0 +1,70 @@
+// Package store holds the ports to the platform: the transactional table, the
+// object store and the list of VMs.
+package store
+
+import (
+	"context"
+	"errors"
+)
+
+// Errors that a Table returns. Any other error leaves it unknown whether a
+// write took effect and is to be treated like ErrUncertain.
+var (
+	// ErrConflict means that a condition of a commit did not hold. Nothing was
+	// written.
+	ErrConflict = errors.New("store: condition failed")
+	// ErrThrottled means that the rate limit refused the call. Nothing was
+	// written.
+	ErrThrottled = errors.New("store: throttled")
+	// ErrUnavailable means that the call was not sent or was refused. Nothing
+	// was written.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrUncertain means that no answer arrived. The write may have taken
+	// effect, so the caller reads back its operation id before a retry.
+	ErrUncertain = errors.New("store: no answer, the write may have taken effect")
+)
+
+// Absent is the version of a row that does not exist.
+const Absent uint64 = 0
+
+// Item is one row of the table.
+type Item struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Write is one part of a commit. It takes effect only if the row's version is
+// IfVersion; Absent requires that the row does not exist.
+type Write struct {
+	Key       string
+	Value     []byte
+	IfVersion uint64
+	Mode      Mode
+}
+
+// Mode says what a Write does to its row.
+type Mode int
+
+const (
+	// Put stores the value and sets the version to IfVersion+1.
+	Put Mode = iota
+	// Delete removes the row.
+	Delete
+	// Check changes nothing and only tests the version.
+	Check
+)
+
+// MaxWrites is the largest number of writes in one commit.
+const MaxWrites = 100
+
+// Table is the platform's transactional table. Reads are strongly consistent.
+type Table interface {
+	// Get returns the row and whether it exists.
+	Get(ctx context.Context, key string) (Item, bool, error)
+	// Scan returns up to limit rows whose keys start with prefix and sort
+	// after the key after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Item, error)
+	// Commit applies all writes or none. It is never repeated by the adapter.
+	Commit(ctx context.Context, writes ...Write) error
+}
--- /dev/null
+++ b/tools/pins.go
@@ -0,0 +1,2 @@
+// Package tools pins the tools that the build uses. They are declared in go.mod.
+package tools
