front, link, caller: carry a request from HTTP to a sidecar

Cause: the first path through the system needs the router's use case, the link to the sidecar and the HTTP front end. Ruled out: one yamux stream shared by several requests (one slow reader would hold up the others), a per-request idle timeout as the sign of a silent link (an engine may queue a request for long), repeating a dispatch at a restarted sidecar (its refusal would prove nothing about the first dispatch). Change: app/front admits, reserves, dispatches, retries and settles; adapt/link carries the peer port over yamux with resume on a new session; adapt/caller speaks chat completions, plain services and problem details.

--- /dev/null
+++ b/internal/adapt/caller/chat.go
@@ -0,0 +1,234 @@
+package caller
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/balsamwood/balsamwood/internal/app/front"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+// chatBody is what the router reads of a chat completion request. All other
+// members are passed on unchanged.
+type chatBody struct {
+	Model               ident.Model       `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	Stream              bool              `json:"stream"`
+	StreamOptions       streamOptions     `json:"stream_options"`
+	MaxTokens           *ident.Tokens     `json:"max_tokens"`
+	MaxCompletionTokens *ident.Tokens     `json:"max_completion_tokens"`
+	N                   *int              `json:"n"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+func (ca *Caller) chat(ec echo.Context) error {
+	rq, err := ca.begin(ec)
+	if err != nil {
+		return err
+	}
+	data, err := ca.body(ec)
+	if err != nil {
+		return err
+	}
+	cb, err := ca.decodeChat(data)
+	if err != nil {
+		return err
+	}
+	if rq, err = ca.chatRequest(rq, cb, data); err != nil {
+		return err
+	}
+	if cb.Stream {
+		return ca.streamChat(ec, rq, cb.StreamOptions.IncludeUsage)
+	}
+	return ca.collectChat(ec, rq)
+}
+
+func (ca *Caller) decodeChat(data []byte) (chatBody, error) {
+	var cb chatBody
+	if err := json.Unmarshal(data, &cb); err != nil {
+		return cb, refuse.New(refuse.BadRequest, "the body is not a chat completion request: %v", err)
+	}
+	switch {
+	case cb.Model == "":
+		return cb, refuse.New(refuse.BadRequest, "model is missing")
+	case len(cb.Messages) == 0:
+		return cb, refuse.New(refuse.BadRequest, "messages is empty")
+	case cb.N != nil && *cb.N != 1:
+		return cb, refuse.New(refuse.BadRequest, "n must be 1")
+	}
+	most, err := ca.completionBound(cb)
+	cb.MaxTokens = &most
+	return cb, err
+}
+
+func (ca *Caller) completionBound(cb chatBody) (ident.Tokens, error) {
+	most := ca.tokens
+	if cb.MaxTokens != nil {
+		most = *cb.MaxTokens
+	}
+	if cb.MaxCompletionTokens != nil {
+		most = *cb.MaxCompletionTokens
+	}
+	if most < 1 || most > ca.maxTok {
+		return 0, refuse.New(refuse.BadRequest, "max_tokens must be from 1 to %d", ca.maxTok)
+	}
+	return most, nil
+}
+
+func (ca *Caller) chatRequest(rq front.Request, cb chatBody, data []byte) (front.Request, error) {
+	sn := ca.cfg.Load()
+	if !sn.ServesModel(cb.Model) {
+		return rq, refuse.New(refuse.UnknownModel, "no engine serves the model %q", cb.Model)
+	}
+	if !rq.Account.MayUseModel(cb.Model) {
+		return rq, refuse.New(refuse.Forbidden, "the client account may not use the model %q", cb.Model)
+	}
+	body, err := boundBody(data, *cb.MaxTokens)
+	if err != nil {
+		return rq, err
+	}
+	sum := sha256.Sum256(data)
+	rq.Kind, rq.Model, rq.Idempotent, rq.Fingerprint = config.Engine, cb.Model, true, sum[:]
+	// A token covers at least one byte of the body, and the JSON around each
+	// message is longer than a chat template's tokens for it.
+	rq.Prompt = ident.Tokens(len(data))
+	rq.MaxTokens = *cb.MaxTokens
+	rq.Prefixes = prefixes(cb.Messages)
+	rq.Call = engine.Call{
+		Request: rq.ID, Key: rq.Key, Body: body, Deadline: rq.Deadline,
+		Priority: rq.Class.Rank(), MaxTokens: rq.MaxTokens, Stream: cb.Stream,
+	}
+	return rq, nil
+}
+
+// boundBody sets the bound of the completion, so that the engine stops within
+// what was reserved.
+func boundBody(data []byte, most ident.Tokens) ([]byte, error) {
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(data, &members); err != nil {
+		return nil, refuse.New(refuse.BadRequest, "the body is not a JSON object: %v", err)
+	}
+	delete(members, "max_completion_tokens")
+	members["max_tokens"] = json.RawMessage(strconv.FormatInt(int64(most), 10))
+	body, err := json.Marshal(members)
+	if err != nil {
+		return nil, refuse.New(refuse.BadRequest, "the body cannot be encoded: %v", err)
+	}
+	return body, nil
+}
+
+// streamChat passes each event on as it arrives.
+func (ca *Caller) streamChat(ec echo.Context, rq front.Request, withUsage bool) error {
+	rs := ec.Response()
+	var out []byte
+	_, err := ca.sv.Serve(ec.Request().Context(), rq, func(ch engine.Chunk) error {
+		if !withUsage && isUsageOnly(ch.Data) {
+			return nil
+		}
+		if !rs.Committed {
+			startEvents(rs)
+		}
+		out = append(append(append(out[:0], "data: "...), ch.Data...), "\n\n"...)
+		if _, err := rs.Write(out); err != nil {
+			return err
+		}
+		rs.Flush()
+		return nil
+	})
+	if err != nil {
+		if !rs.Committed {
+			return err
+		}
+		return writeErrorEvent(rs, rq.ID, refuse.From(err))
+	}
+	if !rs.Committed {
+		startEvents(rs)
+	}
+	_, err = rs.Write([]byte("data: [DONE]\n\n"))
+	rs.Flush()
+	return err
+}
+
+func startEvents(rs *echo.Response) {
+	rs.Header().Set(echo.HeaderContentType, "text/event-stream")
+	rs.Header().Set(echo.HeaderCacheControl, "no-cache")
+	rs.WriteHeader(http.StatusOK)
+}
+
+// writeErrorEvent ends a stream that has begun. Without the closing [DONE], a
+// client does not take the answer for whole.
+func writeErrorEvent(rs *echo.Response, id ident.Request, rf *refuse.Refusal) error {
+	data, err := json.Marshal(newProblem(id, rf))
+	if err != nil {
+		return err
+	}
+	if _, err := rs.Write(append(append([]byte("data: "), data...), "\n\n"...)); err != nil {
+		return err
+	}
+	rs.Flush()
+	return nil
+}
+
+var emptyChoices = []byte(`"choices":[]`)
+
+// isUsageOnly reports whether an event carries usage and no choice.
+func isUsageOnly(data []byte) bool { return bytes.Contains(data, emptyChoices) }
+
+// collectChat answers a caller that does not stream.
+func (ca *Caller) collectChat(ec echo.Context, rq front.Request) error {
+	var co collector
+	an, err := ca.sv.Serve(ec.Request().Context(), rq, func(ch engine.Chunk) error { return co.add(ch.Data) })
+	if err != nil {
+		return err
+	}
+	setCharged(ec, an)
+	return ec.JSON(http.StatusOK, co.completion(an.Result.Usage))
+}
+
+func setCharged(ec echo.Context, an front.Answer) {
+	hd := ec.Response().Header()
+	hd.Set(headerCharged, strconv.FormatInt(int64(an.Charged), 10))
+	if an.Replay {
+		hd.Set(headerReplay, "true")
+	}
+}
+
+func (ca *Caller) models(ec echo.Context) error {
+	ac, err := ca.authenticate(ec.Request().Header)
+	if err != nil {
+		return err
+	}
+	seen := make(map[ident.Model]bool)
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, up := range ca.cfg.Load().Upstreams() {
+		for _, mo := range up.Models {
+			if !seen[mo] && ac.MayUseModel(mo) {
+				seen[mo] = true
+				list.Data = append(list.Data, modelItem{ID: mo, Object: "model", OwnedBy: "balsamwood"})
+			}
+		}
+	}
+	return ec.JSON(http.StatusOK, list)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      ident.Model `json:"id"`
+	Object  string      `json:"object"`
+	OwnedBy string      `json:"owned_by"`
+}
--- /dev/null
+++ b/internal/adapt/link/client.go
@@ -0,0 +1,334 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/clock"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
+)
+
+const (
+	// minBackoff and maxBackoff bound the wait between connection attempts.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// dialTimeout bounds one connection attempt with its Hello exchange.
+	dialTimeout = 3 * time.Second
+)
+
+// Dialer opens a connection to a sidecar.
+type Dialer func(ctx context.Context) (net.Conn, error)
+
+// ConfigSource returns the configuration in force, to be offered to peers.
+type ConfigSource func() (ident.Revision, []byte)
+
+// Client is a router's link to one sidecar. It implements peer.Sidecar.
+type Client struct {
+	id       Identity
+	dial     Dialer
+	clk      clock.Clock
+	progress time.Duration
+	config   ConfigSource
+
+	cur    atomic.Pointer[session]
+	report atomic.Pointer[peer.Report]
+
+	mu      sync.Mutex
+	changed chan struct{}
+	replace chan *session
+	waiters map[string]chan *wire.OrderDone
+	closers map[string][]chan []Used
+}
+
+// session is one yamux session with its control stream.
+type session struct {
+	*yamux.Session
+	ctl     *frameConn
+	hello   *wire.Hello
+	lastRx  *atomic.Int64
+	offered atomic.Uint64
+}
+
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithProgress sets after how much silence of a connection a request moves to
+// a new one. The default is 3 s; it must exceed the keepalive interval of 2 s.
+func WithProgress(du time.Duration) ClientOption {
+	return func(cl *Client) { cl.progress = du }
+}
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(ck clock.Clock) ClientOption {
+	return func(cl *Client) { cl.clk = ck }
+}
+
+// WithConfig sets the source of the configuration that is offered to the
+// sidecar. The default offers none.
+func WithConfig(cs ConfigSource) ClientOption {
+	return func(cl *Client) { cl.config = cs }
+}
+
+// NewClient returns a client that connects through dial while Run runs.
+func NewClient(id Identity, dial Dialer, opts ...ClientOption) *Client {
+	cl := &Client{
+		id: id, dial: dial, clk: clock.System{}, progress: 3 * time.Second,
+		config:  func() (ident.Revision, []byte) { return 0, nil },
+		changed: make(chan struct{}),
+		replace: make(chan *session, 1),
+		waiters: make(map[string]chan *wire.OrderDone),
+		closers: make(map[string][]chan []Used),
+	}
+	for _, op := range opts {
+		op(cl)
+	}
+	return cl
+}
+
+// Run keeps a session open until ctx ends.
+func (cl *Client) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		se, err := cl.connect(ctx)
+		if err != nil {
+			if !sleep(ctx, backoff/2+rand.N(backoff/2)) {
+				return
+			}
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		cl.install(se)
+		wg.Go(func() { cl.readControl(se) })
+		cl.watch(ctx, se)
+	}
+}
+
+// watch returns when the session ended or is to be replaced.
+func (cl *Client) watch(ctx context.Context, se *session) {
+	for {
+		select {
+		case <-ctx.Done():
+			_ = se.Close()
+			return
+		case <-se.CloseChan():
+			cl.cur.CompareAndSwap(se, nil)
+			return
+		case bad := <-cl.replace:
+			if bad != se {
+				continue
+			}
+			// The silent session stays open for streams that still work on it;
+			// the keepalive closes it.
+			cl.cur.CompareAndSwap(se, nil)
+			context.AfterFunc(ctx, func() { _ = se.Close() })
+			return
+		}
+	}
+}
+
+func (cl *Client) install(se *session) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.cur.Store(se)
+	close(cl.changed)
+	cl.changed = make(chan struct{})
+}
+
+// fresh returns a session other than bad. It reports bad as silent, so that a
+// new one is opened, and waits for it until ctx ends.
+func (cl *Client) fresh(ctx context.Context, bad *session) (*session, error) {
+	if bad != nil && cl.cur.Load() == bad {
+		select {
+		case cl.replace <- bad:
+		default:
+		}
+	}
+	for {
+		cl.mu.Lock()
+		ch := cl.changed
+		cl.mu.Unlock()
+		if se := cl.cur.Load(); se != nil && se != bad {
+			return se, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-ch:
+		}
+	}
+}
+
+func (cl *Client) connect(ctx context.Context) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := cl.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rx := &rxConn{Conn: nc, last: &atomic.Int64{}, clk: cl.clk}
+	rx.last.Store(cl.clk.Now().UnixNano())
+	ys, err := clientSession(rx)
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	se := &session{Session: ys, lastRx: rx.last}
+	if err := cl.greet(ctx, se); err != nil {
+		_ = ys.Close()
+		return nil, err
+	}
+	return se, nil
+}
+
+func (cl *Client) greet(ctx context.Context, se *session) error {
+	st, err := se.OpenStream()
+	if err != nil {
+		return err
+	}
+	if dl, ok := ctx.Deadline(); ok {
+		_ = st.SetDeadline(dl)
+	}
+	se.ctl = newFrameConn(st)
+	re, _ := cl.config()
+	if err := se.ctl.send(&wire.Frame{Body: &wire.Frame_Hello{Hello: cl.id.hello(re)}}); err != nil {
+		return err
+	}
+	fr, err := se.ctl.recv()
+	if err != nil {
+		return err
+	}
+	se.hello = fr.GetHello()
+	if se.hello.GetProtocol() != protocolVersion {
+		return errors.New("link: peer speaks another protocol version")
+	}
+	if want := string(cl.id.Upstream); want != "" && se.hello.GetUpstream() != want {
+		return errors.New("link: peer serves another upstream")
+	}
+	_ = st.SetDeadline(time.Time{})
+	cl.offerConfig(se, ident.Revision(se.hello.GetRevision()))
+	return nil
+}
+
+func (cl *Client) readControl(se *session) {
+	for {
+		fr, err := se.ctl.recv()
+		if err != nil {
+			_ = se.Close()
+			return
+		}
+		switch bo := fr.GetBody().(type) {
+		case *wire.Frame_LoadReport:
+			cl.setReport(se, bo.LoadReport)
+			cl.offerConfig(se, ident.Revision(bo.LoadReport.GetRevision()))
+		case *wire.Frame_OrderDone:
+			cl.orderDone(bo.OrderDone)
+		case *wire.Frame_ClosedIncarnation:
+			cl.closedIncarnation(bo.ClosedIncarnation)
+		}
+	}
+}
+
+func (cl *Client) setReport(se *session, lr *wire.LoadReport) {
+	rp := toReport(se.hello, lr, cl.clk.Now())
+	cl.report.Store(&rp)
+}
+
+// offerConfig sends the configuration if the sidecar has an older one.
+func (cl *Client) offerConfig(se *session, has ident.Revision) {
+	re, doc := cl.config()
+	if re <= has || se.offered.Swap(uint64(re)) == uint64(re) {
+		return
+	}
+	_ = se.ctl.send(&wire.Frame{Body: &wire.Frame_ConfigUpdate{ConfigUpdate: &wire.ConfigUpdate{
+		Revision: uint64(re), Document: doc,
+	}}})
+}
+
+// ConfigChanged offers the configuration now in force to the sidecar.
+func (cl *Client) ConfigChanged() {
+	if se := cl.cur.Load(); se != nil {
+		cl.offerConfig(se, 0)
+	}
+}
+
+// Report returns the latest report of the sidecar.
+func (cl *Client) Report() (peer.Report, bool) {
+	rp := cl.report.Load()
+	if rp == nil {
+		return peer.Report{}, false
+	}
+	return *rp, true
+}
+
+// Connected reports whether a session is open.
+func (cl *Client) Connected() bool { return cl.cur.Load() != nil }
+
+// Open sends the attempt over the current session.
+func (cl *Client) Open(ctx context.Context, di peer.Dispatch) (peer.Stream, error) {
+	se := cl.cur.Load()
+	if se == nil {
+		return nil, refuse.New(refuse.Unreachable, "no connection to the sidecar")
+	}
+	st := newStream(ctx, cl, di)
+	if err := st.start(se); err != nil {
+		st.release()
+		return nil, err
+	}
+	return st, nil
+}
+
+// Resume continues an attempt whose output is kept at the sidecar.
+func (cl *Client) Resume(ctx context.Context, re ident.Request, attempt uint32, nextSeq uint64) (peer.Stream, error) {
+	se, err := cl.fresh(ctx, nil)
+	if err != nil {
+		return nil, refuse.New(refuse.LinkLost, "no connection to the sidecar: %v", err)
+	}
+	st := newStream(ctx, cl, peer.Dispatch{Request: re, Attempt: attempt, Call: engine.Call{Request: re}})
+	st.next, st.accepted = nextSeq, true
+	if err := st.attach(se); err != nil {
+		st.release()
+		return nil, refuse.New(refuse.LinkLost, "resume: %v", err)
+	}
+	return st, nil
+}
+
+// rxConn records when bytes last arrived.
+type rxConn struct {
+	net.Conn
+	last *atomic.Int64
+	clk  clock.Clock
+}
+
+// Read reads from the connection and records the time.
+func (rx *rxConn) Read(buf []byte) (int, error) {
+	cnt, err := rx.Conn.Read(buf)
+	if cnt > 0 {
+		rx.last.Store(rx.clk.Now().UnixNano())
+	}
+	return cnt, err
+}
+
+func sleep(ctx context.Context, du time.Duration) bool {
+	ti := time.NewTimer(du)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ti.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/adapt/link/conn.go
@@ -0,0 +1,90 @@
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+)
+
+// MaxFrame bounds one frame in bytes, so that a faulty peer cannot make the
+// process allocate without limit.
+const MaxFrame = 1 << 20
+
+const readBuffer = 4 << 10
+
+// ErrFrameTooLarge means that a peer announced a frame above MaxFrame.
+var ErrFrameTooLarge = errors.New("link: frame exceeds the limit")
+
+// frameConn reads and writes length-delimited frames on one yamux stream.
+// Reads must come from one goroutine; writes may come from several.
+type frameConn struct {
+	net.Conn
+	rd  *bufio.Reader
+	mu  sync.Mutex
+	out []byte
+}
+
+func newFrameConn(nc net.Conn) *frameConn {
+	return &frameConn{Conn: nc, rd: bufio.NewReaderSize(nc, readBuffer)}
+}
+
+// send writes one frame with a single call to Write, so that no part of it is
+// held back.
+func (fc *frameConn) send(fr *wire.Frame) error {
+	fc.mu.Lock()
+	defer fc.mu.Unlock()
+	size := proto.Size(fr)
+	if size > MaxFrame {
+		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+	}
+	fc.out = binary.AppendUvarint(fc.out[:0], uint64(size))
+	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(fc.out, fr)
+	if err != nil {
+		return err
+	}
+	fc.out = out
+	_, err = fc.Write(out)
+	return err
+}
+
+// recv reads one frame. The frame does not share memory with the connection.
+func (fc *frameConn) recv() (*wire.Frame, error) {
+	return ReadFrame(fc.rd)
+}
+
+// FrameReader is what ReadFrame reads from.
+type FrameReader interface {
+	io.Reader
+	io.ByteReader
+}
+
+// ReadFrame reads one length-delimited frame of at most MaxFrame bytes.
+func ReadFrame(rd FrameReader) (*wire.Frame, error) {
+	size, err := binary.ReadUvarint(rd)
+	if err != nil {
+		return nil, err
+	}
+	if size > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(rd, buf); err != nil {
+		return nil, err
+	}
+	fr := &wire.Frame{}
+	if err := proto.Unmarshal(buf, fr); err != nil {
+		return nil, err
+	}
+	if fr.GetBody() == nil {
+		return nil, errors.New("link: empty frame")
+	}
+	return fr, nil
+}
--- /dev/null
+++ b/internal/adapt/link/identity.go
@@ -0,0 +1,30 @@
+// Package link carries the peer port between routers and sidecars over yamux
+// and protobuf.
+package link
+
+import (
+	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// protocolVersion is sent in Hello. Peers with another version are refused.
+const protocolVersion = 1
+
+// Identity names the local process to its peers.
+type Identity struct {
+	VM          ident.VM
+	Incarnation ident.Incarnation
+	Domain      ident.Domain
+	Upstream    ident.Upstream
+}
+
+func (id Identity) hello(re ident.Revision) *wire.Hello {
+	return &wire.Hello{
+		Protocol:    protocolVersion,
+		Vm:          string(id.VM),
+		Incarnation: string(id.Incarnation),
+		Domain:      string(id.Domain),
+		Upstream:    string(id.Upstream),
+		Revision:    uint64(re),
+	}
+}
--- /dev/null
+++ b/internal/adapt/link/server.go
@@ -0,0 +1,228 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
+)
+
+// Control handles the messages of the control stream.
+type Control interface {
+	// OfferConfig passes a configuration that a router has in force.
+	OfferConfig(re ident.Revision, document []byte)
+	// CloseIncarnation forwards no more work of the incarnation and returns
+	// what it used.
+	CloseIncarnation(ctx context.Context, in ident.Incarnation) ([]Used, error)
+	// Order passes an order to the upstream.
+	Order(ctx context.Context, or engine.Order) error
+}
+
+// Used is the usage of one budget by a closed incarnation.
+type Used struct {
+	Budget ident.BudgetRef
+	Tokens ident.Tokens
+}
+
+// Server is the sidecar's end of the links.
+type Server struct {
+	id     Identity
+	si     peer.Sidecar
+	ct     Control
+	period time.Duration
+	hello  time.Duration
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	wg       sync.WaitGroup
+}
+
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithReportPeriod sets how often a changed load report is sent. The default
+// is 1 s.
+func WithReportPeriod(pe time.Duration) ServerOption {
+	return func(sv *Server) { sv.period = pe }
+}
+
+// WithHelloTimeout sets how long a new stream may take to send its first
+// frame. The default is 5 s.
+func WithHelloTimeout(to time.Duration) ServerOption {
+	return func(sv *Server) { sv.hello = to }
+}
+
+// NewServer returns a server that passes attempts to si and control messages
+// to ct.
+func NewServer(id Identity, si peer.Sidecar, ct Control, opts ...ServerOption) *Server {
+	sv := &Server{
+		id: id, si: si, ct: ct,
+		period: time.Second, hello: 5 * time.Second,
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+	for _, op := range opts {
+		op(sv)
+	}
+	return sv
+}
+
+// Serve accepts connections until ctx ends or the listener fails, and returns
+// after every session has ended.
+func (sv *Server) Serve(ctx context.Context, ls net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = ls.Close()
+		sv.closeSessions()
+	})
+	defer stop()
+	defer sv.wg.Wait()
+	for {
+		nc, err := ls.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		sv.wg.Go(func() { sv.serveConn(ctx, nc) })
+	}
+}
+
+func (sv *Server) closeSessions() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for se := range sv.sessions {
+		_ = se.Close()
+	}
+}
+
+func (sv *Server) serveConn(ctx context.Context, nc net.Conn) {
+	se, err := serverSession(nc)
+	if err != nil {
+		_ = nc.Close()
+		return
+	}
+	sv.mu.Lock()
+	sv.sessions[se] = struct{}{}
+	sv.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		sv.mu.Lock()
+		delete(sv.sessions, se)
+		sv.mu.Unlock()
+		_ = se.Close()
+	}()
+	if ctx.Err() != nil {
+		return
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		st, err := se.AcceptStream()
+		if err != nil {
+			cancel()
+			return
+		}
+		wg.Go(func() { sv.serveStream(ctx, newFrameConn(st)) })
+	}
+}
+
+func (sv *Server) serveStream(ctx context.Context, fc *frameConn) {
+	defer func() { _ = fc.Close() }()
+	_ = fc.SetReadDeadline(time.Now().Add(sv.hello))
+	fr, err := fc.recv()
+	if err != nil {
+		return
+	}
+	_ = fc.SetReadDeadline(time.Time{})
+	switch bo := fr.GetBody().(type) {
+	case *wire.Frame_Hello:
+		sv.serveControl(ctx, fc, bo.Hello)
+	case *wire.Frame_Dispatch:
+		sv.serveDispatch(ctx, fc, bo.Dispatch)
+	case *wire.Frame_Resume:
+		sv.serveResume(ctx, fc, bo.Resume)
+	}
+}
+
+func (sv *Server) serveDispatch(ctx context.Context, fc *frameConn, wd *wire.Dispatch) {
+	di := toDispatch(wd)
+	st, err := sv.si.Open(ctx, di)
+	if err != nil {
+		_ = fc.send(fromRefusal(di.Request, di.Attempt, refuse.From(err)))
+		return
+	}
+	sv.pump(ctx, fc, st)
+}
+
+func (sv *Server) serveResume(ctx context.Context, fc *frameConn, re *wire.Resume) {
+	id, attempt := ident.Request(re.GetRequest()), re.GetAttempt()
+	st, err := sv.si.Resume(ctx, id, attempt, re.GetNextSeq())
+	if err != nil {
+		_ = fc.send(fromRefusal(id, attempt, refuse.From(err)))
+		return
+	}
+	sv.pump(ctx, fc, st)
+}
+
+// pump copies events to the link until the last one. When the link fails, the
+// attempt goes on for its grace period, so that the router can resume it.
+func (sv *Server) pump(ctx context.Context, fc *frameConn, st peer.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		defer cancel()
+		readBack(fc, st)
+	})
+	defer wg.Wait()
+	defer func() { _ = fc.Close() }()
+	defer st.Close()
+	for {
+		ev, err := st.Recv(ctx)
+		if err != nil {
+			return
+		}
+		if err := fc.send(fromEvent(ev, sv.lastReport(ev))); err != nil {
+			return
+		}
+		if ev.Kind == peer.Final || ev.Kind == peer.Failed || ev.Kind == peer.Refused {
+			return
+		}
+	}
+}
+
+func (sv *Server) lastReport(ev peer.Event) *wire.LoadReport {
+	if ev.Kind != peer.Final {
+		return nil
+	}
+	rp, ok := sv.si.Report()
+	if !ok {
+		return nil
+	}
+	return fromReport(rp, 0)
+}
+
+// readBack handles acknowledgements and cancellation until the stream ends.
+func readBack(fc *frameConn, st peer.Stream) {
+	for {
+		fr, err := fc.recv()
+		if err != nil {
+			return
+		}
+		switch bo := fr.GetBody().(type) {
+		case *wire.Frame_Ack:
+			st.Ack(bo.Ack.GetSeq())
+		case *wire.Frame_Cancel:
+			st.Cancel()
+		}
+	}
+}
--- /dev/null
+++ b/internal/adapt/link/stream.go
@@ -0,0 +1,259 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
+)
+
+// ackEvery is after how many chunks an acknowledgement is sent. The sidecar
+// keeps unacknowledged output, so the number bounds what it holds in excess.
+const ackEvery = 16
+
+// errForeign means that a frame belongs to another attempt.
+var errForeign = errors.New("link: frame of another attempt")
+
+// stream is one attempt as the router sees it. It moves to a new session when
+// the current one goes silent or fails. Recv and Ack are called from one
+// goroutine.
+type stream struct {
+	cl       *Client
+	ctx      context.Context
+	di       peer.Dispatch
+	se       *session
+	next     uint64
+	acked    uint64
+	accepted bool
+	// sidecar is the incarnation that the attempt was sent to.
+	sidecar   string
+	cancelled atomic.Bool
+	stop      func() bool
+
+	mu sync.Mutex
+	fc *frameConn
+}
+
+func newStream(ctx context.Context, cl *Client, di peer.Dispatch) *stream {
+	st := &stream{cl: cl, ctx: ctx, di: di, next: 1}
+	// A read that waits ends at once when the caller gives up.
+	st.stop = context.AfterFunc(ctx, st.interrupt)
+	return st
+}
+
+func (st *stream) interrupt() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.fc != nil {
+		_ = st.fc.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// start sends the dispatch. An error before anything was sent proves that the
+// attempt does not run.
+func (st *stream) start(se *session) error {
+	if err := st.open(se); err != nil {
+		return refuse.New(refuse.Unreachable, "open stream: %v", err)
+	}
+	st.sidecar = se.hello.GetIncarnation()
+	if err := st.fc.send(fromDispatch(st.di)); err != nil {
+		if errors.Is(err, ErrFrameTooLarge) {
+			return refuse.New(refuse.TooLarge, "%v", err)
+		}
+		return st.move()
+	}
+	return nil
+}
+
+func (st *stream) open(se *session) error {
+	ys, err := se.OpenStream()
+	if err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.fc != nil {
+		_ = st.fc.Close()
+	}
+	st.se, st.fc = se, newFrameConn(ys)
+	if st.ctx.Err() != nil {
+		_ = st.fc.SetDeadline(time.Unix(1, 0))
+	}
+	return nil
+}
+
+// attach opens a stream on se and continues where the last one stopped. An
+// attempt that was not yet accepted is dispatched again: the sidecar knows it
+// by request and attempt and does not run it twice.
+func (st *stream) attach(se *session) error {
+	if err := st.open(se); err != nil {
+		return err
+	}
+	if !st.accepted {
+		return st.fc.send(fromDispatch(st.di))
+	}
+	return st.fc.send(&wire.Frame{Body: &wire.Frame_Resume{Resume: &wire.Resume{
+		Request: string(st.di.Request), Attempt: st.di.Attempt, NextSeq: st.next, Router: string(st.di.Router),
+	}}})
+}
+
+// move continues the attempt on another session. It returns a refusal when
+// the caller's time ends first.
+func (st *stream) move() error {
+	for {
+		se, err := st.cl.fresh(st.ctx, st.se)
+		if err != nil {
+			return refuse.New(refuse.LinkLost, "the connection failed after dispatch: %v", err)
+		}
+		if st.sidecar != "" && se.hello.GetIncarnation() != st.sidecar {
+			// A restarted sidecar knows nothing of the attempt, so its refusal
+			// would prove nothing.
+			return refuse.New(refuse.LinkLost, "the sidecar restarted after dispatch")
+		}
+		if st.attach(se) == nil {
+			if st.cancelled.Load() {
+				sendCancel(st.fc)
+			}
+			return nil
+		}
+		st.se = se
+	}
+}
+
+// Recv returns the next event in sequence.
+func (st *stream) Recv(ctx context.Context) (peer.Event, error) {
+	for {
+		if ctx.Err() != nil || st.ctx.Err() != nil {
+			return peer.Event{}, refuse.New(refuse.TimedOut, "the caller's time ended")
+		}
+		fr, err := st.read()
+		if err != nil {
+			if err := st.move(); err != nil {
+				return peer.Event{}, err
+			}
+			continue
+		}
+		ev, ok, err := st.admit(fr)
+		if err != nil {
+			return peer.Event{}, err
+		}
+		if ok {
+			return ev, nil
+		}
+	}
+}
+
+// read waits for a frame. A quiet stream on a session that is not silent goes
+// on waiting.
+func (st *stream) read() (*wire.Frame, error) {
+	for {
+		_ = st.fc.SetReadDeadline(time.Now().Add(st.cl.progress))
+		if st.ctx.Err() != nil {
+			return nil, st.ctx.Err()
+		}
+		// Peek consumes nothing, so a timeout does not lose a part of a frame.
+		_, err := st.fc.rd.Peek(1)
+		if err == nil {
+			return st.fc.recv()
+		}
+		if !isTimeout(err) || !st.accepted || st.silent() {
+			return nil, err
+		}
+	}
+}
+
+func (st *stream) silent() bool {
+	last := time.Unix(0, st.se.lastRx.Load())
+	return st.cl.clk.Now().Sub(last) >= st.cl.progress
+}
+
+func isTimeout(err error) bool {
+	var ne interface{ Timeout() bool }
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+}
+
+// admit checks that the frame belongs to this attempt and is the next one.
+// Repeated chunks are dropped.
+func (st *stream) admit(fr *wire.Frame) (peer.Event, bool, error) {
+	ev, ok := toEvent(fr)
+	if !ok {
+		return peer.Event{}, false, nil
+	}
+	if ev.Request != st.di.Request || ev.Attempt != st.di.Attempt {
+		return peer.Event{}, false, refuse.New(refuse.Internal, "%v", errForeign)
+	}
+	switch ev.Kind {
+	case peer.Accepted:
+		first := !st.accepted
+		st.accepted = true
+		return ev, first, nil
+	case peer.Data:
+		return st.admitChunk(ev)
+	case peer.Final:
+		if ev.Seq != st.next-1 {
+			return peer.Event{}, false, refuse.New(refuse.Truncated, "%d of %d chunks arrived", st.next-1, ev.Seq)
+		}
+	case peer.Refused:
+		if st.accepted {
+			// The attempt was accepted before, so it may have run.
+			ev.Refusal = refuse.New(refuse.LinkLost, "the attempt cannot be resumed: %s", ev.Refusal.Detail)
+			ev.Kind = peer.Failed
+		}
+	}
+	return ev, true, nil
+}
+
+func (st *stream) admitChunk(ev peer.Event) (peer.Event, bool, error) {
+	if ev.Seq < st.next {
+		return peer.Event{}, false, nil
+	}
+	if ev.Seq > st.next {
+		return peer.Event{}, false, refuse.New(refuse.Truncated, "chunk %d is missing", st.next)
+	}
+	st.next++
+	return ev, true, nil
+}
+
+// Ack acknowledges all chunks up to seq.
+func (st *stream) Ack(seq uint64) {
+	if seq < st.acked+ackEvery {
+		return
+	}
+	st.acked = seq
+	// A lost acknowledgement is covered by the next one or by a resume.
+	_ = st.fc.send(&wire.Frame{Body: &wire.Frame_Ack{Ack: &wire.Ack{Seq: seq}}})
+}
+
+// Cancel asks the sidecar to stop the attempt.
+func (st *stream) Cancel() {
+	st.cancelled.Store(true)
+	st.mu.Lock()
+	fc := st.fc
+	st.mu.Unlock()
+	if fc != nil {
+		sendCancel(fc)
+	}
+}
+
+// sendCancel may fail with the connection; a stream that moves repeats it.
+func sendCancel(fc *frameConn) {
+	_ = fc.send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}})
+}
+
+// Close releases the stream without stopping the attempt.
+func (st *stream) Close() { st.release() }
+
+func (st *stream) release() {
+	st.stop()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.fc != nil {
+		_ = st.fc.Close()
+	}
+}
--- /dev/null
+++ b/internal/app/front/request.go
@@ -0,0 +1,78 @@
+package front
+
+import (
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+// Request is a caller's request after its front end has decoded and checked it.
+type Request struct {
+	ID       ident.Request
+	Account  config.Account
+	Budget   ident.Budget
+	Class    config.Class
+	Deadline time.Time
+	Key      ident.Key
+	Kind     config.Kind
+	Model    ident.Model
+	Service  ident.Service
+	// Idempotent says that running the request twice does no harm.
+	Idempotent  bool
+	Fingerprint []byte
+	// Prompt is an upper bound of the prompt tokens.
+	Prompt ident.Tokens
+	// MaxTokens bounds the completion tokens. For a plain service, it is the
+	// cost of the call.
+	MaxTokens ident.Tokens
+	// Prefixes are hashes of the prompt's prefixes, the longest last.
+	Prefixes []uint64
+	Call     engine.Call
+}
+
+// Worst returns the most that the request can be charged.
+func (rq Request) Worst() ident.Tokens { return rq.Prompt + rq.MaxTokens }
+
+// Ref returns the budget that the request is charged to.
+func (rq Request) Ref() ident.BudgetRef {
+	return ident.BudgetRef{Account: rq.Account.ID, Budget: rq.Budget}
+}
+
+// Demand is what the choice of an upstream depends on.
+type Demand struct {
+	Kind      config.Kind
+	Model     ident.Model
+	Service   ident.Service
+	Class     config.Class
+	Prompt    ident.Tokens
+	MaxTokens ident.Tokens
+	Prefixes  []uint64
+	Deadline  time.Time
+	// Key, if set, prefers the upstream that an earlier attempt with the same
+	// key was sent to.
+	Account ident.Account
+	Key     ident.Key
+	// Tried are the upstreams that earlier attempts were sent to.
+	Tried []ident.Upstream
+}
+
+func (rq Request) demand(tried []ident.Upstream) Demand {
+	return Demand{
+		Kind: rq.Kind, Model: rq.Model, Service: rq.Service, Class: rq.Class,
+		Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Prefixes: rq.Prefixes,
+		Deadline: rq.Deadline, Account: rq.Account.ID, Key: rq.Key, Tried: tried,
+	}
+}
+
+// Answer is what remains to be told after all chunks were passed on.
+type Answer struct {
+	Result   engine.Result
+	Charged  ident.Tokens
+	Upstream ident.Upstream
+	Attempts int
+	// Replay says that the answer of an earlier request with the same key was
+	// returned.
+	Replay bool
+}
--- a/internal/port/peer/peer.go
+++ b/internal/port/peer/peer.go
@@ -65,8 +65,12 @@
 	Recv(ctx context.Context) (Event, error)
 	// Ack tells the sidecar that all chunks up to seq were received.
 	Ack(seq uint64)
-	// Cancel stops the attempt and releases the stream.
+	// Cancel asks the sidecar to stop the attempt. The last event still
+	// arrives and carries the usage. Cancel may be called from any goroutine.
 	Cancel()
+	// Close releases the stream. An attempt that has not ended goes on for a
+	// grace period, in which it can be resumed.
+	Close()
 }
 
 // Report is what a sidecar last told about itself and its upstream.
