conf: read the settings of router and sidecar

Cause: the programs need settings whose faults are reported with their place and all at once. Decoding into structs with the YAML library stops at the first type error and loses the column of unknown and missing keys.

Change: a decoder walks YAML nodes against a struct whose tags name the keys and their rules. TLS is required unless tls.disabled is true.

--- /dev/null
+++ b/internal/adapt/conf/common.go
@@ -0,0 +1,67 @@
+package conf
+
+import (
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Table   string `yaml:"table" rule:"required,url"`
+	Objects string `yaml:"objects" rule:"required,url"`
+	VMs     string `yaml:"vms" rule:"required,url"`
+}
+
+// TLS names PEM files. The fleet's CA signs the certificates of routers and
+// sidecars.
+type TLS struct {
+	// Disabled turns TLS off on all sides; it is for tests and the demo.
+	Disabled bool   `yaml:"disabled"`
+	FleetCA  string `yaml:"fleetCA"`
+	Cert     string `yaml:"cert"`
+	Key      string `yaml:"key"`
+	// CallerCert and CallerKey are shown to callers of a router. The default
+	// is Cert and Key.
+	CallerCert string `yaml:"callerCert"`
+	CallerKey  string `yaml:"callerKey"`
+}
+
+func (tl *TLS) check(report func(path, format string, args ...any)) {
+	if tl.Disabled {
+		return
+	}
+	const missing = "missing key; TLS is on unless tls.disabled is true"
+	for _, it := range []struct{ name, val string }{
+		{"fleetCA", tl.FleetCA}, {"cert", tl.Cert}, {"key", tl.Key},
+	} {
+		if it.val == "" {
+			report(it.name, missing)
+		}
+	}
+	if (tl.CallerCert == "") != (tl.CallerKey == "") {
+		report("callerCert", "callerCert and callerKey are set together")
+	}
+}
+
+// Log selects what is logged and in which form.
+type Log struct {
+	// Level is the lowest level that is written. Default: info.
+	Level string `yaml:"level" rule:"oneof=debug|info|warn|error"`
+	// Format is json or text. Default: json.
+	Format string `yaml:"format" rule:"oneof=json|text"`
+}
+
+// AdminKey lets an operator use the administration API.
+type AdminKey struct {
+	Operator ident.Operator `yaml:"operator" rule:"required"`
+	// Role is viewer (reads), operator (budgets and configuration) or admin
+	// (everything, including the closing of incarnations by hand).
+	Role    string `yaml:"role" rule:"required,oneof=viewer|operator|admin"`
+	KeyHash string `yaml:"keyHash" rule:"required,hash"`
+}
+
+func defaultLog() Log { return Log{Level: "info", Format: "json"} }
+
+// defaultDrain leaves room for a long answer at the planned token rate.
+const defaultDrain = 30 * time.Second
--- /dev/null
+++ b/internal/adapt/conf/names.go
@@ -0,0 +1,76 @@
+package conf
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// maxDistance is the largest edit distance at which a known name is suggested.
+const maxDistance = 2
+
+func fieldNamed(ty reflect.Type, name string) (reflect.StructField, bool) {
+	for fd := range fields(ty) {
+		if fd.Tag.Get("yaml") == name {
+			return fd, true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+func fieldNames(ty reflect.Type) []string {
+	var names []string
+	for fd := range fields(ty) {
+		names = append(names, fd.Tag.Get("yaml"))
+	}
+	return names
+}
+
+// fields yields the fields that carry a key.
+func fields(ty reflect.Type) func(func(reflect.StructField) bool) {
+	return func(yield func(reflect.StructField) bool) {
+		for _, fd := range reflect.VisibleFields(ty) {
+			if fd.Tag.Get("yaml") != "" && !yield(fd) {
+				return
+			}
+		}
+	}
+}
+
+func contains(names []string, name string) bool { return slices.Contains(names, name) }
+
+// suggestion returns the closest of names, or nothing when none is close.
+func suggestion(got string, names []string) string {
+	best, least := "", maxDistance+1
+	for _, na := range names {
+		if di := distance(strings.ToLower(got), strings.ToLower(na)); di < least {
+			best, least = na, di
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (did you mean %q?)", best)
+}
+
+// distance is the Levenshtein distance.
+func distance(le, ri string) int {
+	row := make([]int, len(ri)+1)
+	for ix := range row {
+		row[ix] = ix
+	}
+	for ix := range len(le) {
+		diag := row[0]
+		row[0] = ix + 1
+		for jx := range len(ri) {
+			cost := diag
+			if le[ix] != ri[jx] {
+				cost++
+			}
+			diag = row[jx+1]
+			row[jx+1] = min(cost, row[jx]+1, diag+1)
+		}
+	}
+	return row[len(ri)]
+}
