--- /dev/null
+++ b/internal/adapt/certs/fleet.go
@@ -0,0 +1,142 @@
+package certs
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"github.com/balsamwood/balsamwood/internal/core/snap"
+)
+
+// Files names the PEM files of one process. CallerCert and CallerKey default to
+// Cert and Key.
+type Files struct {
+	FleetCA    string
+	Cert       string
+	Key        string
+	CallerCert string
+	CallerKey  string
+}
+
+// WithDefaults returns a copy in which the caller's side has a certificate.
+func (fi Files) WithDefaults() Files {
+	if fi.CallerCert == "" {
+		fi.CallerCert, fi.CallerKey = fi.Cert, fi.Key
+	}
+	return fi
+}
+
+// material is the parsed content of the files. It is immutable.
+type material struct {
+	raw    []byte
+	pool   *x509.CertPool
+	fleet  tls.Certificate
+	caller tls.Certificate
+}
+
+// Fleet holds the certificates of one process. Configurations that it returned
+// use the files' new content after a reload.
+type Fleet struct {
+	files Files
+	cell  *snap.Cell[material]
+}
+
+// NewFleet reads the files.
+func NewFleet(fi Files) (*Fleet, error) {
+	fi = fi.WithDefaults()
+	ma, err := read(fi)
+	if err != nil {
+		return nil, err
+	}
+	return &Fleet{files: fi, cell: snap.NewCell(ma)}, nil
+}
+
+// Reload reads the files again and reports whether they have changed. After an
+// error the previous content stays in use, because a certificate and its key
+// are not replaced at the same instant.
+func (fl *Fleet) Reload() (bool, error) {
+	ma, err := read(fl.files)
+	if err != nil {
+		return false, err
+	}
+	if bytes.Equal(ma.raw, fl.cell.Load().raw) {
+		return false, nil
+	}
+	fl.cell.Store(ma)
+	return true, nil
+}
+
+// CallerServer returns the configuration of a server that callers connect to.
+func (fl *Fleet) CallerServer() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			ce := fl.cell.Load().caller
+			return &ce, nil
+		},
+	}
+}
+
+// Server returns the configuration of a server that only peers with the given
+// role may use.
+func (fl *Fleet) Server(peer Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// VerifyConnection checks the chain, so that a reload of the CA takes
+		// effect; it runs for resumed sessions too.
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			ce := fl.cell.Load().fleet
+			return &ce, nil
+		},
+		VerifyConnection: func(st tls.ConnectionState) error {
+			return verify(st, fl.cell.Load().pool, x509.ExtKeyUsageClientAuth, peer)
+		},
+	}
+}
+
+// Client returns the configuration of a client that only talks to servers with
+// the given role.
+func (fl *Fleet) Client(peer Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The standard check compares the host name. VMs are replaced at any
+		// time and addressed by IP number, so the fleet's certificates name a
+		// role and no host; VerifyConnection checks chain and role.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			ce := fl.cell.Load().fleet
+			return &ce, nil
+		},
+		VerifyConnection: func(st tls.ConnectionState) error {
+			return verify(st, fl.cell.Load().pool, x509.ExtKeyUsageServerAuth, peer)
+		},
+	}
+}
+
+func read(fi Files) (material, error) {
+	var ma material
+	var parts [5][]byte
+	for ix, path := range []string{fi.FleetCA, fi.Cert, fi.Key, fi.CallerCert, fi.CallerKey} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return ma, fmt.Errorf("certs: %w", err)
+		}
+		parts[ix] = data
+	}
+	ma.raw = bytes.Join(parts[:], []byte{0})
+	ma.pool = x509.NewCertPool()
+	if !ma.pool.AppendCertsFromPEM(parts[0]) {
+		return ma, fmt.Errorf("certs: %s: no certificate in PEM form", fi.FleetCA)
+	}
+	var err error
+	if ma.fleet, err = tls.X509KeyPair(parts[1], parts[2]); err != nil {
+		return ma, fmt.Errorf("certs: %s, %s: %w", fi.Cert, fi.Key, err)
+	}
+	if ma.caller, err = tls.X509KeyPair(parts[3], parts[4]); err != nil {
+		return ma, fmt.Errorf("certs: %s, %s: %w", fi.CallerCert, fi.CallerKey, err)
+	}
+	return ma, nil
+}
