--- /dev/null
+++ b/internal/fake/cloud/counts.go
@@ -0,0 +1,34 @@
+package cloud
+
+import "sync/atomic"
+
+// Counts is the work done so far.
+type Counts struct {
+	// Reads counts GetItem and Query calls.
+	Reads int64 `json:"reads"`
+	// Commits counts TransactWriteItems calls and Writes their items, both
+	// also when a condition failed.
+	Commits   int64 `json:"commits"`
+	Writes    int64 `json:"writes"`
+	Conflicts int64 `json:"conflicts"`
+	Throttled int64 `json:"throttled"`
+	// Lost counts answers that were lost after the write took effect.
+	Lost         int64 `json:"lost"`
+	ObjectReads  int64 `json:"objectReads"`
+	ObjectWrites int64 `json:"objectWrites"`
+	VMReads      int64 `json:"vmReads"`
+}
+
+type counters struct {
+	reads, commits, writes, conflicts, throttled, lost atomic.Int64
+	objectReads, objectWrites, vmReads                 atomic.Int64
+}
+
+func (co *counters) load() Counts {
+	return Counts{
+		Reads: co.reads.Load(), Commits: co.commits.Load(), Writes: co.writes.Load(),
+		Conflicts: co.conflicts.Load(), Throttled: co.throttled.Load(), Lost: co.lost.Load(),
+		ObjectReads: co.objectReads.Load(), ObjectWrites: co.objectWrites.Load(),
+		VMReads: co.vmReads.Load(),
+	}
+}
--- /dev/null
+++ b/internal/fake/fault/control.go
@@ -0,0 +1,59 @@
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/balsamwood/balsamwood/internal/core/snap"
+)
+
+// maxControlBytes bounds the body of a control request. The largest one is a
+// VM list of a thousand entries.
+const maxControlBytes = 1 << 20
+
+// Control returns a handler that shows the value of the cell on GET and merges
+// the members of a JSON object into it on POST.
+func Control[T any](cell *snap.Cell[T]) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		if re.Method == http.MethodPost && !merge(cell, wr, re) {
+			return
+		}
+		WriteJSON(wr, http.StatusOK, cell.Load())
+	})
+}
+
+func merge[T any](cell *snap.Cell[T], wr http.ResponseWriter, re *http.Request) bool {
+	var raw json.RawMessage
+	if !ReadJSON(wr, re, &raw) {
+		return false
+	}
+	var err error
+	cell.Update(func(val T) (T, bool) {
+		err = json.Unmarshal(raw, &val)
+		return val, err == nil
+	})
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// ReadJSON decodes the bounded body of a control request into val. It answers
+// 400 and returns false when the body is not valid.
+func ReadJSON(wr http.ResponseWriter, re *http.Request, val any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(wr, re.Body, maxControlBytes))
+	if err := dec.Decode(val); err != nil {
+		http.Error(wr, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// WriteJSON answers with the JSON form of val.
+func WriteJSON(wr http.ResponseWriter, status int, val any) {
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	// An error here means that the client went away; there is nobody to tell.
+	_ = json.NewEncoder(wr).Encode(val)
+}
