--- a/internal/adapt/bucket/bucket.go
+++ b/internal/adapt/bucket/bucket.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, 0, false, err
 	}
-	if method == http.MethodPut || resp.StatusCode != http.StatusOK {
+	if method == http.MethodPut {
 		re.Header.Set("If-None-Match", "*")
 	}
 	resp, sent, err := client.Do(bu.hc, re)
