--- /dev/null
+++ b/internal/core/claim/decide.go
@@ -0,0 +1,86 @@
+package claim
+
+import "github.com/balsamwood/balsamwood/internal/core/ident"
+
+// Asker identifies the attempt that wants to run a call.
+type Asker struct {
+	Sidecar  ident.Incarnation
+	Upstream ident.Upstream
+	Request  ident.Request
+	Attempt  uint32
+}
+
+// Verdict is what an attempt must do.
+type Verdict int
+
+const (
+	// Insert means that the attempt must write its claim and may run the call
+	// once that write has taken effect.
+	Insert Verdict = iota
+	// Run means that the attempt holds the claim.
+	Run
+	// Replay means that the stored outcome is the answer.
+	Replay
+	// KeyReused means that the key belongs to another request body.
+	KeyReused
+	// InProgress means that another attempt may be running the call.
+	InProgress
+	// Refused means that the key was cancelled.
+	Refused
+)
+
+// Decide returns what the asker must do, given the existing record or nil.
+func Decide(ex *Record, fingerprint []byte, as Asker) Verdict {
+	switch {
+	case ex == nil:
+		return Insert
+	case !ex.Same(fingerprint):
+		return KeyReused
+	case ex.State == Done:
+		return Replay
+	case ex.State == Cancelled:
+		return Refused
+	case ex.State == Released:
+		return Insert
+	case ex.HeldBy(as):
+		return Run
+	default:
+		return InProgress
+	}
+}
+
+// Cancellation is the result of an attempt to cancel a key.
+type Cancellation int
+
+const (
+	// Open means that the cancellation must be written first.
+	Open Cancellation = iota
+	// Won means that the call was not run and never will be.
+	Won
+	// LostClaimed means that a sidecar may be running the call.
+	LostClaimed
+	// LostDone means that the call ran and its outcome is stored.
+	LostDone
+	// Foreign means that the key belongs to another request body, so that the
+	// call with this body never ran and never will under this key.
+	Foreign
+)
+
+// DecideCancel returns the result of a cancellation, given the existing record
+// or nil.
+func DecideCancel(ex *Record, fingerprint []byte) Cancellation {
+	switch {
+	case ex == nil:
+		return Open
+	case !ex.Same(fingerprint):
+		return Foreign
+	case ex.State == Done:
+		return LostDone
+	case ex.State == Cancelled:
+		return Won
+	case ex.State == Released:
+		return Open
+	default:
+		return LostClaimed
+	}
+}
--- /dev/null
+++ b/internal/core/claim/record.go
@@ -0,0 +1,102 @@
+// Package claim decides which dispatch may run a call that must run at most
+// once.
+package claim
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// State is the state of a claim.
+type State string
+
+const (
+	// Claimed means that a sidecar may be running the call.
+	Claimed State = "claimed"
+	// Cancelled means that the call was not run and never will be.
+	Cancelled State = "cancelled"
+	// Released means that the upstream proved that it did not run the call.
+	// The same request may be claimed again. The row is kept instead of
+	// deleted, because a new row would start at version 1 again and a delayed
+	// write could then match it.
+	Released State = "released"
+	// Done means that the call ran and its outcome is stored.
+	Done State = "done"
+)
+
+// Record is the row that guards an idempotency key. It is immutable.
+type Record struct {
+	Fingerprint []byte            `json:"fingerprint"`
+	State       State             `json:"state"`
+	Sidecar     ident.Incarnation `json:"sidecar,omitempty"`
+	Upstream    ident.Upstream    `json:"upstream,omitempty"`
+	Request     ident.Request     `json:"request,omitempty"`
+	Attempt     uint32            `json:"attempt,omitempty"`
+	ClaimedAt   time.Time         `json:"claimedAt,omitzero"`
+	Outcome     *Outcome          `json:"outcome,omitempty"`
+}
+
+// Outcome is the answer of a call that ran.
+type Outcome struct {
+	Status int     `json:"status"`
+	Header []Field `json:"header,omitempty"`
+	Body   []byte  `json:"body,omitempty"`
+	// Cut means that the body was longer than a row may hold, so that only
+	// its beginning is stored.
+	Cut bool `json:"cut,omitempty"`
+	// Failure is the reason if the call ended without an answer.
+	Failure string `json:"failure,omitempty"`
+}
+
+// Field is one header field.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// New returns a record in the state Claimed.
+func New(fingerprint []byte, as Asker, at time.Time) Record {
+	return Record{
+		Fingerprint: slices.Clone(fingerprint), State: Claimed, Sidecar: as.Sidecar, Upstream: as.Upstream,
+		Request: as.Request, Attempt: as.Attempt, ClaimedAt: at,
+	}
+}
+
+// Void returns a record in the state Cancelled for a key that was never
+// claimed.
+func Void(fingerprint []byte) Record {
+	return Record{Fingerprint: slices.Clone(fingerprint), State: Cancelled}
+}
+
+// WithState returns a copy in the given state.
+func (rc Record) WithState(st State) Record {
+	rc.State = st
+	return rc
+}
+
+// WithOutcome returns a copy in the state Done with the outcome.
+func (rc Record) WithOutcome(ou Outcome) Record {
+	rc.State, rc.Outcome = Done, &ou
+	return rc
+}
+
+// Same reports whether the record was written for the same request body.
+func (rc Record) Same(fingerprint []byte) bool { return bytes.Equal(rc.Fingerprint, fingerprint) }
+
+// HeldBy reports whether the asker wrote the claim.
+func (rc Record) HeldBy(as Asker) bool {
+	return rc.Sidecar == as.Sidecar && rc.Request == as.Request && rc.Attempt == as.Attempt
+}
+
+// escape keeps a separator within an account from reaching another account's
+// keys.
+var escape = strings.NewReplacer("%", "%25", "/", "%2F")
+
+// Row returns the key of the row that guards the idempotency key.
+func Row(account ident.Account, key ident.Key) string {
+	return "claim/" + escape.Replace(string(account)) + "/" + string(key)
+}
