--- /dev/null
+++ b/internal/core/route/candidate.go
@@ -0,0 +1,111 @@
+// Package route decides which upstream a request goes to. Its decisions are
+// pure: time and random numbers are parameters.
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Load is what an upstream last reported about itself.
+type Load struct {
+	// At is the time at which the report was taken. The zero value means that
+	// no report has arrived.
+	At      time.Time
+	Running int
+	Waiting int
+	Slots   int
+	// QueuedTokens is what running and waiting calls may still produce.
+	QueuedTokens ident.Tokens
+	// TokensPerSecond is the generation rate over all slots.
+	TokensPerSecond float64
+}
+
+// Own is the work of this router at one upstream.
+type Own struct {
+	// Requests and Tokens are outstanding, whenever they were sent.
+	Requests int
+	Tokens   ident.Tokens
+	// SentRequests and SentTokens are outstanding and not in the last report.
+	SentRequests int
+	SentTokens   ident.Tokens
+	// Urgent counts the outstanding requests of the urgent class.
+	Urgent int
+}
+
+// Candidate is an upstream as the router sees it. It is immutable.
+type Candidate struct {
+	id      ident.Upstream
+	domain  ident.Domain
+	models  []ident.Model
+	load    Load
+	own     Own
+	leaving bool
+	suspect time.Time
+}
+
+// NewCandidate returns a candidate that has reported no load.
+func NewCandidate(id ident.Upstream, domain ident.Domain, models ...ident.Model) Candidate {
+	return Candidate{id: id, domain: domain, models: slices.Clone(models)}
+}
+
+// ID returns the upstream's identifier.
+func (ca Candidate) ID() ident.Upstream { return ca.id }
+
+// Domain returns the failure domain.
+func (ca Candidate) Domain() ident.Domain { return ca.domain }
+
+// Models returns a copy of the list of models that the upstream holds.
+func (ca Candidate) Models() []ident.Model { return slices.Clone(ca.models) }
+
+// Load returns the last load report.
+func (ca Candidate) Load() Load { return ca.load }
+
+// Own returns the router's own work at the upstream.
+func (ca Candidate) Own() Own { return ca.own }
+
+// Leaving reports whether the upstream takes no new work.
+func (ca Candidate) Leaving() bool { return ca.leaving }
+
+// SuspectUntil returns the time until which the upstream is avoided, or zero.
+func (ca Candidate) SuspectUntil() time.Time { return ca.suspect }
+
+// WithModels returns a copy that holds the models.
+func (ca Candidate) WithModels(models ...ident.Model) Candidate {
+	ca.models = slices.Clone(models)
+	return ca
+}
+
+// WithLoad returns a copy with the load report. A report older than the current
+// one is ignored.
+func (ca Candidate) WithLoad(ld Load) Candidate {
+	if !ld.At.Before(ca.load.At) {
+		ca.load = ld
+	}
+	return ca
+}
+
+// WithOwn returns a copy with the router's own work.
+func (ca Candidate) WithOwn(ow Own) Candidate {
+	ca.own = ow
+	return ca
+}
+
+// WithLeaving returns a copy that is or is not leaving.
+func (ca Candidate) WithLeaving(leaving bool) Candidate {
+	ca.leaving = leaving
+	return ca
+}
+
+// WithSuspect returns a copy that is avoided until the given time.
+func (ca Candidate) WithSuspect(until time.Time) Candidate {
+	ca.suspect = until
+	return ca
+}
+
+// Usable reports whether new work may be sent to the upstream at now.
+func (ca Candidate) Usable(now time.Time) bool {
+	return !ca.leaving && !now.Before(ca.suspect)
+}
--- /dev/null
+++ b/internal/core/route/route_test.go
@@ -0,0 +1,195 @@
+package route_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/route"
+)
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+const model ident.Model = "clerk"
+
+func demand() route.Demand {
+	return route.Demand{Model: model, Class: config.Normal, Prompt: 800, Output: 100}
+}
+
+func busy(id ident.Upstream, domain ident.Domain, waiting int) route.Candidate {
+	return route.NewCandidate(id, domain, model).WithLoad(route.Load{
+		At: start, Running: 10, Waiting: waiting, Slots: 10,
+		QueuedTokens: ident.Tokens(100 * (10 + waiting)), TokensPerSecond: 1000,
+	})
+}
+
+// TestEstimate guards against estimates that ignore the lag of a report, own
+// work that the report misses, a cached prefix or the class.
+func TestEstimate(t *testing.T) {
+	cases := []struct {
+		name   string
+		ca     route.Candidate
+		change func(*route.Demand)
+		age    time.Duration
+		want   time.Duration
+	}{
+		{"waiting for a slot", busy("e", "d", 0), nil, 0, 200 * time.Millisecond},
+		{"behind ten", busy("e", "d", 10), nil, 0, 1200 * time.Millisecond},
+		{"drained since the report", busy("e", "d", 10), nil, time.Second, 200 * time.Millisecond},
+		{"sent since the report", busy("e", "d", 0).WithOwn(route.Own{Requests: 10, Tokens: 1000, SentRequests: 10, SentTokens: 1000}), nil, 0, 1200 * time.Millisecond},
+		{"own work bounds a frozen report", busy("e", "d", 0).WithOwn(route.Own{Requests: 20, Tokens: 2000}), nil, time.Hour, 1200 * time.Millisecond},
+		{"urgent passes waiting work", busy("e", "d", 10), func(de *route.Demand) { de.Class = config.Urgent }, 0, 200 * time.Millisecond},
+		{"cached prefix", busy("e", "d", 0), func(de *route.Demand) { de.Hint = route.Hint{Upstream: "e", Tokens: 800} }, 0, 100 * time.Millisecond},
+		{"prefix cached elsewhere", busy("e", "d", 0), func(de *route.Demand) { de.Hint = route.Hint{Upstream: "f", Tokens: 800} }, 0, 200 * time.Millisecond},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			de := demand()
+			if ca.change != nil {
+				ca.change(&de)
+			}
+			now := start.Add(ca.age)
+			es := route.EstimateAt(ca.ca, de, now)
+			if got := es.FirstToken.Sub(now); got.Round(time.Millisecond) != ca.want || !es.Known {
+				t.Errorf("first token after %v (known %v), want %v", got, es.Known, ca.want)
+			}
+			if got := es.Finish.Sub(es.FirstToken).Round(time.Millisecond); got != time.Second {
+				t.Errorf("output takes %v, want 1s", got)
+			}
+		})
+	}
+}
+
+// TestChoose guards against sending work to unusable upstreams, and against a
+// retry in the failure domain of the first attempt while another is usable.
+func TestChoose(t *testing.T) {
+	vi := route.NewView(
+		route.NewCandidate("a", "d1", model).WithLeaving(true),
+		route.NewCandidate("b", "d1", model).WithSuspect(start.Add(time.Minute)),
+		route.NewCandidate("c", "d2", "other"),
+		route.NewCandidate("d", "d2", model),
+		route.NewCandidate("e", "d2", model),
+		route.NewCandidate("f", "d3", model),
+	)
+	tried := route.Tried{}.With("d", "d2")
+	cases := []struct {
+		name  string
+		tried route.Tried
+		now   time.Time
+		want  map[ident.Upstream]bool
+	}{
+		{"first attempt", route.Tried{}, start, map[ident.Upstream]bool{"d": true, "e": true, "f": true}},
+		{"retry prefers another domain", tried, start, map[ident.Upstream]bool{"f": true}},
+		{"second retry falls back", tried.With("f", "d3"), start, map[ident.Upstream]bool{"e": true}},
+		{"all tried", tried.With("f", "d3").With("e", "d2"), start, map[ident.Upstream]bool{}},
+		{"suspicion ends", tried.With("f", "d3").With("e", "d2"), start.Add(time.Minute), map[ident.Upstream]bool{"b": true}},
+	}
+	for _, name := range route.Names() {
+		for _, ca := range cases {
+			t.Run(string(name)+"/"+ca.name, func(t *testing.T) {
+				po, err := route.New(name, route.CandidateTraits(route.NewTracker()), route.NewRand(1))
+				if err != nil {
+					t.Fatal(err)
+				}
+				de := demand()
+				de.Tried = ca.tried
+				got := map[ident.Upstream]bool{}
+				for range 200 {
+					if up, ok := po.Choose(vi.Pool(de), de, ca.now); ok {
+						got[up.ID()] = true
+					}
+				}
+				if diff := cmp.Diff(ca.want, got); diff != "" {
+					t.Errorf("chosen (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestHintedChoice guards against a hint that is ignored when it helps or
+// followed when the upstream is overloaded.
+func TestHintedChoice(t *testing.T) {
+	for _, ca := range []struct {
+		waiting int
+		want    bool
+	}{{0, true}, {40, false}} {
+		list := []route.Candidate{busy("hinted", "d1", ca.waiting)}
+		for ix := range 20 {
+			list = append(list, busy(ident.Upstream(fmt.Sprint("other", ix)), "d2", 0))
+		}
+		po, _ := route.New(route.ExpectedFinish, route.CandidateTraits(route.NewTracker()), route.NewRand(2))
+		de := demand()
+		de.Hint = route.Hint{Upstream: "hinted", Tokens: 700}
+		up, _ := po.Choose(route.NewView(list...).Pool(de), de, start)
+		if got := up.ID() == "hinted"; got != ca.want {
+			t.Errorf("%d waiting: hinted chosen %v, want %v", ca.waiting, got, ca.want)
+		}
+	}
+}
+
+// TestTracker guards against own work that is lost or counted twice when a
+// report arrives between the start and the end of a request.
+func TestTracker(t *testing.T) {
+	tr := route.NewTracker()
+	old := tr.Sent("e", demand())
+	tr.Report("e", start, start)
+	young := tr.Sent("e", demand())
+	if diff := cmp.Diff(route.Own{Requests: 2, Tokens: 200, SentRequests: 1, SentTokens: 100}, tr.Own("e")); diff != "" {
+		t.Errorf("after the report (-want +got):\n%s", diff)
+	}
+	// A report as old as the interval misses all of the interval's work.
+	tr.Report("e", start, start.Add(time.Second))
+	if got := tr.Own("e").SentRequests; got != 1 {
+		t.Errorf("a late report left %d sent requests, want 1", got)
+	}
+	tr.Done(young)
+	tr.Done(old)
+	if diff := cmp.Diff(route.Own{}, tr.Own("e")); diff != "" {
+		t.Errorf("after the end (-want +got):\n%s", diff)
+	}
+}
+
+// TestTrackerConcurrent guards against counts that drift when many requests and
+// reports overlap.
+func TestTrackerConcurrent(t *testing.T) {
+	tr := route.NewTracker()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 2000 {
+				tr.Done(tr.Sent("e", demand()))
+			}
+		})
+	}
+	for ix := range 500 {
+		tr.Report("e", start, start.Add(time.Duration(ix)*time.Millisecond))
+	}
+	wg.Wait()
+	if diff := cmp.Diff(route.Own{}, tr.Own("e")); diff != "" {
+		t.Errorf("own work at rest (-want +got):\n%s", diff)
+	}
+}
+
+// TestView guards against a change of one candidate that reaches older views.
+func TestView(t *testing.T) {
+	v1 := route.NewView(busy("a", "d", 0), busy("b", "d", 0))
+	v2 := v1.With(busy("a", "d", 7)).With(route.NewCandidate("c", "d", "other"))
+	v3 := v2.Without("b")
+	aa, _ := v1.Get("a")
+	if v1.Len() != 2 || aa.Load().Waiting != 0 {
+		t.Errorf("first view changed: %d candidates, %d waiting", v1.Len(), aa.Load().Waiting)
+	}
+	po := v2.Pool(demand())
+	if len(po.Items) != 2 || po.Items[0].Load().Waiting != 7 {
+		t.Errorf("the index by model was not updated")
+	}
+	if _, ok := v3.Get("b"); ok || v3.Len() != 2 {
+		t.Errorf("b was not removed")
+	}
+}
--- /dev/null
+++ b/internal/core/route/traits.go
@@ -0,0 +1,30 @@
+package route
+
+import "time"
+
+// CandidateTraits returns the traits of candidates whose own work is counted by
+// the tracker.
+func CandidateTraits(tr *Tracker) Traits[*Candidate] {
+	return Traits[*Candidate]{
+		Fit: fitOf,
+		Load: func(ca *Candidate) float64 {
+			ow := tr.Own(ca.id)
+			requests := max(ca.load.Running+ca.load.Waiting+ow.SentRequests, ow.Requests)
+			return float64(requests) / float64(max(1, ca.load.Slots))
+		},
+		Finish: func(ca *Candidate, de Demand, now time.Time) time.Time {
+			return EstimateAt(ca.WithOwn(tr.Own(ca.id)), de, now).Finish
+		},
+	}
+}
+
+func fitOf(ca *Candidate, de Demand, now time.Time) Fit {
+	switch {
+	case !ca.Usable(now) || de.Tried.Upstream(ca.id):
+		return Unfit
+	case de.Tried.Domain(ca.domain):
+		return Fallback
+	default:
+		return Preferred
+	}
+}
