--- /dev/null
+++ b/internal/core/escrow/evidence.go
@@ -0,0 +1,94 @@
+package escrow
+
+import (
+	"slices"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// State is the state of an incarnation.
+type State string
+
+const (
+	// Open means that the incarnation may draw grants.
+	Open State = "open"
+	// Closing means that the incarnation draws no more and some of its escrow
+	// is still held.
+	Closing State = "closing"
+	// Closed means that nothing is held by the incarnation.
+	Closed State = "closed"
+)
+
+// IncarnationRow describes one start of one router.
+type IncarnationRow struct {
+	VM     ident.VM     `json:"vm"`
+	Domain ident.Domain `json:"domain"`
+	// Opened is the time of the start in Unix milliseconds.
+	Opened int64 `json:"opened"`
+	State  State `json:"state"`
+}
+
+// WithState returns a copy in the given state.
+func (ir IncarnationRow) WithState(st State) IncarnationRow {
+	ir.State = st
+	return ir
+}
+
+// Use is the total number of tokens used from one budget.
+type Use struct {
+	Account ident.Account `json:"account"`
+	Budget  ident.Budget  `json:"budget"`
+	Tokens  ident.Tokens  `json:"tokens"`
+}
+
+// ClosureRow is the evidence of one sidecar about a closed incarnation: it
+// forwards no more work of that incarnation, and its work used these tokens.
+type ClosureRow struct {
+	Used []Use `json:"used,omitempty"`
+}
+
+// Total returns the tokens used from the budget.
+func (cr ClosureRow) Total(rf ident.BudgetRef) ident.Tokens {
+	var sum ident.Tokens
+	for _, us := range cr.Used {
+		if us.Account == rf.Account && us.Budget == rf.Budget {
+			sum += us.Tokens
+		}
+	}
+	return sum
+}
+
+// Evidence names the sidecars whose closure rows are needed to recover an
+// incarnation. A sidecar is identified by its own incarnation, because a
+// restarted sidecar no longer knows the usage from before. Evidence without
+// any sidecar proves nothing.
+type Evidence struct {
+	needed []ident.Incarnation
+	gone   []ident.Incarnation
+}
+
+// WithSidecar returns a copy that needs the sidecar's closure row.
+func (ev Evidence) WithSidecar(side ident.Incarnation) Evidence {
+	if !slices.Contains(ev.needed, side) {
+		ev.needed = append(slices.Clone(ev.needed), side)
+	}
+	return ev
+}
+
+// WithGone returns a copy in which the sidecar is proved gone for good without
+// ever having had a link with the incarnation.
+func (ev Evidence) WithGone(side ident.Incarnation) Evidence {
+	ev = ev.WithSidecar(side)
+	ev.gone = append(slices.Clone(ev.gone), side)
+	return ev
+}
+
+// Empty reports whether no sidecar is named.
+func (ev Evidence) Empty() bool { return len(ev.needed) == 0 }
+
+// Needed returns the sidecars whose closure rows are needed.
+func (ev Evidence) Needed() []ident.Incarnation {
+	return slices.DeleteFunc(slices.Clone(ev.needed), func(it ident.Incarnation) bool {
+		return slices.Contains(ev.gone, it)
+	})
+}
--- /dev/null
+++ b/internal/core/escrow/grant.go
@@ -0,0 +1,152 @@
+package escrow
+
+import "github.com/balsamwood/balsamwood/internal/core/ident"
+
+// GrantRow is the ledger row of one holder for one budget. Its counters are
+// cumulative, so that a settlement written twice counts once. It is immutable.
+type GrantRow struct {
+	Drawn    ident.Tokens `json:"drawn"`
+	Settled  ident.Tokens `json:"settled"`
+	Returned ident.Tokens `json:"returned"`
+	// Seq numbers the writes of the holder, and Op identifies the last one.
+	Seq    uint64   `json:"seq"`
+	Op     ident.Op `json:"op"`
+	Closed bool     `json:"closed,omitempty"`
+	// ResolvedBy names the operator who settled the grant without evidence.
+	ResolvedBy ident.Operator `json:"resolvedBy,omitempty"`
+}
+
+// Outstanding returns the tokens that are drawn and neither settled nor
+// returned.
+func (gr GrantRow) Outstanding() ident.Tokens { return gr.Drawn - gr.Settled - gr.Returned }
+
+// WithOp returns a copy with the next sequence number and the operation id.
+func (gr GrantRow) WithOp(op ident.Op) GrantRow {
+	gr.Seq++
+	gr.Op = op
+	return gr
+}
+
+// WithResolvedBy returns a copy that names the operator who resolved it.
+func (gr GrantRow) WithResolvedBy(by ident.Operator) GrantRow {
+	gr.ResolvedBy = by
+	return gr
+}
+
+// Entry is the pair of rows that every transition of a grant changes together.
+type Entry struct {
+	Budget BudgetRow
+	Grant  GrantRow
+}
+
+// Draw moves free tokens to the grant.
+func (en Entry) Draw(amount ident.Tokens) (Entry, error) {
+	switch {
+	case amount <= 0:
+		return en, ErrAmount
+	case en.Grant.Closed:
+		return en, ErrClosed
+	case amount > en.Budget.Free():
+		return en, ErrShort
+	}
+	nx := en
+	nx.Grant.Drawn += amount
+	nx.Budget.Granted += amount
+	nx.Budget.Wanted = 0
+	return nx.counted(en), nil
+}
+
+// Settle charges outstanding tokens to the budget.
+func (en Entry) Settle(used ident.Tokens) (Entry, error) {
+	if err := en.check(used); err != nil {
+		return en, err
+	}
+	nx := en
+	nx.Grant.Settled += used
+	nx.Budget.Settled += used
+	nx.Budget.Granted -= used
+	return nx.counted(en), nil
+}
+
+// Return makes outstanding tokens free.
+func (en Entry) Return(amount ident.Tokens) (Entry, error) {
+	if err := en.check(amount); err != nil {
+		return en, err
+	}
+	nx := en
+	nx.Grant.Returned += amount
+	nx.Budget.Granted -= amount
+	return nx.counted(en), nil
+}
+
+// Close closes a grant that has no outstanding tokens.
+func (en Entry) Close() (Entry, error) {
+	if en.Grant.Outstanding() != 0 {
+		return en, ErrExcess
+	}
+	en.Grant.Closed = true
+	return en, nil
+}
+
+// Recover closes the grant of a dead holder. used is the total that its
+// requests used according to complete evidence; it includes what the holder
+// settled itself. The remainder becomes free. A total above the drawn tokens
+// is charged only as far as tokens are held, and the rest is returned as
+// uncovered.
+func (en Entry) Recover(used ident.Tokens) (nx Entry, uncovered ident.Tokens, err error) {
+	if used < 0 {
+		return en, 0, ErrAmount
+	}
+	if en.Grant.Closed {
+		return en, 0, ErrClosed
+	}
+	charge := max(0, used-en.Grant.Settled)
+	uncovered = max(0, charge-en.Grant.Outstanding())
+	nx, err = en.Settle(charge - uncovered)
+	if err != nil {
+		return en, 0, err
+	}
+	if nx, err = nx.Return(nx.Grant.Outstanding()); err != nil {
+		return en, 0, err
+	}
+	nx, err = nx.Close()
+	return nx, uncovered, err
+}
+
+// Resolve closes a grant without complete evidence, on the word of an
+// operator.
+func (en Entry) Resolve(used ident.Tokens, by ident.Operator) (Entry, error) {
+	nx, uncovered, err := en.Recover(used)
+	if err != nil {
+		return en, err
+	}
+	if uncovered > 0 {
+		return en, ErrExcess
+	}
+	nx.Grant = nx.Grant.WithResolvedBy(by)
+	return nx, nil
+}
+
+func (en Entry) check(amount ident.Tokens) error {
+	switch {
+	case amount < 0:
+		return ErrAmount
+	case en.Grant.Closed:
+		return ErrClosed
+	case amount > en.Grant.Outstanding():
+		return ErrExcess
+	}
+	return nil
+}
+
+// counted adjusts the number of holders to the change since old.
+func (en Entry) counted(old Entry) Entry {
+	was, is := old.Grant.Outstanding() > 0, en.Grant.Outstanding() > 0
+	if is && !was {
+		en.Budget.Holders++
+	}
+	if was && !is {
+		en.Budget.Holders--
+	}
+	return en
+}
--- /dev/null
+++ b/internal/core/escrow/naive.go
@@ -0,0 +1,74 @@
+package escrow
+
+import (
+	"sync"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Naive is a single ledger under one lock. It defines what the distributed
+// ledger must agree with, and serves differential tests.
+type Naive struct {
+	mu       sync.Mutex
+	prepaid  ident.Tokens
+	settled  ident.Tokens
+	reserved map[ident.Request]ident.Tokens
+	topUps   map[ident.Op]bool
+}
+
+// NewNaive returns a ledger with a prepaid amount.
+func NewNaive(prepaid ident.Tokens) *Naive {
+	return &Naive{
+		prepaid:  prepaid,
+		reserved: make(map[ident.Request]ident.Tokens),
+		topUps:   make(map[ident.Op]bool),
+	}
+}
+
+// Reserve reserves tokens for the request if they are free.
+func (na *Naive) Reserve(rq ident.Request, tokens ident.Tokens) bool {
+	na.mu.Lock()
+	defer na.mu.Unlock()
+	if tokens > na.free() {
+		return false
+	}
+	na.reserved[rq] = tokens
+	return true
+}
+
+// Settle charges the request's use once, at most its reservation.
+func (na *Naive) Settle(rq ident.Request, used ident.Tokens) {
+	na.mu.Lock()
+	defer na.mu.Unlock()
+	res, ok := na.reserved[rq]
+	if !ok {
+		return
+	}
+	delete(na.reserved, rq)
+	na.settled += min(used, res)
+}
+
+// TopUp adds prepaid tokens once per operation.
+func (na *Naive) TopUp(op ident.Op, amount ident.Tokens) {
+	na.mu.Lock()
+	defer na.mu.Unlock()
+	if !na.topUps[op] {
+		na.topUps[op] = true
+		na.prepaid += amount
+	}
+}
+
+// Balance returns the prepaid, settled and free tokens.
+func (na *Naive) Balance() (prepaid, settled, free ident.Tokens) {
+	na.mu.Lock()
+	defer na.mu.Unlock()
+	return na.prepaid, na.settled, na.free()
+}
+
+func (na *Naive) free() ident.Tokens {
+	free := na.prepaid - na.settled
+	for _, res := range na.reserved {
+		free -= res
+	}
+	return free
+}
--- /dev/null
+++ b/internal/core/escrow/slice.go
@@ -0,0 +1,95 @@
+package escrow
+
+import (
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Slicer decides how many tokens a holder draws, given a demand of type D. It
+// returns zero if nothing should be drawn.
+type Slicer[D any] interface {
+	Slice(de D) ident.Tokens
+}
+
+// Demand describes a holder that is about to draw.
+type Demand struct {
+	// Free is what the budget can grant, and Holders counts the active holders
+	// including this one.
+	Free    ident.Tokens
+	Holders int
+	// Want is the worst case of the waiting request, or of a typical request
+	// when Ahead is set.
+	Want ident.Tokens
+	// Ahead means that no request waits for the draw.
+	Ahead bool
+	// Rate is the holder's recent reservation rate in tokens per second.
+	Rate   float64
+	Weight config.Weight
+}
+
+// Bounded limits another policy to what a draw may take: at least the waiting
+// request, at most what is free, and nothing if the request does not fit.
+type Bounded[S Slicer[Demand]] struct{ Inner S }
+
+// Slice returns the inner policy's slice within the bounds.
+func (bo Bounded[S]) Slice(de Demand) ident.Tokens {
+	if de.Want > de.Free {
+		return 0
+	}
+	sl := max(0, bo.Inner.Slice(de))
+	if !de.Ahead {
+		sl = max(sl, de.Want)
+	}
+	return min(sl, de.Free)
+}
+
+// Fixed draws slices of one size.
+type Fixed struct{ Size ident.Tokens }
+
+// Slice returns the size.
+func (fi Fixed) Slice(Demand) ident.Tokens { return fi.Size }
+
+// Adaptive draws a share of what is free among the holders, limited to what
+// the holder is expected to use within its cover. Near the end of a budget the
+// share falls below one request, and only the waiting request is drawn.
+type Adaptive struct{}
+
+// cover is the escrow policy of one weight.
+type cover struct {
+	// seconds of the recent rate are drawn in advance, which is how long a
+	// holder can serve while the table does not answer.
+	seconds float64
+	// requests is the number of typical requests drawn while no rate is known.
+	requests ident.Tokens
+	// parts is the number of equal parts into which a holder's share of the
+	// free tokens is divided, so that later draws still find something free.
+	parts ident.Tokens
+}
+
+func coverFor(we config.Weight) cover {
+	if we == config.WeighOverspend {
+		return cover{seconds: 10, requests: 2, parts: 16}
+	}
+	return cover{seconds: 60, requests: 8, parts: 4}
+}
+
+// Slice returns the share, limited by the cover.
+func (Adaptive) Slice(de Demand) ident.Tokens {
+	co := coverFor(de.Weight)
+	share := de.Free / (ident.Tokens(max(1, de.Holders)) * co.parts)
+	if share < de.Want {
+		if de.Ahead {
+			return 0
+		}
+		return de.Want
+	}
+	need := max(ident.Tokens(de.Rate*co.seconds), de.Want*co.requests)
+	return min(share, need)
+}
+
+// Home draws for all holders of a budget, which then take from it by peer
+// transfer. It is kept for measurement.
+type Home struct{}
+
+// Slice returns half of what is free, because no other holder draws.
+func (Home) Slice(de Demand) ident.Tokens { return de.Free / 2 }
