fleet: keep links and choose among upstreams

Cause: the router needs its links to sidecars to follow the configuration and a choice that sees lagging load and leaving upstreams. Ruled out: closing the link of a removed upstream at once (it cuts off requests in flight). Change: app/fleet composes the routing decisions with links; keyed model requests go to the same sidecar from every router, so that a retry finds the first run. Conclusion: ready to be composed into the router.

--- a/internal/adapt/caller/prefix.go
+++ b/internal/adapt/caller/prefix.go
@@ -3,20 +3,24 @@
 import (
 	"encoding/json"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/route"
 )
 
-// maxPrefixes bounds the number of prefix hashes of a request.
-const maxPrefixes = 8
+const (
+	// maxPrefixes bounds the number of prefixes of a request.
+	maxPrefixes = 8
+	// bytesPerToken is a usual mean for running text. Estimates use it; bounds
+	// do not.
+	bytesPerToken = 4
+)
 
-// prefixes returns the hashes of the first message, of the first two, and so
-// on. Engines cache prompts by prefix, and callers repeat their first messages.
-func prefixes(messages []json.RawMessage) []uint64 {
-	hash := xxhash.New()
-	out := make([]uint64, 0, min(len(messages), maxPrefixes))
-	for _, ms := range messages[:min(len(messages), maxPrefixes)] {
-		_, _ = hash.Write(ms)
-		out = append(out, hash.Sum64())
+// prefixes returns the prompt's prefixes at its message boundaries.
+func prefixes(messages []json.RawMessage) []route.Block {
+	count := min(len(messages), maxPrefixes)
+	texts, tokens := make([][]byte, count), make([]ident.Tokens, count)
+	for ix, ms := range messages[:count] {
+		texts[ix], tokens[ix] = ms, ident.Tokens(len(ms)/bytesPerToken)
 	}
-	return out
+	return route.Blocks(texts, tokens)
 }
--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -40,6 +40,7 @@
 	clk      clock.Clock
 	progress time.Duration
 	config   ConfigSource
+	onReport func(peer.Report)
 
 	cur    atomic.Pointer[session]
 	report atomic.Pointer[peer.Report]
@@ -80,15 +81,22 @@
 	return func(cl *Client) { cl.config = cs }
 }
 
+// WithOnReport sets a function that is called in turn with each report of the
+// sidecar. The default does nothing.
+func WithOnReport(fn func(peer.Report)) ClientOption {
+	return func(cl *Client) { cl.onReport = fn }
+}
+
 // NewClient returns a client that connects through dial while Run runs.
 func NewClient(id Identity, dial Dialer, opts ...ClientOption) *Client {
 	cl := &Client{
 		id: id, dial: dial, clk: clock.System{}, progress: 3 * time.Second,
-		config:  func() (ident.Revision, []byte) { return 0, nil },
-		changed: make(chan struct{}),
-		replace: make(chan *session, 1),
-		waiters: make(map[string]chan *wire.OrderDone),
-		closers: make(map[string][]chan []Used),
+		config:   func() (ident.Revision, []byte) { return 0, nil },
+		onReport: func(peer.Report) {},
+		changed:  make(chan struct{}),
+		replace:  make(chan *session, 1),
+		waiters:  make(map[string]chan *wire.OrderDone),
+		closers:  make(map[string][]chan []Used),
 	}
 	for _, op := range opts {
 		op(cl)
@@ -245,6 +253,7 @@
 func (cl *Client) setReport(se *session, lr *wire.LoadReport) {
 	rp := toReport(se.hello, lr, cl.clk.Now())
 	cl.report.Store(&rp)
+	cl.onReport(rp)
 }
 
 // offerConfig sends the configuration if the sidecar has an older one.
--- /dev/null
+++ b/internal/app/fleet/node.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+)
+
+// node is one linked upstream.
+type node struct {
+	up     config.Upstream
+	link   Link
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	uses    int
+	retired bool
+}
+
+// same reports whether the link and the candidate can stay as they are.
+func (no *node) same(up config.Upstream) bool {
+	return no.up.Sidecar == up.Sidecar && no.up.VM == up.VM && no.up.Kind == up.Kind &&
+		no.up.Domain == up.Domain && no.up.Service == up.Service && slices.Equal(no.up.Models, up.Models)
+}
+
+// use keeps the link open until release. It fails after the node was retired.
+func (no *node) use() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.retired {
+		return false
+	}
+	no.uses++
+	return true
+}
+
+func (no *node) release() {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.uses--
+	if no.retired && no.uses == 0 {
+		no.cancel()
+	}
+}
+
+// retire ends the link when its last request has ended.
+func (no *node) retire() {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.retired = true
+	if no.uses == 0 {
+		no.cancel()
+	}
+}
--- a/internal/app/front/attempt.go
+++ b/internal/app/front/attempt.go
@@ -4,8 +4,8 @@
 	"context"
 	"log/slog"
 
-	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/core/route"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 	"github.com/balsamwood/balsamwood/internal/port/peer"
 )
@@ -29,7 +29,7 @@
 }
 
 // run returns nil after a complete answer.
-func (at *attempt) run(ctx context.Context, tried []ident.Upstream) *refuse.Refusal {
+func (at *attempt) run(ctx context.Context, tried route.Tried) *refuse.Refusal {
 	ta, err := at.sv.fleet.Pick(at.rq.demand(tried), at.sv.clk.Now())
 	if err != nil {
 		return refuse.From(err)
--- a/internal/app/front/request.go
+++ b/internal/app/front/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/route"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 )
 
@@ -27,8 +28,8 @@
 	// MaxTokens bounds the completion tokens. For a plain service, it is the
 	// cost of the call.
 	MaxTokens ident.Tokens
-	// Prefixes are hashes of the prompt's prefixes, the longest last.
-	Prefixes []uint64
+	// Prefixes are the prompt's prefixes, the longest last.
+	Prefixes []route.Block
 	Call     engine.Call
 }
 
@@ -48,17 +49,17 @@
 	Class     config.Class
 	Prompt    ident.Tokens
 	MaxTokens ident.Tokens
-	Prefixes  []uint64
+	Prefixes  []route.Block
 	Deadline  time.Time
 	// Key, if set, prefers the upstream that an earlier attempt with the same
 	// key was sent to.
 	Account ident.Account
 	Key     ident.Key
 	// Tried are the upstreams that earlier attempts were sent to.
-	Tried []ident.Upstream
+	Tried route.Tried
 }
 
-func (rq Request) demand(tried []ident.Upstream) Demand {
+func (rq Request) demand(tried route.Tried) Demand {
 	return Demand{
 		Kind: rq.Kind, Model: rq.Model, Service: rq.Service, Class: rq.Class,
 		Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Prefixes: rq.Prefixes,
--- a/internal/app/front/service.go
+++ b/internal/app/front/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/core/route"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -128,7 +129,7 @@
 // Only the last attempt is charged, so all share one hold.
 func (sv *Service) attempts(ctx context.Context, rq Request, ho Hold, emit func(engine.Chunk) error) (Answer, error) {
 	sv.retries.First()
-	var tried []ident.Upstream
+	var tried route.Tried
 	for number := 1; ; number++ {
 		at := &attempt{sv: sv, rq: rq, ho: ho, emit: emit, number: number}
 		rf := at.run(ctx, tried)
@@ -142,7 +143,7 @@
 		if !ok || !at.sent || ctx.Err() != nil {
 			return at.answer(), sv.conclude(ctx, at, rf)
 		}
-		tried = append(tried, at.target.Upstream.ID)
+		tried = tried.With(at.target.Upstream.ID, at.target.Upstream.Domain)
 		sv.met.Count("retries", "reason", string(rf.Reason), 1)
 		sv.met.Log(evRetried, slog.String("request", string(rq.ID)),
 			slog.String("upstream", string(at.target.Upstream.ID)), slog.String("reason", string(rf.Reason)))
