--- /dev/null
+++ b/internal/core/admit/gate_test.go
@@ -0,0 +1,148 @@
+package admit_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/core/admit"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+)
+
+// TestGate guards against requests that are admitted too late to finish,
+// refused on a guess, or given the slots kept for urgent work.
+func TestGate(t *testing.T) {
+	ask := func(cl config.Class, running int, change func(*admit.Ask)) admit.Ask {
+		as := admit.Ask{
+			Class: cl, Deadline: start.Add(time.Minute), Known: true, FirstToken: start.Add(time.Second),
+			Finish: start.Add(5 * time.Second), Slots: 100, Running: running, QueueLimit: 10,
+		}
+		if change != nil {
+			change(&as)
+		}
+		return as
+	}
+	late := func(as *admit.Ask) { as.Finish = start.Add(90 * time.Second) }
+	slow := func(as *admit.Ask) { as.FirstBy = start.Add(time.Second / 2) }
+	retry := start.Add(30 * time.Second)
+	cases := []struct {
+		name string
+		as   admit.Ask
+		want admit.Decision
+	}{
+		{"free", ask(config.Batch, 69, nil), admit.Decision{}},
+		{"batch keeps out of the others' share", ask(config.Batch, 70, nil), admit.Decision{Verdict: admit.Wait}},
+		{"normal keeps out of the urgent share", ask(config.Normal, 85, nil), admit.Decision{Verdict: admit.Wait}},
+		{"normal before the urgent share", ask(config.Normal, 84, nil), admit.Decision{}},
+		{"urgent never waits", ask(config.Urgent, 100, nil), admit.Decision{}},
+		{"not past those that wait", ask(config.Normal, 10, func(as *admit.Ask) { as.Queued = 1 }), admit.Decision{Verdict: admit.Wait}},
+		{"queue full", ask(config.Normal, 100, func(as *admit.Ask) { as.Queued = 10 }), admit.Decision{Verdict: admit.Refuse, Reason: refuse.QueueFull, RetryAt: start.Add(5 * time.Second)}},
+		{"no queue", ask(config.Normal, 100, func(as *admit.Ask) { as.QueueLimit = 0 }), admit.Decision{}},
+		{"unmeetable", ask(config.Normal, 0, late), admit.Decision{Verdict: admit.Refuse, Reason: refuse.DeadlineUnmeetable, RetryAt: retry}},
+		{"first token unmeetable", ask(config.Urgent, 0, slow), admit.Decision{Verdict: admit.Refuse, Reason: refuse.DeadlineUnmeetable, RetryAt: start.Add(time.Second / 2)}},
+		{"no refusal on a guess", ask(config.Normal, 0, func(as *admit.Ask) { late(as); as.Known = false }), admit.Decision{}},
+		{"passed", ask(config.Normal, 0, func(as *admit.Ask) { as.Deadline = start }), admit.Decision{Verdict: admit.Refuse, Reason: refuse.DeadlinePassed}},
+		{"unknown slots", ask(config.Batch, 5, func(as *admit.Ask) { as.Slots = 0 }), admit.Decision{}},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			if diff := cmp.Diff(ca.want, admit.NewGate().Decide(ca.as, start)); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRates guards against bursts above the limit, a refusal without the time
+// at which a retry succeeds, and slots that are not given back.
+func TestRates(t *testing.T) {
+	ra := admit.NewRates[ident.Account]()
+	ra.Set(map[ident.Account]admit.Limit{"a": {PerSecond: 10, Burst: 3}, "b": {MaxRunning: 2}})
+	for ix := range 3 {
+		if de := ra.Take("a", start); de.Verdict != admit.Admit {
+			t.Fatalf("request %d of the burst: %v", ix, de)
+		}
+	}
+	refused := ra.Take("a", start)
+	want := admit.Decision{Verdict: admit.Refuse, Reason: refuse.RateLimited, RetryAt: start.Add(100 * time.Millisecond)}
+	if diff := cmp.Diff(want, refused); diff != "" {
+		t.Errorf("above the burst (-want +got):\n%s", diff)
+	}
+	// New limits keep what was already taken.
+	ra.Set(map[ident.Account]admit.Limit{"a": {PerSecond: 10, Burst: 3}, "b": {MaxRunning: 2}})
+	if de := ra.Take("a", refused.RetryAt.Add(-1)); de.Verdict != admit.Refuse {
+		t.Errorf("admitted before the retry time")
+	}
+	if de := ra.Take("a", refused.RetryAt); de.Verdict != admit.Admit {
+		t.Errorf("refused at the retry time")
+	}
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for range 16 {
+		wg.Go(func() {
+			if ra.Take("b", start).Verdict == admit.Admit {
+				admitted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if admitted.Load() > 2 || ra.Running("b") != int(admitted.Load()) {
+		t.Errorf("%d admitted, %d running, limit 2", admitted.Load(), ra.Running("b"))
+	}
+	for range 5 {
+		ra.Done("b")
+	}
+	if de := ra.Take("b", start); de.Verdict != admit.Admit || ra.Running("b") != 1 {
+		t.Errorf("no slot after the end of all requests")
+	}
+	if de := ra.Take("c", start); de.Verdict != admit.Admit {
+		t.Errorf("an account without limits was refused")
+	}
+}
+
+// TestFair guards against an account that takes the share of another one, and
+// against limits while there is room.
+func TestFair(t *testing.T) {
+	fa := admit.NewFair[ident.Account]()
+	for range 9 {
+		fa.Enter("flood")
+	}
+	if fa.Over("flood", 10) {
+		t.Errorf("held back below the capacity")
+	}
+	fa.Enter("quiet")
+	got := []bool{fa.Over("flood", 10), fa.Over("quiet", 10), fa.Over("new", 10)}
+	if diff := cmp.Diff([]bool{true, false, false}, got); diff != "" {
+		t.Errorf("over share of flood, quiet, new (-want +got):\n%s", diff)
+	}
+	fa.Leave("quiet")
+	if fa.Over("flood", 10) {
+		t.Errorf("held back after the other account left")
+	}
+}
+
+// TestBoundRatesAllocations guards against garbage on the path of each request.
+func TestBoundRatesAllocations(t *testing.T) {
+	ra := admit.NewRates[ident.Account]()
+	ra.Set(map[ident.Account]admit.Limit{"a": {PerSecond: 1e6, Burst: 10, MaxRunning: 10}})
+	fa := admit.NewFair[ident.Account]()
+	fa.Enter("a")
+	fa.Leave("a")
+	ga := admit.NewGate()
+	got := testing.AllocsPerRun(100, func() {
+		ra.Take("a", start)
+		fa.Enter("a")
+		fa.Over("a", 10)
+		ga.Decide(admit.Ask{Class: config.Urgent}, start)
+		fa.Leave("a")
+		ra.Done("a")
+	})
+	if got > 2 {
+		t.Errorf("%v allocations per decision, want at most 2", got)
+	}
+}
