--- /dev/null
+++ b/internal/core/retry/budget.go
@@ -0,0 +1,73 @@
+package retry
+
+import "sync/atomic"
+
+const (
+	defaultRatio   = 0.1
+	defaultReserve = 10
+	// unit is the fixed-point value of one attempt.
+	unit = 1 << 16
+)
+
+// Budget bounds retries to a ratio of first attempts, so that a fault cannot
+// multiply the load. It uses atomics only.
+type Budget struct {
+	credit  atomic.Int64
+	deposit int64
+	limit   int64
+}
+
+// BudgetOption configures a Budget.
+type BudgetOption func(*budgetSettings)
+
+type budgetSettings struct {
+	ratio   float64
+	reserve int
+}
+
+// WithRatio sets the retries per first attempt. The default is 0.1, the range
+// is 0 to 1.
+func WithRatio(ratio float64) BudgetOption {
+	return func(bs *budgetSettings) { bs.ratio = min(1, max(0, ratio)) }
+}
+
+// WithReserve sets the retries that can be saved up, which are also available at
+// the start. The default is 10, the range is 0 or more.
+func WithReserve(retries int) BudgetOption {
+	return func(bs *budgetSettings) { bs.reserve = max(0, retries) }
+}
+
+// NewBudget returns a budget that holds its whole reserve.
+func NewBudget(opts ...BudgetOption) *Budget {
+	bs := budgetSettings{ratio: defaultRatio, reserve: defaultReserve}
+	for _, opt := range opts {
+		opt(&bs)
+	}
+	bu := &Budget{deposit: int64(bs.ratio * unit), limit: int64(bs.reserve) * unit}
+	bu.credit.Store(bu.limit)
+	return bu
+}
+
+// First counts a first attempt.
+func (bu *Budget) First() {
+	for {
+		old := bu.credit.Load()
+		next := min(bu.limit, old+bu.deposit)
+		if next == old || bu.credit.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Take takes one retry and reports whether there was one.
+func (bu *Budget) Take() bool {
+	for {
+		old := bu.credit.Load()
+		if old < unit {
+			return false
+		}
+		if bu.credit.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
