--- /dev/null
+++ b/internal/core/member/closure.go
@@ -0,0 +1,162 @@
+package member
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Proof is how the usage of a dead incarnation at one sidecar is settled.
+type Proof int
+
+const (
+	// Awaited means that the sidecar has not confirmed yet.
+	Awaited Proof = iota
+	// Confirmed means that the sidecar runs nothing of the incarnation any more
+	// and has reported all that was used.
+	Confirmed
+	// NeverLinked means that the sidecar's VM is gone and had no link with the
+	// incarnation, so nothing was used there.
+	NeverLinked
+	// Missing means that the evidence is lost: the VM is gone, or its sidecar
+	// was restarted, after it had a link with the incarnation.
+	Missing
+	// Resolved means that an operator stated what was used.
+	Resolved
+)
+
+// Confirmation is a sidecar's answer to the closure of an incarnation.
+type Confirmation struct {
+	Sidecar ident.VM
+	// Used is the total of tokens used there.
+	Used ident.Tokens
+	// Complete says that the sidecar process has metered since before it can
+	// have had work of the incarnation. A restarted sidecar cannot say so.
+	Complete bool
+}
+
+// evidence is what is known about one sidecar.
+type evidence struct {
+	proof Proof
+	used  ident.Tokens
+}
+
+// Closure is the evidence about one dead incarnation. It is immutable. Only
+// evidence frees escrow, never the passing of time.
+type Closure struct {
+	router   ident.Incarnation
+	held     ident.Tokens
+	evidence map[ident.VM]evidence
+}
+
+// NewClosure returns a closure that awaits the sidecars. Held is the escrow that
+// the incarnation held and had not settled when it died.
+func NewClosure(router ident.Incarnation, held ident.Tokens, sidecars ...ident.VM) Closure {
+	cl := Closure{router: router, held: held, evidence: make(map[ident.VM]evidence, len(sidecars))}
+	for _, vm := range sidecars {
+		cl.evidence[vm] = evidence{}
+	}
+	return cl
+}
+
+// Router returns the incarnation.
+func (cl Closure) Router() ident.Incarnation { return cl.router }
+
+// WithSidecar returns a copy that also awaits the sidecar, for a VM that joins
+// before the closure is complete.
+func (cl Closure) WithSidecar(vm ident.VM) Closure {
+	if _, ok := cl.evidence[vm]; ok {
+		return cl
+	}
+	return cl.with(vm, evidence{})
+}
+
+// WithConfirmation returns a copy with the sidecar's answer. A repeated answer
+// counts once; the higher usage stands. An incomplete answer proves that nothing
+// runs there any more, but not what was used.
+func (cl Closure) WithConfirmation(co Confirmation) Closure {
+	ev := cl.evidence[co.Sidecar]
+	switch {
+	case ev.proof == Resolved:
+		return cl
+	case co.Complete:
+		return cl.with(co.Sidecar, evidence{proof: Confirmed, used: max(ev.used, co.Used)})
+	case ev.proof == Awaited:
+		return cl.with(co.Sidecar, evidence{proof: Missing, used: co.Used})
+	default:
+		return cl
+	}
+}
+
+// WithGone returns a copy in which the sidecar's VM is gone for good. Linked says
+// whether it had, or may have had, a link with the incarnation.
+func (cl Closure) WithGone(vm ident.VM, linked bool) Closure {
+	ev, ok := cl.evidence[vm]
+	if !ok || ev.proof != Awaited {
+		return cl
+	}
+	if linked {
+		return cl.with(vm, evidence{proof: Missing})
+	}
+	return cl.with(vm, evidence{proof: NeverLinked})
+}
+
+// WithResolved returns a copy in which an operator states the usage at a sidecar
+// whose evidence is missing.
+func (cl Closure) WithResolved(vm ident.VM, used ident.Tokens) Closure {
+	if cl.evidence[vm].proof != Missing {
+		return cl
+	}
+	return cl.with(vm, evidence{proof: Resolved, used: used})
+}
+
+// Proof returns how the sidecar's evidence stands.
+func (cl Closure) Proof(vm ident.VM) Proof { return cl.evidence[vm].proof }
+
+// Awaiting returns the sidecars that must still confirm.
+func (cl Closure) Awaiting() []ident.VM { return cl.in(Awaited) }
+
+// Lost returns the sidecars whose evidence is missing, for an operator.
+func (cl Closure) Lost() []ident.VM { return cl.in(Missing) }
+
+// Used returns the proved usage.
+func (cl Closure) Used() ident.Tokens {
+	var sum ident.Tokens
+	for _, ev := range cl.evidence {
+		sum += ev.used
+	}
+	return sum
+}
+
+// Free returns the escrow that is free, and whether every sidecar's usage is
+// settled. Until then nothing is free, because the rest of the escrow may have
+// been used at any of the others.
+func (cl Closure) Free() (ident.Tokens, bool) {
+	for _, ev := range cl.evidence {
+		if ev.proof == Awaited || ev.proof == Missing {
+			return 0, false
+		}
+	}
+	return max(0, cl.held-cl.Used()), true
+}
+
+func (cl Closure) with(vm ident.VM, ev evidence) Closure {
+	cl.evidence = maps.Clone(cl.evidence)
+	if cl.evidence == nil {
+		cl.evidence = make(map[ident.VM]evidence)
+	}
+	cl.evidence[vm] = ev
+	return cl
+}
+
+func (cl Closure) in(proof Proof) []ident.VM {
+	var out []ident.VM
+	for vm, ev := range cl.evidence {
+		if ev.proof == proof {
+			out = append(out, vm)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
