relay, link: let a cancelled attempt report its usage

Cause: the router cancels an attempt when its caller goes away and still has to settle the metered usage, but a cancelled stream delivered nothing more. Ruled out: a second message for the usage (the last event already carries it). Change: Cancel gives up the output and keeps the last event; Close releases.

--- a/internal/adapt/link/stream.go
+++ b/internal/adapt/link/stream.go
@@ -196,7 +196,8 @@
 	case peer.Data:
 		return st.admitChunk(ev)
 	case peer.Final:
-		if ev.Seq != st.next-1 {
+		// After a cancellation the rest of the output is not sent.
+		if ev.Seq != st.next-1 && !st.cancelled.Load() {
 			return peer.Event{}, false, refuse.New(refuse.Truncated, "%d of %d chunks arrived", st.next-1, ev.Seq)
 		}
 	case peer.Refused:
--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -60,6 +60,7 @@
 	idle      time.Time
 	checked   bool
 	lost      bool
+	cancelled bool
 	delivered bool
 }
 
@@ -196,6 +197,11 @@
 // interrupted is cancelled with the given cause. rn.mu is held.
 func (rn *run) lose(vw *view, cause *refuse.Refusal) {
 	vw.lost, vw.cur = true, nil
+	rn.halt(cause)
+}
+
+// halt follows the loss or the cancellation of a view. rn.mu is held.
+func (rn *run) halt(cause *refuse.Refusal) {
 	if rn.end == nil && rn.di.Idempotent && !rn.attended() {
 		rn.stopping = true
 		rn.cancel(cause)
@@ -205,10 +211,10 @@
 	rn.settle()
 }
 
-// attended reports whether any view is not lost. rn.mu is held.
+// attended reports whether any view still wants the output. rn.mu is held.
 func (rn *run) attended() bool {
 	for _, vw := range rn.views {
-		if !vw.lost {
+		if !vw.lost && !vw.cancelled {
 			return true
 		}
 	}
@@ -223,7 +229,7 @@
 	}
 	low := rn.buf.Last()
 	for _, vw := range rn.views {
-		if !vw.lost {
+		if !vw.lost && !vw.cancelled {
 			low = min(low, vw.acked)
 		}
 	}
--- a/internal/app/relay/stream.go
+++ b/internal/app/relay/stream.go
@@ -77,6 +77,9 @@
 		st.accept = false
 		return st.event(peer.Event{Kind: peer.Accepted}), true, nil
 	}
+	if st.view.cancelled {
+		return st.last()
+	}
 	ch, ok, err := rn.buf.Read(st.next)
 	if err != nil {
 		return peer.Event{}, false, rn.sv.unknown(rn.di, refuse.Truncated, "chunk %d of the answer is no longer held", st.next)
@@ -85,12 +88,18 @@
 		st.next++
 		return st.event(peer.Event{Kind: peer.Data, Seq: st.next - 1, Chunk: ch}), true, nil
 	}
+	if rn.end != nil && st.next != rn.buf.Last()+1 {
+		return peer.Event{}, false, rn.sv.unknown(rn.di, refuse.Truncated, "the answer has %d chunks, not %d", rn.buf.Last(), st.next-1)
+	}
+	return st.last()
+}
+
+// last returns the last event, if the run has ended. rn.mu is held.
+func (st *stream) last() (peer.Event, bool, error) {
+	rn := st.run
 	if rn.end == nil {
 		return peer.Event{}, false, nil
 	}
-	if st.next != rn.buf.Last()+1 {
-		return peer.Event{}, false, rn.sv.unknown(rn.di, refuse.Truncated, "the answer has %d chunks, not %d", rn.buf.Last(), st.next-1)
-	}
 	st.ended, st.view.delivered = true, true
 	rn.settle()
 	return st.event(*rn.end), true, nil
@@ -121,16 +130,20 @@
 	rn.notify()
 }
 
-// Cancel ends the reading. A call that may be interrupted is cancelled when
-// nobody else reads it; a non-idempotent call runs on, so that its outcome is
-// known.
+// Cancel gives up the rest of the output. A call that may be interrupted is
+// stopped when nobody else reads it; a non-idempotent call runs on, so that its
+// outcome is known. Recv still returns the last event.
 func (st *stream) Cancel() {
 	rn := st.run
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
-	if st.view.cur != st {
+	if st.view.cur != st || st.ended {
 		return
 	}
-	cause := refuse.New(refuse.Cancelled, "cancelled by the router").WithOutcome(refuse.Unknown)
-	rn.lose(st.view, cause)
+	st.view.cancelled = true
+	rn.halt(refuse.New(refuse.Cancelled, "cancelled by the router").WithOutcome(refuse.Unknown))
 }
+
+// Close releases the stream. The reader counts as silent from its last call to
+// Recv.
+func (st *stream) Close() {}
