app/budget: draw, settle, top up and recover escrow

Cause: routers need tokens at hand without a table write per request, and no failure of the table or of a router may overspend or charge twice. Ruled out: deleting the grant row when it becomes idle, because the evidence of sidecars counts the whole life of an incarnation; clearing a doubtful write after one read, because the write can arrive later. Change: Holder, Hold and Ledger on the table port. After a lost answer the grant row is read and compared by sequence and operation before any other write, and differences of its cumulative counters are credited to the pool. First draws check the version of the incarnation row, so that a closed incarnation opens no grant. fake/table is the stand-in with failures.

--- /dev/null
+++ b/internal/app/budget/close.go
@@ -0,0 +1,88 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// HeldError lists the budgets of which escrow stays held after Close.
+type HeldError struct{ Budgets []ident.BudgetRef }
+
+// Error returns the number of budgets.
+func (he *HeldError) Error() string {
+	return fmt.Sprintf("budget: escrow of %d budgets stays held", len(he.Budgets))
+}
+
+// Close settles everything, returns what is available and marks the
+// incarnation closed. Reservations that are open or kept stay held; then the
+// incarnation is left closing, the error is a *HeldError, and Close can be
+// called again after they are settled. Run must have ended.
+func (hd *Holder) Close(ctx context.Context) error {
+	switch phase(hd.phase.Load()) {
+	case starting:
+		return nil
+	case fenced:
+		return escrow.ErrClosed
+	}
+	hd.phase.Store(int32(leaving))
+	// No first draw that is still on its way can arrive after this write.
+	if err := hd.ledger.setState(ctx, hd.inc, escrow.Closing); err != nil {
+		return err
+	}
+	var failed error
+	held := &HeldError{}
+	for _, hg := range hd.index.all() {
+		if err := hd.end(ctx, hg); err != nil {
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", hg.ref, err))
+		}
+		if co := hg.pool.Counts(); co.Sum() > 0 {
+			held.Budgets = append(held.Budgets, hg.ref)
+			hd.opts.meter.Log(eventHeld, slog.String("budget", hg.ref.String()),
+				slog.Int64("tokens", int64(co.Sum())))
+		}
+	}
+	if failed != nil {
+		return failed
+	}
+	if len(held.Budgets) > 0 {
+		return held
+	}
+	return hd.ledger.setState(ctx, hd.inc, escrow.Closed)
+}
+
+// end settles and returns one holding. Its row is deleted once nothing is
+// outstanding.
+func (hd *Holder) end(ctx context.Context, hg *holding) error {
+	if !hg.lock(ctx) {
+		return ctx.Err()
+	}
+	defer hg.unlock()
+	if !hg.grant.exists() && len(hg.issued) == 0 {
+		return nil
+	}
+	// The last commit without an answer may have arrived by now.
+	hg.doubt, hg.ending = true, true
+	return hd.execute(ctx, hg, func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
+		if !hg.grant.exists() {
+			return en, nil
+		}
+		hg.pool.Withdraw(hg.pool.Available())
+		en, err := pending(hg, en)
+		if err != nil || en.Grant.Outstanding() > 0 {
+			return en, err
+		}
+		return en.Close()
+	})
+}
+
+// finish records that the grant row was deleted with nothing outstanding.
+func (hg *holding) finish() {
+	co := hg.pool.Counts()
+	hg.pool.Confirm(co.Unsettled, co.Returning)
+	hg.grant, hg.issued = row[escrow.GrantRow]{key: hg.grant.key}, nil
+}
--- /dev/null
+++ b/internal/app/budget/flush.go
@@ -0,0 +1,189 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+const (
+	// perCommit is the number of holdings in one commit, with two writes each.
+	perCommit = store.MaxWrites / 2
+	// lowSeconds of the recent rate are the mark below which a grant is drawn
+	// ahead. A draw takes well under a second while the table answers.
+	lowSeconds = 5
+	// holdersPerBatch scales the batch with the holders of a budget, because
+	// all of them write the same budget row.
+	holdersPerBatch = 16
+	// lookEvery is the longest time that spare escrow is kept without a look at
+	// the budget row. Each look is one read.
+	lookEvery = 10 * time.Second
+)
+
+// settleWithin is the longest time that a settlement waits for its batch.
+func settleWithin(we config.Weight) time.Duration {
+	if we == config.WeighOverspend {
+		return 10 * time.Second
+	}
+	return time.Minute
+}
+
+// duty is what a pass has to do for one holding.
+type duty struct {
+	hg     *holding
+	settle bool
+	ahead  bool
+	look   bool
+}
+
+func (du duty) any() bool { return du.settle || du.ahead || du.look }
+
+// Flush makes one pass over all budgets: it settles what is due, draws ahead
+// for busy budgets, and returns idle escrow. What cannot be written stays for
+// the next pass.
+func (hd *Holder) Flush(ctx context.Context) {
+	if phase(hd.phase.Load()) != running {
+		return
+	}
+	now := hd.opts.clock.Now()
+	var batch []duty
+	for _, hg := range hd.index.all() {
+		if !hg.tryLock() {
+			continue
+		}
+		du := hd.assess(hg, now)
+		if !du.any() {
+			hg.unlock()
+			continue
+		}
+		if batch = append(batch, du); len(batch) < perCommit {
+			continue
+		}
+		if !hd.flush(ctx, batch, now) {
+			return
+		}
+		batch = batch[:0]
+	}
+	hd.flush(ctx, batch, now)
+}
+
+// assess decides what is due. The caller has the turn of the holding.
+func (hd *Holder) assess(hg *holding, now time.Time) duty {
+	hg.usage.observe(now, hg.requests.Load(), hg.asked.Load())
+	du := duty{hg: hg}
+	if !hg.grant.exists() && !hg.doubt {
+		return du
+	}
+	us := hg.usage
+	if now.Sub(us.lastUse) >= hd.opts.idleAfter {
+		hg.pool.Withdraw(hg.pool.Available())
+	}
+	co := hg.pool.Counts()
+	scale := int64(max(1, hg.seen.Holders/holdersPerBatch))
+	full := us.requests-us.sent >= hd.opts.batch*scale
+	aged := now.Sub(us.lastSent) >= settleWithin(hg.weight())
+	du.settle = co.Returning > 0 || hg.doubt || co.Unsettled > 0 && (full || aged)
+	active := us.lastUse.Equal(now)
+	low := max(ident.Tokens(us.rate*lowSeconds), 2*us.typical)
+	du.ahead = active && co.Available < low &&
+		hd.opts.slicer.Slice(hg.demand(us.typical, true, hg.seen)) > 0
+	// Close to the end other holders may be short of what is available here.
+	tight := hg.seen.Free() < us.typical*ident.Tokens(max(1, hg.seen.Holders))
+	du.look = co.Available > us.typical && (tight || now.Sub(us.looked) >= lookEvery)
+	if du.any() {
+		hg.usage.looked = now
+	}
+	return du
+}
+
+// flush writes one batch and gives the turns back. It reports false if the
+// table does not answer, in which case the pass ends.
+func (hd *Holder) flush(ctx context.Context, batch []duty, now time.Time) bool {
+	defer func() {
+		for _, du := range batch {
+			du.hg.unlock()
+		}
+	}()
+	err := hd.together(ctx, batch, now)
+	if err == nil || errors.Is(err, store.ErrUnavailable) {
+		return err == nil
+	}
+	for _, du := range batch {
+		err := hd.execute(ctx, du.hg, hd.planFor(du, now))
+		if err != nil {
+			hd.opts.meter.Log(eventFlush, slog.String("budget", du.hg.ref.String()), slog.Any("error", err))
+		} else if du.settle {
+			du.hg.usage.settled(now, du.hg.usage.requests)
+		}
+		if errors.Is(err, store.ErrUnavailable) {
+			return false
+		}
+	}
+	return true
+}
+
+// together writes all holdings of the batch in one commit. After any failure
+// each holding is written alone.
+func (hd *Holder) together(ctx context.Context, batch []duty, now time.Time) error {
+	var writes []store.Write
+	intents := make([]intent, len(batch))
+	for no, du := range batch {
+		in, err := hd.prepare(ctx, du.hg, hd.planFor(du, now))
+		if err != nil {
+			return err
+		}
+		intents[no] = in
+		writes = append(writes, in.writes...)
+	}
+	var err error
+	if len(writes) > 0 {
+		err = hd.ledger.table.Commit(ctx, writes...)
+	}
+	var failed error
+	for no, du := range batch {
+		if len(intents[no].writes) > 0 {
+			failed = errors.Join(failed, hd.conclude(du.hg, intents[no], err))
+		}
+		if err == nil && du.settle {
+			du.hg.usage.settled(now, du.hg.usage.requests)
+		}
+	}
+	return failed
+}
+
+func (hd *Holder) planFor(du duty, now time.Time) plan {
+	return func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
+		if en.Budget.Wanted > 0 {
+			hg.giveBack(now)
+		}
+		due := du.settle || hg.pool.Counts().Returning > 0
+		amount := ident.Tokens(0)
+		if du.ahead && en.Budget.Wanted == 0 {
+			amount = hd.opts.slicer.Slice(hg.demand(hg.usage.typical, true, en.Budget))
+		}
+		if !due && amount <= 0 {
+			return en, nil
+		}
+		en, err := pending(hg, en)
+		if err != nil || amount <= 0 {
+			return en, err
+		}
+		return en.Draw(min(amount, en.Budget.Free()))
+	}
+}
+
+// giveBack withdraws what this holder can spare for another one: everything
+// but one typical request while it is in use.
+func (hg *holding) giveBack(now time.Time) {
+	keep := ident.Tokens(0)
+	if hg.usage.lastUse.Equal(now) {
+		keep = hg.usage.typical
+	}
+	hg.pool.Withdraw(hg.pool.Available() - keep)
+}
--- /dev/null
+++ b/internal/app/budget/holder.go
@@ -0,0 +1,208 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+// Events of this package.
+var (
+	eventFenced    = meter.Event{Number: 301, Level: slog.LevelError, Text: "incarnation was closed by a recovery, no more work is accepted"}
+	eventUncharged = meter.Event{Number: 302, Level: slog.LevelError, Text: "use above the reservation could not be charged"}
+	eventFlush     = meter.Event{Number: 303, Level: slog.LevelWarn, Text: "settlements could not be written and are kept for the next pass"}
+	eventHeld      = meter.Event{Number: 304, Level: slog.LevelWarn, Text: "escrow stays held at the end of the incarnation"}
+)
+
+// phase is the state of a holder as its requests see it.
+type phase int32
+
+const (
+	starting phase = iota
+	running
+	leaving
+	fenced
+)
+
+// Holder is the escrow of one router incarnation. Reserve is safe for
+// concurrent use. Run, Flush and Close are called by one owner.
+type Holder struct {
+	inc    ident.Incarnation
+	vm     ident.VM
+	domain ident.Domain
+	ledger *Ledger
+	opts   options
+
+	phase atomic.Int32
+	// row is the version of the incarnation row that this process wrote. First
+	// draws require it, so that a closed incarnation opens no grant.
+	row   atomic.Uint64
+	index *index
+	slots sync.Pool
+}
+
+// NewHolder returns a holder for one incarnation. Open must succeed before
+// tokens can be reserved.
+func NewHolder(inc ident.Incarnation, vm ident.VM, domain ident.Domain, ledger *Ledger, opts ...Option) *Holder {
+	hd := &Holder{inc: inc, vm: vm, domain: domain, ledger: ledger, opts: newOptions(opts), index: newIndex()}
+	hd.slots.New = func() any { return new(slot) }
+	return hd
+}
+
+// Incarnation returns the holder's incarnation.
+func (hd *Holder) Incarnation() ident.Incarnation { return hd.inc }
+
+// Open writes the row of the incarnation. It can be repeated after an error.
+func (hd *Holder) Open(ctx context.Context) error {
+	opened := hd.opts.clock.Now().UnixMilli()
+	err := repeat(ctx, func() (bool, error) {
+		ro, err := hd.ledger.incarnation(ctx, hd.inc)
+		if err != nil {
+			return false, err
+		}
+		if ro.exists() {
+			if ro.val.State != escrow.Open {
+				return false, escrow.ErrClosed
+			}
+			hd.row.Store(ro.version)
+			return true, nil
+		}
+		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open}
+		wr, err := put(hd.ledger.codecs.Incarnation, ro, ir)
+		if err != nil {
+			return false, err
+		}
+		err = hd.ledger.table.Commit(ctx, wr)
+		if err == nil {
+			hd.row.Store(ro.version + 1)
+		}
+		return err == nil, err
+	})
+	if err == nil {
+		hd.phase.CompareAndSwap(int32(starting), int32(running))
+	}
+	return err
+}
+
+// Reserve reserves the worst case of a request. It takes it from held escrow
+// without a lock or I/O, and draws a grant when the escrow is short. The error
+// is a *refuse.Refusal with the outcome notRun.
+func (hd *Holder) Reserve(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, we config.Weight) (Hold, error) {
+	if re := hd.refusal(tokens); re != nil {
+		return Hold{}, re
+	}
+	hg := hd.index.find(rf)
+	if hg == nil {
+		hg = hd.index.add(rf)
+	}
+	hg.note(tokens, we)
+	if !hg.pool.Reserve(tokens) {
+		if re := hd.acquire(ctx, hg, tokens); re != nil {
+			return Hold{}, re
+		}
+	}
+	sl := hd.slots.Get().(*slot)
+	return Hold{hd: hd, hg: hg, sl: sl, mark: sl.state.Load(), tokens: tokens}, nil
+}
+
+func (hd *Holder) refusal(tokens ident.Tokens) *refuse.Refusal {
+	switch phase(hd.phase.Load()) {
+	case starting:
+		return refuse.New(refuse.EscrowUnavailable, "the incarnation is not registered yet")
+	case leaving:
+		return refuse.New(refuse.Leaving, "the router is leaving")
+	case fenced:
+		return refuse.New(refuse.ClosedIncarnation, "the router's incarnation was closed")
+	}
+	if tokens < 0 {
+		return refuse.New(refuse.BadRequest, "negative number of tokens")
+	}
+	return nil
+}
+
+// acquire reserves tokens from a new grant. One draw per budget is under way
+// at a time; the others wait for it and look at the pool again.
+func (hd *Holder) acquire(ctx context.Context, hg *holding, tokens ident.Tokens) *refuse.Refusal {
+	now := hd.opts.clock.Now()
+	if re := hg.standing(now, tokens); re != nil {
+		return re
+	}
+	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
+	defer cancel()
+	if !hg.lock(ctx) {
+		return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn in time")
+	}
+	defer hg.unlock()
+	for {
+		if hg.pool.Reserve(tokens) {
+			return nil
+		}
+		if re := hg.standing(now, tokens); re != nil {
+			return re
+		}
+		if err := hd.draw(ctx, hg, tokens); err != nil {
+			return hd.refuseDraw(hg, tokens, err)
+		}
+	}
+}
+
+func (hd *Holder) refuseDraw(hg *holding, tokens ident.Tokens, err error) *refuse.Refusal {
+	if re := hd.refusal(tokens); re != nil {
+		return re
+	}
+	until := hd.opts.clock.Now().Add(hd.opts.refuseFor)
+	var re *refuse.Refusal
+	switch {
+	case errors.Is(err, escrow.ErrClosed):
+		return refuse.New(refuse.ClosedIncarnation, "the router's incarnation was closed")
+	case errors.Is(err, ErrUnknownBudget):
+		re = refuse.New(refuse.OverBudget, "budget %s was never topped up", hg.ref)
+	case errors.Is(err, escrow.ErrShort):
+		re = refuse.New(refuse.OverBudget, "%d tokens asked, %d free, %d held for other requests",
+			tokens, hg.seen.Free(), hg.seen.Granted)
+		if hg.seen.Free()+hg.seen.Granted >= tokens {
+			re = re.WithRetryAt(until)
+		}
+	default:
+		re = refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn: %v", err).WithRetryAt(until)
+	}
+	hg.stand(re, until, tokens)
+	return re
+}
+
+// Run flushes once per tick until ctx ends. Close follows.
+func (hd *Holder) Run(ctx context.Context) error {
+	tk := time.NewTicker(hd.opts.tick)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tk.C:
+			hd.Flush(ctx)
+		}
+	}
+}
+
+// Counts returns the counters of the pool of one budget.
+func (hd *Holder) Counts(rf ident.BudgetRef) escrow.Counts {
+	if hg := hd.index.find(rf); hg != nil {
+		return hg.pool.Counts()
+	}
+	return escrow.Counts{}
+}
+
+func (hd *Holder) fence() {
+	if phase(hd.phase.Swap(int32(fenced))) != fenced {
+		hd.opts.meter.Log(eventFenced, slog.String("incarnation", string(hd.inc)))
+	}
+}
--- /dev/null
+++ b/internal/app/budget/index.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"hash/maphash"
+	"maps"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/snap"
+)
+
+// shards bounds the copy that adds a budget: with 110,000 budgets at one
+// holder a copy has about 430 entries.
+const shards = 256
+
+// index finds the holding of a budget without a lock.
+type index struct {
+	seed  maphash.Seed
+	cells [shards]*snap.Cell[map[ident.BudgetRef]*holding]
+}
+
+func newIndex() *index {
+	ix := &index{seed: maphash.MakeSeed()}
+	for no := range ix.cells {
+		ix.cells[no] = snap.NewCell(map[ident.BudgetRef]*holding(nil))
+	}
+	return ix
+}
+
+func (ix *index) cell(rf ident.BudgetRef) *snap.Cell[map[ident.BudgetRef]*holding] {
+	return ix.cells[maphash.Comparable(ix.seed, rf)%shards]
+}
+
+func (ix *index) find(rf ident.BudgetRef) *holding { return ix.cell(rf).Load()[rf] }
+
+// add returns the holding of the budget and adds it if there is none.
+func (ix *index) add(rf ident.BudgetRef) *holding {
+	fresh := newHolding(rf)
+	now, _ := ix.cell(rf).Update(func(old map[ident.BudgetRef]*holding) (map[ident.BudgetRef]*holding, bool) {
+		if old[rf] != nil {
+			return old, false
+		}
+		next := make(map[ident.BudgetRef]*holding, len(old)+1)
+		maps.Copy(next, old)
+		next[rf] = fresh
+		return next, true
+	})
+	return now[rf]
+}
+
+func (ix *index) all() []*holding {
+	var hgs []*holding
+	for _, ce := range ix.cells {
+		for _, hg := range ce.Load() {
+			hgs = append(hgs, hg)
+		}
+	}
+	return hgs
+}
--- /dev/null
+++ b/internal/app/budget/ledger.go
@@ -0,0 +1,161 @@
+// Package budget draws, settles and returns escrow of prepaid budgets, tops
+// budgets up, and recovers the escrow of dead routers on evidence.
+package budget
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Codecs encode the rows of the ledger.
+type Codecs struct {
+	Budget      store.Codec[escrow.BudgetRow]
+	Grant       store.Codec[escrow.GrantRow]
+	TopUp       store.Codec[escrow.TopUpRow]
+	Incarnation store.Codec[escrow.IncarnationRow]
+	Closure     store.Codec[escrow.ClosureRow]
+}
+
+// Ledger reads and writes the rows of all budgets in the table.
+type Ledger struct {
+	table  store.Table
+	codecs Codecs
+}
+
+// NewLedger returns a ledger on the table.
+func NewLedger(table store.Table, codecs Codecs) *Ledger {
+	return &Ledger{table: table, codecs: codecs}
+}
+
+// Errors of the operator's commands.
+var (
+	// ErrUnknownBudget means that the budget has no row.
+	ErrUnknownBudget = errors.New("budget: no such budget")
+	// ErrUnknownIncarnation means that the incarnation has no row.
+	ErrUnknownIncarnation = errors.New("budget: no such incarnation")
+	// ErrUnknownGrant means that the incarnation has no grant of the budget.
+	ErrUnknownGrant = errors.New("budget: no such grant")
+	// ErrOpReused means that the operation id was used with another amount.
+	ErrOpReused = errors.New("budget: operation id was used with another amount")
+	// ErrNoEvidence means that the evidence names no sidecar.
+	ErrNoEvidence = errors.New("budget: evidence names no sidecar")
+	// ErrStillOpen means that the incarnation was not declared dead.
+	ErrStillOpen = errors.New("budget: incarnation is open")
+)
+
+func budgetKey(rf ident.BudgetRef) string { return "budget/" + rf.String() }
+
+func grantPrefix(rf ident.BudgetRef) string { return "grant/" + rf.String() + "/" }
+
+func grantKey(rf ident.BudgetRef, inc ident.Incarnation) string {
+	return grantPrefix(rf) + string(inc)
+}
+
+func topUpKey(rf ident.BudgetRef, op ident.Op) string {
+	return "topup/" + rf.String() + "/" + string(op)
+}
+
+func incarnationKey(inc ident.Incarnation) string { return "incarnation/" + string(inc) }
+
+func closureKey(inc, side ident.Incarnation) string {
+	return "closure/" + string(inc) + "/" + string(side)
+}
+
+// row is a decoded row with its version. A version of store.Absent means that
+// the row does not exist.
+type row[T any] struct {
+	key     string
+	val     T
+	version uint64
+}
+
+func (ro row[T]) exists() bool { return ro.version != store.Absent }
+
+func load[T any](ctx context.Context, table store.Table, codec store.Codec[T], key string) (row[T], error) {
+	ro := row[T]{key: key}
+	it, ok, err := table.Get(ctx, key)
+	if err != nil || !ok {
+		return ro, err
+	}
+	ro.version = it.Version
+	if ro.val, err = codec.Decode(it.Value); err != nil {
+		return ro, fmt.Errorf("budget: row %s: %w", key, err)
+	}
+	return ro, nil
+}
+
+// put returns the write that replaces the row's value.
+func put[T any](codec store.Codec[T], ro row[T], val T) (store.Write, error) {
+	data, err := codec.Encode(val)
+	if err != nil {
+		return store.Write{}, fmt.Errorf("budget: row %s: %w", ro.key, err)
+	}
+	return store.Write{Key: ro.key, Value: data, IfVersion: ro.version}, nil
+}
+
+func (le *Ledger) budget(ctx context.Context, rf ident.BudgetRef) (row[escrow.BudgetRow], error) {
+	return load(ctx, le.table, le.codecs.Budget, budgetKey(rf))
+}
+
+func (le *Ledger) grant(ctx context.Context, rf ident.BudgetRef, inc ident.Incarnation) (row[escrow.GrantRow], error) {
+	return load(ctx, le.table, le.codecs.Grant, grantKey(rf, inc))
+}
+
+func (le *Ledger) incarnation(ctx context.Context, inc ident.Incarnation) (row[escrow.IncarnationRow], error) {
+	return load(ctx, le.table, le.codecs.Incarnation, incarnationKey(inc))
+}
+
+// attempts bounds how often one operation is tried against conflicts,
+// throttling and lost answers before it is reported as failed.
+const attempts = 24
+
+const (
+	firstWait = 2 * time.Millisecond
+	maxWait   = 200 * time.Millisecond
+)
+
+// repeat calls step until it reports done or an error that a further try does
+// not help. step reads the rows that it writes on every call, so that a try
+// after a lost answer starts with reading back.
+func repeat(ctx context.Context, step func() (done bool, err error)) error {
+	var last error
+	for no := range attempts {
+		done, err := step()
+		if done || err != nil && !retriable(err) {
+			return err
+		}
+		last = err
+		if err := wait(ctx, no); err != nil {
+			return errors.Join(last, err)
+		}
+	}
+	return last
+}
+
+// retriable reports whether err came from a commit or a read that may succeed
+// when it is tried again on fresh rows.
+func retriable(err error) bool {
+	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrThrottled) ||
+		errors.Is(err, store.ErrUncertain)
+}
+
+// wait pauses for a random time that doubles with the number of tries, so that
+// writers of the same row do not meet again.
+func wait(ctx context.Context, no int) error {
+	limit := min(firstWait<<min(no, 10), maxWait)
+	tm := time.NewTimer(rand.N(limit) + time.Microsecond)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/app/budget/option.go
@@ -0,0 +1,89 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/clock"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+type options struct {
+	clock       clock.Clock
+	meter       meter.Meter
+	slicer      escrow.Slicer[escrow.Demand]
+	newOp       func() ident.Op
+	tick        time.Duration
+	drawTimeout time.Duration
+	refuseFor   time.Duration
+	idleAfter   time.Duration
+	batch       int64
+}
+
+// Option configures a Holder.
+type Option func(*options)
+
+func newOptions(opts []Option) options {
+	op := options{
+		clock:       clock.System{},
+		meter:       meter.Nop{},
+		slicer:      escrow.Bounded[escrow.Adaptive]{},
+		newOp:       ident.NewOp,
+		tick:        time.Second,
+		drawTimeout: 500 * time.Millisecond,
+		refuseFor:   500 * time.Millisecond,
+		idleAfter:   30 * time.Second,
+		batch:       64,
+	}
+	for _, apply := range opts {
+		apply(&op)
+	}
+	return op
+}
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(ck clock.Clock) Option { return func(op *options) { op.clock = ck } }
+
+// WithMeter sets the meter. By default nothing is recorded.
+func WithMeter(me meter.Meter) Option { return func(op *options) { op.meter = me } }
+
+// WithSlicer sets the grant size policy, which is always bounded by what is
+// free. The default is escrow.Adaptive.
+func WithSlicer[S escrow.Slicer[escrow.Demand]](sl S) Option {
+	return func(op *options) { op.slicer = escrow.Bounded[S]{Inner: sl} }
+}
+
+// WithOps sets the source of operation ids. The default is ident.NewOp.
+func WithOps(newOp func() ident.Op) Option { return func(op *options) { op.newOp = newOp } }
+
+// WithTick sets the time between two passes of Run. The default is 1 s, and
+// the range is 10 ms to 10 s.
+func WithTick(d time.Duration) Option {
+	return func(op *options) { op.tick = min(max(d, 10*time.Millisecond), 10*time.Second) }
+}
+
+// WithDrawTimeout bounds how long a reservation waits for the table. The
+// default is 500 ms, and the range is 10 ms to 10 s.
+func WithDrawTimeout(d time.Duration) Option {
+	return func(op *options) { op.drawTimeout = min(max(d, 10*time.Millisecond), 10*time.Second) }
+}
+
+// WithRefuseFor sets how long a refusal stands before the table is asked
+// again. It bounds the reads of an exhausted budget and delays the effect of a
+// top-up. The default is 500 ms, and the range is 0 to 10 s.
+func WithRefuseFor(d time.Duration) Option {
+	return func(op *options) { op.refuseFor = min(max(d, 0), 10*time.Second) }
+}
+
+// WithIdleAfter sets the time without a request after which available escrow
+// is returned. The default is 30 s, and the range is 1 s to 1 h.
+func WithIdleAfter(d time.Duration) Option {
+	return func(op *options) { op.idleAfter = min(max(d, time.Second), time.Hour) }
+}
+
+// WithBatch sets the number of requests of a budget that are settled together
+// when nothing presses. The default is 64, and the range is 1 to 10,000.
+func WithBatch(requests int64) Option {
+	return func(op *options) { op.batch = min(max(requests, 1), 10_000) }
+}
--- /dev/null
+++ b/internal/app/budget/recover.go
@@ -0,0 +1,207 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Recovered is the grant of a dead incarnation that was closed or stays held.
+type Recovered struct {
+	Ref ident.BudgetRef
+	// Charged and Freed are what the recovery moved out of the held tokens.
+	Charged, Freed ident.Tokens
+	// Held is what stays held for lack of evidence.
+	Held ident.Tokens
+	// Uncovered is use in the evidence that exceeds what the incarnation drew.
+	Uncovered ident.Tokens
+}
+
+// Recovery is the result of Recover.
+type Recovery struct {
+	Incarnation ident.Incarnation
+	// Missing names the sidecars without a closure row. While there is one, no
+	// grant is closed.
+	Missing []ident.Incarnation
+	Grants  []Recovered
+}
+
+// Recover frees what a dead incarnation did not use, according to the closure
+// rows of every sidecar that the evidence needs. Without all of them the
+// escrow stays held and is listed. The incarnation can draw no new grant
+// afterwards. Recover can be repeated.
+func (le *Ledger) Recover(ctx context.Context, inc ident.Incarnation, ev escrow.Evidence) (Recovery, error) {
+	rec := Recovery{Incarnation: inc}
+	if ev.Empty() {
+		return rec, ErrNoEvidence
+	}
+	if err := le.setState(ctx, inc, escrow.Closing); err != nil {
+		return rec, err
+	}
+	rows, missing, err := le.closures(ctx, inc, ev)
+	if err != nil {
+		return rec, err
+	}
+	rec.Missing = missing
+	refs, err := le.grantsOf(ctx, inc)
+	if err != nil {
+		return rec, err
+	}
+	for _, rf := range refs {
+		var used ident.Tokens
+		for _, cr := range rows {
+			used += cr.Total(rf)
+		}
+		re, err := le.recoverGrant(ctx, rf, inc, used, len(missing) == 0)
+		if err != nil {
+			return rec, err
+		}
+		rec.Grants = append(rec.Grants, re)
+	}
+	if len(missing) > 0 {
+		return rec, nil
+	}
+	return rec, le.setState(ctx, inc, escrow.Closed)
+}
+
+// Resolve closes one grant of an incarnation that was declared dead, on the
+// word of an operator who found out what was used in total.
+func (le *Ledger) Resolve(ctx context.Context, rf ident.BudgetRef, inc ident.Incarnation, used ident.Tokens, by ident.Operator) error {
+	ir, err := le.incarnation(ctx, inc)
+	switch {
+	case err != nil:
+		return err
+	case !ir.exists():
+		return ErrUnknownIncarnation
+	case ir.val.State == escrow.Open:
+		return ErrStillOpen
+	}
+	return le.change(ctx, rf, inc, func(en escrow.Entry) (escrow.Entry, error) { return en.Resolve(used, by) })
+}
+
+func (le *Ledger) recoverGrant(ctx context.Context, rf ident.BudgetRef, inc ident.Incarnation, used ident.Tokens, complete bool) (Recovered, error) {
+	re := Recovered{Ref: rf}
+	if !complete {
+		gr, err := le.grant(ctx, rf, inc)
+		re.Held = gr.val.Outstanding()
+		return re, err
+	}
+	err := le.change(ctx, rf, inc, func(en escrow.Entry) (escrow.Entry, error) {
+		nx, uncovered, err := en.Recover(used)
+		re.Uncovered = uncovered
+		re.Charged = nx.Grant.Settled - en.Grant.Settled
+		re.Freed = nx.Grant.Returned - en.Grant.Returned
+		return nx, err
+	})
+	if errors.Is(err, ErrUnknownGrant) {
+		// The incarnation returned everything and removed its row meanwhile.
+		return re, nil
+	}
+	return re, err
+}
+
+// change applies a closing transition to a grant. A closed grant is left as it
+// is, so that a repeat after a lost answer has no second effect.
+func (le *Ledger) change(ctx context.Context, rf ident.BudgetRef, inc ident.Incarnation, apply func(escrow.Entry) (escrow.Entry, error)) error {
+	return repeat(ctx, func() (bool, error) {
+		gr, err := le.grant(ctx, rf, inc)
+		switch {
+		case err != nil:
+			return false, err
+		case !gr.exists():
+			return false, ErrUnknownGrant
+		case gr.val.Closed:
+			return true, nil
+		}
+		bu, err := le.budget(ctx, rf)
+		if err != nil {
+			return false, err
+		}
+		nx, err := apply(escrow.Entry{Budget: bu.val, Grant: gr.val})
+		if err != nil {
+			return false, err
+		}
+		wb, err := put(le.codecs.Budget, bu, nx.Budget)
+		if err != nil {
+			return false, err
+		}
+		wg, err := put(le.codecs.Grant, gr, nx.Grant.WithOp(ident.NewOp()))
+		if err != nil {
+			return false, err
+		}
+		err = le.table.Commit(ctx, wb, wg)
+		return err == nil, err
+	})
+}
+
+// setState moves the incarnation on to the state, never back.
+func (le *Ledger) setState(ctx context.Context, inc ident.Incarnation, st escrow.State) error {
+	return repeat(ctx, func() (bool, error) {
+		ir, err := le.incarnation(ctx, inc)
+		switch {
+		case err != nil:
+			return false, err
+		case !ir.exists():
+			return false, ErrUnknownIncarnation
+		case ir.val.State == st || ir.val.State == escrow.Closed:
+			return true, nil
+		}
+		wr, err := put(le.codecs.Incarnation, ir, ir.val.WithState(st))
+		if err != nil {
+			return false, err
+		}
+		err = le.table.Commit(ctx, wr)
+		return err == nil, err
+	})
+}
+
+func (le *Ledger) closures(ctx context.Context, inc ident.Incarnation, ev escrow.Evidence) (rows []escrow.ClosureRow, missing []ident.Incarnation, err error) {
+	for _, side := range ev.Needed() {
+		ro, err := load(ctx, le.table, le.codecs.Closure, closureKey(inc, side))
+		if err != nil {
+			return nil, nil, err
+		}
+		if !ro.exists() {
+			missing = append(missing, side)
+			continue
+		}
+		rows = append(rows, ro.val)
+	}
+	return rows, missing, nil
+}
+
+// Confirm writes the evidence of a sidecar about a closed incarnation. The
+// first row stays, because the sidecar forwards nothing more afterwards.
+func (le *Ledger) Confirm(ctx context.Context, inc, side ident.Incarnation, cr escrow.ClosureRow) error {
+	return repeat(ctx, func() (bool, error) {
+		ro, err := load(ctx, le.table, le.codecs.Closure, closureKey(inc, side))
+		if err != nil || ro.exists() {
+			return err == nil, err
+		}
+		wr, err := put(le.codecs.Closure, ro, cr)
+		if err != nil {
+			return false, err
+		}
+		err = le.table.Commit(ctx, wr)
+		return err == nil, err
+	})
+}
+
+// grantsOf finds the budgets of which the incarnation has a grant row. It
+// scans all grants: only dead routers are recovered, about five a day, and an
+// index would cost a write for every first draw.
+func (le *Ledger) grantsOf(ctx context.Context, inc ident.Incarnation) ([]ident.BudgetRef, error) {
+	var refs []ident.BudgetRef
+	err := scan(ctx, le.table, "grant/", func(it store.Item) error {
+		parts := strings.Split(it.Key, "/")
+		if len(parts) == 4 && parts[3] == string(inc) {
+			refs = append(refs, ident.BudgetRef{Account: ident.Account(parts[1]), Budget: ident.Budget(parts[2])})
+		}
+		return nil
+	})
+	return refs, err
+}
--- /dev/null
+++ b/internal/app/budget/topup.go
@@ -0,0 +1,68 @@
+package budget
+
+import (
+	"context"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Create writes the row of a budget without tokens. It does nothing if the
+// budget exists.
+func (le *Ledger) Create(ctx context.Context, rf ident.BudgetRef) error {
+	return repeat(ctx, func() (bool, error) {
+		ro, err := le.budget(ctx, rf)
+		if err != nil || ro.exists() {
+			return err == nil, err
+		}
+		wr, err := put(le.codecs.Budget, ro, escrow.BudgetRow{})
+		if err != nil {
+			return false, err
+		}
+		err = le.table.Commit(ctx, wr)
+		return err == nil, err
+	})
+}
+
+// TopUp adds prepaid tokens to the budget, once per operation id. A call whose
+// answer was lost can be repeated with the same op.
+func (le *Ledger) TopUp(ctx context.Context, rf ident.BudgetRef, amount ident.Tokens, op ident.Op, by ident.Operator) error {
+	return repeat(ctx, func() (bool, error) { return le.topUp(ctx, rf, amount, op, by) })
+}
+
+// topUp reads the marker before anything else, so that a try after a lost
+// answer finds out whether the earlier one took effect. A try that is still on
+// its way fails on the marker once another one has succeeded.
+func (le *Ledger) topUp(ctx context.Context, rf ident.BudgetRef, amount ident.Tokens, op ident.Op, by ident.Operator) (bool, error) {
+	mark, err := load(ctx, le.table, le.codecs.TopUp, topUpKey(rf, op))
+	if err != nil {
+		return false, err
+	}
+	if mark.exists() {
+		if mark.val.Amount != amount {
+			return false, ErrOpReused
+		}
+		return true, nil
+	}
+	ro, err := le.budget(ctx, rf)
+	if err != nil {
+		return false, err
+	}
+	if !ro.exists() {
+		return false, ErrUnknownBudget
+	}
+	bud, err := ro.val.TopUp(amount)
+	if err != nil {
+		return false, err
+	}
+	wb, err := put(le.codecs.Budget, ro, bud)
+	if err != nil {
+		return false, err
+	}
+	wm, err := put(le.codecs.TopUp, mark, escrow.TopUpRow{Amount: amount, By: by})
+	if err != nil {
+		return false, err
+	}
+	err = le.table.Commit(ctx, wb, wm)
+	return err == nil, err
+}
--- /dev/null
+++ b/internal/fake/table/table.go
@@ -0,0 +1,223 @@
+// Package table is an in-memory stand-in for the platform's table with
+// switches for its failures.
+package table
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Table keeps rows and versions. Clients share it, each with its own failures.
+type Table struct {
+	mu     sync.Mutex
+	rows   map[string]store.Item
+	writes int64
+	reads  int64
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{rows: make(map[string]store.Item)} }
+
+// Client returns a connection to the table without failures.
+func (tb *Table) Client() *Client { return &Client{tb: tb} }
+
+// Writes returns the number of row writes that were asked for.
+func (tb *Table) Writes() int64 {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.writes
+}
+
+// Reads returns the number of reads.
+func (tb *Table) Reads() int64 {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.reads
+}
+
+func (tb *Table) get(key string) (store.Item, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.reads++
+	it, ok := tb.rows[key]
+	return it, ok
+}
+
+func (tb *Table) scan(prefix, after string, limit int) []store.Item {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.reads++
+	var found []store.Item
+	for key, it := range tb.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, it)
+		}
+	}
+	slices.SortFunc(found, func(one, two store.Item) int { return strings.Compare(one.Key, two.Key) })
+	return found[:min(limit, len(found))]
+}
+
+func (tb *Table) commit(writes []store.Write) error {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.writes += int64(len(writes))
+	for _, wr := range writes {
+		if tb.rows[wr.Key].Version != wr.IfVersion {
+			return store.ErrConflict
+		}
+	}
+	for _, wr := range writes {
+		switch wr.Mode {
+		case store.Put:
+			tb.rows[wr.Key] = store.Item{Key: wr.Key, Value: slices.Clone(wr.Value), Version: wr.IfVersion + 1}
+		case store.Delete:
+			delete(tb.rows, wr.Key)
+		}
+	}
+	return nil
+}
+
+// Fault is a failure of one call.
+type Fault int
+
+const (
+	// None is a call that succeeds.
+	None Fault = iota
+	// Down refuses the call.
+	Down
+	// Throttled refuses the call for its rate.
+	Throttled
+	// Lost applies a commit and loses the answer.
+	Lost
+	// Dropped loses a commit before its effect.
+	Dropped
+	// Late loses the answer; the commit arrives when Deliver is called.
+	Late
+)
+
+// Client is one connection to the table.
+type Client struct {
+	tb *Table
+
+	mu     sync.Mutex
+	down   bool
+	choose func(commit bool) Fault
+	pause  func(ctx context.Context) error
+	late   [][]store.Write
+}
+
+// SetDown starts or ends an outage that only this client sees.
+func (cl *Client) SetDown(down bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.down = down
+}
+
+// SetFaults installs a function that chooses the fault of each call; commit
+// tells commits from reads.
+func (cl *Client) SetFaults(choose func(commit bool) Fault) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.choose = choose
+}
+
+// SetPause installs a function that runs before each call, for delays.
+func (cl *Client) SetPause(pause func(ctx context.Context) error) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.pause = pause
+}
+
+// FailCommits gives the next commits these faults, in order.
+func (cl *Client) FailCommits(faults ...Fault) {
+	cl.SetFaults(func(commit bool) Fault {
+		if !commit || len(faults) == 0 {
+			return None
+		}
+		fa := faults[0]
+		faults = faults[1:]
+		return fa
+	})
+}
+
+// Deliver applies the late commits, those whose conditions still hold, and
+// returns how many took effect.
+func (cl *Client) Deliver() int {
+	cl.mu.Lock()
+	late := cl.late
+	cl.late = nil
+	cl.mu.Unlock()
+	done := 0
+	for _, writes := range late {
+		if cl.tb.commit(writes) == nil {
+			done++
+		}
+	}
+	return done
+}
+
+// Get implements store.Table.
+func (cl *Client) Get(ctx context.Context, key string) (store.Item, bool, error) {
+	if _, err := cl.begin(ctx, false); err != nil {
+		return store.Item{}, false, err
+	}
+	it, ok := cl.tb.get(key)
+	return it, ok, nil
+}
+
+// Scan implements store.Table.
+func (cl *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Item, error) {
+	if _, err := cl.begin(ctx, false); err != nil {
+		return nil, err
+	}
+	return cl.tb.scan(prefix, after, limit), nil
+}
+
+// Commit implements store.Table.
+func (cl *Client) Commit(ctx context.Context, writes ...store.Write) error {
+	fa, err := cl.begin(ctx, true)
+	if err != nil {
+		return err
+	}
+	switch fa {
+	case Lost:
+		_ = cl.tb.commit(writes)
+		return store.ErrUncertain
+	case Dropped:
+		return store.ErrUncertain
+	case Late:
+		cl.mu.Lock()
+		cl.late = append(cl.late, slices.Clone(writes))
+		cl.mu.Unlock()
+		return store.ErrUncertain
+	}
+	if len(writes) > store.MaxWrites {
+		return store.ErrUnavailable
+	}
+	return cl.tb.commit(writes)
+}
+
+func (cl *Client) begin(ctx context.Context, commit bool) (Fault, error) {
+	cl.mu.Lock()
+	down, pause, fa := cl.down, cl.pause, None
+	if cl.choose != nil && !down {
+		fa = cl.choose(commit)
+	}
+	cl.mu.Unlock()
+	if pause != nil {
+		if err := pause(ctx); err != nil {
+			return fa, store.ErrUnavailable
+		}
+	}
+	switch {
+	case down || fa == Down || ctx.Err() != nil:
+		return fa, store.ErrUnavailable
+	case fa == Throttled:
+		return fa, store.ErrThrottled
+	}
+	return fa, nil
+}
