fake/model: add the model engine stand-in

Cause: routing, metering and cancellation need an engine that batches, queues by priority, caches prefixes and fails on demand. Ruled out: random answers, because a mixed or truncated answer would pass unnoticed; every token is numbered and carries a hash of its prompt.

--- /dev/null
+++ b/internal/fake/model/sched.go
@@ -0,0 +1,121 @@
+package model
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"sync"
+)
+
+var errQueueFull = errors.New("the waiting queue is full")
+
+// scheduler hands out slots. Waiting calls are ordered by priority, then by
+// arrival.
+type scheduler struct {
+	mu      sync.Mutex
+	slots   int
+	limit   int
+	running int
+	arrived uint64
+	queue   tickets
+}
+
+type ticket struct {
+	priority int
+	arrival  uint64
+	at       int
+	granted  chan struct{}
+}
+
+func newScheduler(slots, limit int) *scheduler { return &scheduler{slots: slots, limit: limit} }
+
+// acquire waits for a slot.
+func (sc *scheduler) acquire(ctx context.Context, priority int) error {
+	sc.mu.Lock()
+	if sc.running < sc.slots {
+		sc.running++
+		sc.mu.Unlock()
+		return nil
+	}
+	if len(sc.queue) >= sc.limit {
+		sc.mu.Unlock()
+		return errQueueFull
+	}
+	sc.arrived++
+	ti := &ticket{priority: priority, arrival: sc.arrived, granted: make(chan struct{})}
+	heap.Push(&sc.queue, ti)
+	sc.mu.Unlock()
+	select {
+	case <-ti.granted:
+		return nil
+	case <-ctx.Done():
+		sc.abandon(ti)
+		return ctx.Err()
+	}
+}
+
+// abandon takes the ticket out of the queue, or gives back the slot that was
+// granted in the meantime.
+func (sc *scheduler) abandon(ti *ticket) {
+	sc.mu.Lock()
+	waiting := ti.at >= 0
+	if waiting {
+		heap.Remove(&sc.queue, ti.at)
+	}
+	sc.mu.Unlock()
+	if !waiting {
+		sc.release()
+	}
+}
+
+// release hands the slot to the first waiting call.
+func (sc *scheduler) release() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if len(sc.queue) == 0 {
+		sc.running--
+		return
+	}
+	ti := heap.Pop(&sc.queue).(*ticket)
+	close(ti.granted)
+}
+
+func (sc *scheduler) counts() (running, waiting int) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return sc.running, len(sc.queue)
+}
+
+// tickets implements heap.Interface. A ticket outside the heap is at -1.
+type tickets []*ticket
+
+func (tk tickets) Len() int { return len(tk) }
+
+func (tk tickets) Less(le, ri int) bool {
+	if tk[le].priority != tk[ri].priority {
+		return tk[le].priority < tk[ri].priority
+	}
+	return tk[le].arrival < tk[ri].arrival
+}
+
+func (tk tickets) Swap(le, ri int) {
+	tk[le], tk[ri] = tk[ri], tk[le]
+	tk[le].at, tk[ri].at = le, ri
+}
+
+// Push implements heap.Interface.
+func (tk *tickets) Push(val any) {
+	ti := val.(*ticket)
+	ti.at = len(*tk)
+	*tk = append(*tk, ti)
+}
+
+// Pop implements heap.Interface.
+func (tk *tickets) Pop() any {
+	last := len(*tk) - 1
+	ti := (*tk)[last]
+	(*tk)[last] = nil
+	*tk = (*tk)[:last]
+	ti.at = -1
+	return ti
+}
--- /dev/null
+++ b/internal/fake/model/stream.go
@@ -0,0 +1,115 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/fake/fault"
+)
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index   int      `json:"index"`
+	Delta   *content `json:"delta,omitempty"`
+	Message *content `json:"message,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+	Details    struct {
+		Cached int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// writer writes an answer as server-sent events or as one document.
+type writer struct {
+	ca   *call
+	head completion
+	wr   http.ResponseWriter
+	rc   *http.ResponseController
+	text strings.Builder
+}
+
+func newWriter(wr http.ResponseWriter, now time.Time, ca *call) *writer {
+	id := fmt.Sprintf("chatcmpl-%016x", ca.dig)
+	out := &writer{ca: ca, wr: wr, rc: http.NewResponseController(wr)}
+	out.head = completion{ID: id, Object: "chat.completion", Created: now.Unix(), Model: ca.req.Model}
+	if ca.req.Stream {
+		out.head.Object = "chat.completion.chunk"
+		wr.Header().Set("Content-Type", "text/event-stream")
+	}
+	return out
+}
+
+// token writes the token with the given number.
+func (ou *writer) token(num int) error {
+	tok := word(ou.ca.dig, num)
+	if !ou.ca.req.Stream {
+		ou.text.WriteString(tok)
+		return nil
+	}
+	de := &content{Content: tok}
+	if num == 1 {
+		de.Role = "assistant"
+	}
+	return ou.event(choice{Delta: de})
+}
+
+// end writes the finish reason and the usage.
+func (ou *writer) end() error {
+	us := &usage{Prompt: len(ou.ca.prompt), Completion: ou.ca.length, Total: len(ou.ca.prompt) + ou.ca.length}
+	us.Details.Cached = ou.ca.cached
+	if !ou.ca.req.Stream {
+		ou.head.Usage = us
+		ou.head.Choices = []choice{{
+			Message: &content{Role: "assistant", Content: ou.text.String()}, Finish: &ou.ca.finish,
+		}}
+		fault.WriteJSON(ou.wr, http.StatusOK, ou.head)
+		return nil
+	}
+	if err := ou.event(choice{Delta: &content{}, Finish: &ou.ca.finish}); err != nil {
+		return err
+	}
+	if ou.ca.req.StreamOptions.IncludeUsage {
+		ou.head.Usage = us
+		if err := ou.event(); err != nil {
+			return err
+		}
+	}
+	if _, err := fmt.Fprint(ou.wr, "data: [DONE]\n\n"); err != nil {
+		return err
+	}
+	return ou.rc.Flush()
+}
+
+func (ou *writer) event(choices ...choice) error {
+	ev := ou.head
+	ev.Choices = append([]choice{}, choices...)
+	data, err := json.Marshal(ev)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(ou.wr, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return ou.rc.Flush()
+}
