--- a/internal/fake/fault/fault.go
+++ b/internal/fake/fault/fault.go
@@ -90,7 +90,7 @@
 	if se.DelayMillis > 0 || se.Silent {
 		buffer(re)
 	}
-	if se.DelayMillis > 0 && !wait(re, time.Duration(se.DelayMillis)*time.Millisecond) {
+	if se.DelayMillis > 0 && !Wait(re, time.Duration(se.DelayMillis)*time.Millisecond) {
 		Abort()
 	}
 	if se.Silent {
@@ -131,7 +131,11 @@
 	re.Body = io.NopCloser(bytes.NewReader(data))
 }
 
-func wait(re *http.Request, d time.Duration) bool {
+// Wait waits for the duration and reports whether the client is still there.
+func Wait(re *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return re.Context().Err() == nil
+	}
 	ti := time.NewTimer(d)
 	defer ti.Stop()
 	select {
