frame, claim: add tests; relay: let no reader hold up another

Cause: two attempts with one key share a run, so a reader that stops would stall the other one when the buffer is full. Ruled out: dropping chunks for the slow reader, which would be silent. Change: a reader that is a full buffer behind another one loses its stream with the reason truncated. A closed incarnation cannot resume.

--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -59,8 +59,9 @@
 	pending   int
 	idle      time.Time
 	checked   bool
-	lost      bool
 	delivered bool
+	// lost is why the view has no reader any more, or nil.
+	lost *refuse.Refusal
 }
 
 func newRun(sv *Service, di peer.Dispatch, credit ident.Tokens) *run {
@@ -134,8 +135,11 @@
 	if !ok || rn.gone || next < rn.buf.First() {
 		return nil, rn.sv.unknown(rn.di, refuse.Truncated, "chunk %d of the answer is no longer held", next)
 	}
+	if rn.sv.books.gate(vw.router).closed() {
+		return nil, rn.sv.unknown(rn.di, refuse.ClosedIncarnation, "router incarnation %s is closed", vw.router)
+	}
 	st := &stream{run: rn, view: vw, id: id, next: next, accept: accept}
-	vw.cur, vw.lost, vw.delivered, vw.idle = st, false, false, rn.sv.clk.Now()
+	vw.cur, vw.lost, vw.delivered, vw.idle = st, nil, false, rn.sv.clk.Now()
 	vw.acked = max(vw.acked, next-1)
 	if !rn.holds {
 		// Work that has left already may be read again, but does not hold up
@@ -171,7 +175,7 @@
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	vw.checked = false
-	if vw.pending > 0 || vw.lost || vw.delivered {
+	if vw.pending > 0 || vw.lost != nil || vw.delivered {
 		return
 	}
 	if rn.sv.clk.Now().Before(vw.idle.Add(rn.sv.grace)) {
@@ -186,7 +190,7 @@
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	for _, vw := range rn.views {
-		if vw.router == ic && !vw.lost {
+		if vw.router == ic && vw.lost == nil {
 			rn.lose(vw, refuse.New(refuse.ClosedIncarnation, "router incarnation %s was closed", ic))
 		}
 	}
@@ -195,7 +199,7 @@
 // lose ends the reading of a view. Without a reader, a call that may be
 // interrupted is cancelled with the given cause. rn.mu is held.
 func (rn *run) lose(vw *view, cause *refuse.Refusal) {
-	vw.lost, vw.cur = true, nil
+	vw.lost, vw.cur = cause, nil
 	if rn.end == nil && rn.di.Idempotent && !rn.attended() {
 		rn.stopping = true
 		rn.cancel(cause)
@@ -208,13 +212,29 @@
 // attended reports whether any view is not lost. rn.mu is held.
 func (rn *run) attended() bool {
 	for _, vw := range rn.views {
-		if !vw.lost {
+		if vw.lost == nil {
 			return true
 		}
 	}
 	return false
 }
 
+// outrun loses the readers that hold up another reader which has received
+// everything, and reports whether there were any. rn.mu is held.
+func (rn *run) outrun() bool {
+	last, ahead, lost := rn.buf.Last(), false, false
+	for _, vw := range rn.views {
+		ahead = ahead || vw.lost == nil && vw.acked == last
+	}
+	for _, vw := range rn.views {
+		if ahead && vw.lost == nil && vw.acked < rn.buf.First() {
+			rn.lose(vw, refuse.New(refuse.Truncated, "the reader is a full buffer behind another one"))
+			lost = true
+		}
+	}
+	return lost
+}
+
 // advance lets the buffer discard what every reader has received. rn.mu is
 // held.
 func (rn *run) advance() {
@@ -223,7 +243,7 @@
 	}
 	low := rn.buf.Last()
 	for _, vw := range rn.views {
-		if !vw.lost {
+		if vw.lost == nil {
 			low = min(low, vw.acked)
 		}
 	}
@@ -247,7 +267,7 @@
 		return
 	}
 	for _, vw := range rn.views {
-		if !vw.lost && !vw.delivered {
+		if vw.lost == nil && !vw.delivered {
 			return
 		}
 	}
--- a/internal/app/relay/stream.go
+++ b/internal/app/relay/stream.go
@@ -9,9 +9,8 @@
 )
 
 var (
-	// ErrSuperseded means that the attempt is read on a newer stream, or that
-	// its reader was cancelled or silent for too long.
-	ErrSuperseded = errors.New("relay: the stream no longer reads the attempt")
+	// ErrSuperseded means that the attempt is read on a newer stream.
+	ErrSuperseded = errors.New("relay: the attempt is read on another stream")
 	// ErrEnded means that the last event was already delivered.
 	ErrEnded = errors.New("relay: the stream has ended")
 )
@@ -58,7 +57,7 @@
 func (st *stream) idle() {
 	st.view.pending--
 	st.view.idle = st.run.sv.clk.Now()
-	if !st.view.lost && !st.view.delivered {
+	if st.view.lost == nil && !st.view.delivered {
 		st.run.watch(st.view)
 	}
 }
@@ -69,6 +68,8 @@
 	switch {
 	case st.ended:
 		return peer.Event{}, false, ErrEnded
+	case st.view.lost != nil:
+		return peer.Event{}, false, rn.sv.unknown(rn.di, st.view.lost.Reason, "%s", st.view.lost.Detail)
 	case st.view.cur != st:
 		return peer.Event{}, false, ErrSuperseded
 	case rn.gone:
--- a/internal/app/relay/work.go
+++ b/internal/app/relay/work.go
@@ -58,16 +58,7 @@
 	rn.metered += ch.Tokens
 	rn.collect(ch.Data)
 	for {
-		rn.mu.Lock()
-		_, err := rn.buf.Append(ch, len(ch.Data))
-		if err == nil {
-			if !rn.attended() {
-				rn.advance()
-			}
-			rn.notify()
-		}
-		wait := rn.changed
-		rn.mu.Unlock()
+		wait, err := rn.keep(ch)
 		if !errors.Is(err, frame.ErrFull) {
 			return err
 		}
@@ -79,6 +70,23 @@
 	}
 }
 
+// keep stores a chunk. When the buffer is full, it returns what to wait for.
+func (rn *run) keep(ch engine.Chunk) (<-chan struct{}, error) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	_, err := rn.buf.Append(ch, len(ch.Data))
+	if errors.Is(err, frame.ErrFull) && rn.outrun() {
+		_, err = rn.buf.Append(ch, len(ch.Data))
+	}
+	if err == nil {
+		if !rn.attended() {
+			rn.advance()
+		}
+		rn.notify()
+	}
+	return rn.changed, err
+}
+
 // prompt returns the part of the reservation that covers the prompt. The
 // prompt is metered only at the end of a call.
 func (rn *run) prompt() ident.Tokens {
--- /dev/null
+++ b/internal/core/claim/decide_test.go
@@ -0,0 +1,83 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/claim"
+	"github.com/google/go-cmp/cmp"
+)
+
+var (
+	body  = []byte("body")
+	own   = claim.Asker{Sidecar: "s1", Request: "r1", Attempt: 1}
+	other = claim.Asker{Sidecar: "s2", Request: "r2", Attempt: 1}
+)
+
+// TestDecide guards against a second run of a claimed, cancelled or finished
+// call, and against an outcome that is given for another body.
+func TestDecide(t *testing.T) {
+	rec := claim.New(body, own, time.Unix(1, 0))
+	ptr := func(rc claim.Record) *claim.Record { return &rc }
+	cases := map[string]struct {
+		ex     *claim.Record
+		print  string
+		as     claim.Asker
+		want   claim.Verdict
+		cancel claim.Cancellation
+		naive  claim.Verdict
+	}{
+		"none":            {print: "body", as: own, want: claim.Insert, cancel: claim.Open, naive: claim.Run},
+		"own claim":       {ex: &rec, print: "body", as: own, want: claim.Run, cancel: claim.LostClaimed, naive: claim.Run},
+		"other claim":     {ex: &rec, print: "body", as: other, want: claim.InProgress, cancel: claim.LostClaimed, naive: claim.Run},
+		"other attempt":   {ex: &rec, print: "body", as: claim.Asker{Sidecar: "s1", Request: "r1", Attempt: 2}, want: claim.InProgress, cancel: claim.LostClaimed, naive: claim.Run},
+		"restarted":       {ex: &rec, print: "body", as: claim.Asker{Sidecar: "s3", Request: "r1", Attempt: 1}, want: claim.InProgress, cancel: claim.LostClaimed, naive: claim.Run},
+		"other body":      {ex: &rec, print: "x", as: own, want: claim.KeyReused, cancel: claim.Foreign, naive: claim.KeyReused},
+		"cancelled":       {ex: ptr(rec.WithState(claim.Cancelled)), print: "body", as: own, want: claim.Refused, cancel: claim.Won, naive: claim.Run},
+		"void":            {ex: ptr(claim.Void(body)), print: "body", as: own, want: claim.Refused, cancel: claim.Won, naive: claim.Run},
+		"released":        {ex: ptr(rec.WithState(claim.Released)), print: "body", as: other, want: claim.Insert, cancel: claim.Open, naive: claim.Run},
+		"done":            {ex: ptr(rec.WithOutcome(claim.Outcome{Status: 200})), print: "body", as: own, want: claim.Replay, cancel: claim.LostDone, naive: claim.Replay},
+		"done other body": {ex: ptr(rec.WithOutcome(claim.Outcome{})), print: "x", as: own, want: claim.KeyReused, cancel: claim.Foreign, naive: claim.KeyReused},
+	}
+	type result struct {
+		Verdict claim.Verdict
+		Cancel  claim.Cancellation
+		Naive   claim.Verdict
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			pr := []byte(tc.print)
+			got := result{claim.Decide(tc.ex, pr, tc.as), claim.DecideCancel(tc.ex, pr), claim.Naive(tc.ex, pr, tc.as)}
+			if diff := cmp.Diff(result{tc.want, tc.cancel, tc.naive}, got); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRow guards against two accounts that share a row.
+func TestRow(t *testing.T) {
+	if a, b := claim.Row("a", "b/c"), claim.Row("a/b", "c"); a == b {
+		t.Errorf("both are %q", a)
+	}
+}
+
+// TestRecordForm guards against a changed form of the rows in the table, and
+// against a With method that changes its receiver.
+func TestRecordForm(t *testing.T) {
+	rec := claim.New(body, own, time.Unix(1, 0).UTC())
+	done := rec.WithOutcome(claim.Outcome{Status: 201, Header: []claim.Field{{Name: "A", Value: "b"}}, Body: []byte("ok")})
+	got, err := json.Marshal(done)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `{"fingerprint":"Ym9keQ==","state":"done","sidecar":"s1","request":"r1","attempt":1,` +
+		`"claimedAt":"1970-01-01T00:00:01Z","outcome":{"status":201,"header":[{"name":"A","value":"b"}],"body":"b2s="}}`
+	if diff := cmp.Diff(want, string(got)); diff != "" {
+		t.Errorf("row (-want +got):\n%s", diff)
+	}
+	if rec.State != claim.Claimed || rec.Outcome != nil {
+		t.Errorf("the receiver changed: %+v", rec)
+	}
+}
--- /dev/null
+++ b/internal/core/frame/inbox_test.go
@@ -0,0 +1,95 @@
+package frame_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/balsamwood/balsamwood/internal/core/frame"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestInboxReorder guards against an answer that is put together from late,
+// repeated or reordered frames in the wrong order.
+func TestInboxReorder(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		const count = 40
+		in := frame.NewInbox[uint64]("r", 1, count)
+		var want, got []uint64
+		var sent []uint64
+		for seq := uint64(1); seq <= count; seq++ {
+			want = append(want, seq)
+			sent = append(sent, seq, uint64(rnd.IntN(count)+1))
+		}
+		rnd.Shuffle(len(sent), func(i, j int) { sent[i], sent[j] = sent[j], sent[i] })
+		for _, seq := range sent {
+			if _, err := in.Put("r", 1, seq, seq); err != nil && !errors.Is(err, frame.ErrLate) {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			for val, _, ok := in.Take(); ok; val, _, ok = in.Take() {
+				got = append(got, val)
+			}
+			if rnd.IntN(4) == 0 {
+				if err := in.End("r", 1, count); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("seed %d (-want +got):\n%s", seed, diff)
+		}
+	}
+}
+
+// TestInboxRefuses guards against frames of another answer, gaps that are read
+// over, and a truncated answer that is taken for a whole one.
+func TestInboxRefuses(t *testing.T) {
+	type frameOf struct {
+		request string
+		attempt uint32
+		seq     uint64
+	}
+	cases := map[string]struct {
+		frames []frameOf
+		end    int64
+		put    error
+		fin    error
+		close  error
+	}{
+		"whole":             {frames: []frameOf{{"r", 1, 1}, {"r", 1, 2}}, end: 2},
+		"empty":             {end: 0},
+		"other request":     {frames: []frameOf{{"q", 1, 1}}, end: -1, put: frame.ErrForeign, close: frame.ErrTruncated},
+		"other attempt":     {frames: []frameOf{{"r", 2, 1}}, end: -1, put: frame.ErrForeign, close: frame.ErrTruncated},
+		"no final":          {frames: []frameOf{{"r", 1, 1}}, end: -1, close: frame.ErrTruncated},
+		"last missing":      {frames: []frameOf{{"r", 1, 1}}, end: 2, close: frame.ErrTruncated},
+		"middle missing":    {frames: []frameOf{{"r", 1, 1}, {"r", 1, 3}}, end: 3, close: frame.ErrTruncated},
+		"more than counted": {frames: []frameOf{{"r", 1, 1}, {"r", 1, 2}}, end: 1, fin: frame.ErrTruncated, close: frame.ErrTruncated},
+		"beyond window":     {frames: []frameOf{{"r", 1, 9}}, end: -1, put: frame.ErrGap, close: frame.ErrTruncated},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			in := frame.NewInbox[int]("r", 1, 8)
+			var put, fin error
+			for _, fr := range tc.frames {
+				_, err := in.Put(ident.Request(fr.request), fr.attempt, fr.seq, 0)
+				put = errors.Join(put, err)
+				in.Take()
+			}
+			if tc.end >= 0 {
+				fin = in.End("r", 1, uint64(tc.end))
+			}
+			for _, it := range []struct{ got, want error }{{put, tc.put}, {fin, tc.fin}, {in.Close(), tc.close}} {
+				if !errors.Is(it.got, it.want) {
+					t.Errorf("got %v, want %v", it.got, it.want)
+				}
+			}
+		})
+	}
+	in := frame.NewInbox[int]("r", 1, 8)
+	_ = in.End("r", 1, 0)
+	if _, err := in.Put("r", 1, 1, 0); !errors.Is(err, frame.ErrLate) {
+		t.Errorf("frame after the end: %v", err)
+	}
+}
