--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -59,9 +59,10 @@
 	pending   int
 	idle      time.Time
 	checked   bool
-	lost      bool
 	cancelled bool
 	delivered bool
+	// lost is why the view has no reader any more, or nil.
+	lost *refuse.Refusal
 }
 
 func newRun(sv *Service, di peer.Dispatch, credit ident.Tokens) *run {
@@ -135,8 +136,11 @@
 	if !ok || rn.gone || next < rn.buf.First() {
 		return nil, rn.sv.unknown(rn.di, refuse.Truncated, "chunk %d of the answer is no longer held", next)
 	}
+	if rn.sv.books.gate(vw.router).closed() {
+		return nil, rn.sv.unknown(rn.di, refuse.ClosedIncarnation, "router incarnation %s is closed", vw.router)
+	}
 	st := &stream{run: rn, view: vw, id: id, next: next, accept: accept}
-	vw.cur, vw.lost, vw.delivered, vw.idle = st, false, false, rn.sv.clk.Now()
+	vw.cur, vw.lost, vw.delivered, vw.idle = st, nil, false, rn.sv.clk.Now()
 	vw.acked = max(vw.acked, next-1)
 	if !rn.holds {
 		// Work that has left already may be read again, but does not hold up
@@ -172,7 +176,7 @@
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	vw.checked = false
-	if vw.pending > 0 || vw.lost || vw.delivered {
+	if vw.pending > 0 || vw.lost != nil || vw.delivered {
 		return
 	}
 	if rn.sv.clk.Now().Before(vw.idle.Add(rn.sv.grace)) {
@@ -187,7 +191,7 @@
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	for _, vw := range rn.views {
-		if vw.router == ic && !vw.lost {
+		if vw.router == ic && vw.lost == nil {
 			rn.lose(vw, refuse.New(refuse.ClosedIncarnation, "router incarnation %s was closed", ic))
 		}
 	}
@@ -196,7 +200,7 @@
 // lose ends the reading of a view. Without a reader, a call that may be
 // interrupted is cancelled with the given cause. rn.mu is held.
 func (rn *run) lose(vw *view, cause *refuse.Refusal) {
-	vw.lost, vw.cur = true, nil
+	vw.lost, vw.cur = cause, nil
 	rn.halt(cause)
 }
 
@@ -214,13 +218,29 @@
 // attended reports whether any view still wants the output. rn.mu is held.
 func (rn *run) attended() bool {
 	for _, vw := range rn.views {
-		if !vw.lost && !vw.cancelled {
+		if vw.lost == nil && !vw.cancelled {
 			return true
 		}
 	}
 	return false
 }
 
+// outrun loses the readers that hold up another reader which has received
+// everything, and reports whether there were any. rn.mu is held.
+func (rn *run) outrun() bool {
+	last, ahead, lost := rn.buf.Last(), false, false
+	for _, vw := range rn.views {
+		ahead = ahead || vw.lost == nil && vw.acked == last
+	}
+	for _, vw := range rn.views {
+		if ahead && vw.lost == nil && vw.acked < rn.buf.First() {
+			rn.lose(vw, refuse.New(refuse.Truncated, "the reader is a full buffer behind another one"))
+			lost = true
+		}
+	}
+	return lost
+}
+
 // advance lets the buffer discard what every reader has received. rn.mu is
 // held.
 func (rn *run) advance() {
@@ -229,7 +249,7 @@
 	}
 	low := rn.buf.Last()
 	for _, vw := range rn.views {
-		if !vw.lost && !vw.cancelled {
+		if vw.lost == nil && !vw.cancelled {
 			low = min(low, vw.acked)
 		}
 	}
@@ -253,7 +273,7 @@
 		return
 	}
 	for _, vw := range rn.views {
-		if !vw.lost && !vw.delivered {
+		if vw.lost == nil && !vw.delivered {
 			return
 		}
 	}
