role: compose router and sidecar, command line, admission gate

Cause: the parts need to run as separate processes with settings, logs, metrics, readiness and a graceful shutdown. Ruled out: stopping the listener first (callers behind the balancer would see resets); requests are refused as leaving while those in flight finish.

--- a/cmd/balsamwood/main.go
+++ b/cmd/balsamwood/main.go
@@ -1,4 +1,18 @@
-// Command balsamwood is not composed yet.
+// Command balsamwood runs routers, sidecars and operators' commands.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/balsamwood/balsamwood/internal/role/cmdln"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cmdln.Run(ctx)
+	stop()
+	os.Exit(code)
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -57,6 +57,8 @@
 	prefixes *route.Prefixes
 	view     *snap.Cell[route.View]
 	nodes    *snap.Cell[map[ident.Upstream]*node]
+	totals   *snap.Cell[map[ident.Model]total]
+	onChange func()
 
 	mu  sync.Mutex
 	ctx context.Context
@@ -85,6 +87,10 @@
 // WithMeter sets the meter. The default discards everything.
 func WithMeter(me meter.Meter) Option { return func(fl *Fleet) { fl.met = me } }
 
+// WithOnChange sets a function that is called after an upstream's report was
+// applied. The default does nothing.
+func WithOnChange(fn func()) Option { return func(fl *Fleet) { fl.onChange = fn } }
+
 // New returns a fleet without upstreams. vm selects the router's subset of
 // links.
 func New(vm ident.VM, dial Dial, opts ...Option) (*Fleet, error) {
@@ -92,8 +98,10 @@
 		vm: vm, dial: dial, clk: clock.System{}, met: meter.Nop{},
 		name: route.ExpectedFinish, links: 64, suspect: 2 * time.Second, seed: 1,
 		tracker: route.NewTracker(), prefixes: route.NewPrefixes(),
-		view:  snap.NewCell(route.View{}),
-		nodes: snap.NewCell(map[ident.Upstream]*node{}),
+		view:     snap.NewCell(route.View{}),
+		nodes:    snap.NewCell(map[ident.Upstream]*node{}),
+		totals:   snap.NewCell(map[ident.Model]total{}),
+		onChange: func() {},
 	}
 	for _, op := range opts {
 		op(fl)
@@ -195,6 +203,8 @@
 			QueuedTokens: ld.QueuedTokens, TokensPerSecond: ld.TokensPerSecond,
 		})), true
 	})
+	fl.sum()
+	fl.onChange()
 	if newly {
 		fl.met.Log(evLeaving, slog.String("upstream", string(id)))
 	}
--- /dev/null
+++ b/internal/role/cmdln/check.go
@@ -0,0 +1,38 @@
+package cmdln
+
+import (
+	"fmt"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/conf"
+	"github.com/balsamwood/balsamwood/internal/adapt/errs"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+)
+
+type checkCmd struct {
+	Program string `arg:"" enum:"router,sidecar" help:"Program that the settings are for: router or sidecar."`
+	File    string `arg:"" type:"path" help:"Settings file in YAML."`
+}
+
+// Run reports all findings in the file.
+func (cc checkCmd) Run(en *env) error {
+	var err error
+	if cc.Program == "router" {
+		_, err = conf.LoadRouter(cc.File)
+	} else {
+		_, err = conf.LoadSidecar(cc.File)
+	}
+	if err != nil {
+		return errs.Settings.Wrap(err, "%s", cc.File)
+	}
+	_, err = fmt.Fprintln(en.out, "ok")
+	return err
+}
+
+type keyCmd struct{}
+
+// Run prints a new key and its hash.
+func (keyCmd) Run(en *env) error {
+	key := config.NewAPIKey()
+	_, err := fmt.Fprintf(en.out, "key:     %s\nkeyHash: %s\n", key, config.HashAPIKey(key))
+	return err
+}
--- /dev/null
+++ b/internal/role/router/router.go
@@ -0,0 +1,244 @@
+// Package router composes a router.
+package router
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/bucket"
+	"github.com/balsamwood/balsamwood/internal/adapt/certs"
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/adapt/conf"
+	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
+	"github.com/balsamwood/balsamwood/internal/adapt/errs"
+	"github.com/balsamwood/balsamwood/internal/adapt/serve"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/fleet"
+	"github.com/balsamwood/balsamwood/internal/app/front"
+	"github.com/balsamwood/balsamwood/internal/app/gate"
+	"github.com/balsamwood/balsamwood/internal/app/relay"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/claim"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/retry"
+	"github.com/balsamwood/balsamwood/internal/core/route"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Events of the router program.
+var (
+	evStarted = meter.Event{Number: 9101, Level: slog.LevelInfo, Text: "router started"}
+	evLeaving = meter.Event{Number: 9102, Level: slog.LevelInfo, Text: "router is leaving"}
+	evStopped = meter.Event{Number: 9103, Level: slog.LevelInfo, Text: "router stopped"}
+	evDrained = meter.Event{Number: 9104, Level: slog.LevelWarn, Text: "requests were still in flight when the drain time ended"}
+	evHeld    = meter.Event{Number: 9105, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
+	evOpening = meter.Event{Number: 9106, Level: slog.LevelWarn, Text: "the incarnation could not be registered yet"}
+)
+
+const (
+	// openPause is the wait between attempts to register the incarnation.
+	openPause = 500 * time.Millisecond
+	// closeTime bounds the return of escrow at the end.
+	closeTime = 10 * time.Second
+)
+
+// Router is a running router.
+type Router struct {
+	set      conf.Router
+	met      meter.Meter
+	in       ident.Incarnation
+	table    store.Table
+	ledger   *budget.Ledger
+	holder   *budget.Holder
+	follower *rollout.Follower
+	acceptor *rollout.Acceptor
+	watcher  *rollout.Watcher
+	fleet    *fleet.Fleet
+	gate     *gate.Gate
+	front    *front.Service
+	claims   relay.Claims
+	certs    *certs.Fleet
+
+	caller *serve.Server
+	admin  *serve.Server
+	ops    *serve.Server
+
+	mu      sync.Mutex
+	open    bool
+	leaving bool
+}
+
+// New composes a router and listens. ops makes the server for operators.
+func New(set conf.Router, me meter.Meter, ops func(ready func() error) (*serve.Server, error)) (*Router, error) {
+	ro := &Router{set: set, met: me, in: ident.NewIncarnation(), table: dynamo.New(set.Platform.Table)}
+	if !set.TLS.Disabled {
+		fl, err := certs.NewFleet(certs.Files{
+			FleetCA: set.TLS.FleetCA, Cert: set.TLS.Cert, Key: set.TLS.Key,
+			CallerCert: set.TLS.CallerCert, CallerKey: set.TLS.CallerKey,
+		}.WithDefaults())
+		if err != nil {
+			return nil, errs.Settings.Wrap(err, "tls")
+		}
+		ro.certs = fl
+	}
+	ro.composeConfig()
+	ro.composeBudgets()
+	if err := ro.composePath(); err != nil {
+		return nil, err
+	}
+	if err := ro.listen(ops); err != nil {
+		return nil, err
+	}
+	return ro, nil
+}
+
+func (ro *Router) composeConfig() {
+	cod := rollout.Codecs{
+		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	}
+	archive := rollout.WithArchive(rollout.NewArchive(bucket.New(ro.set.Platform.Objects), rollout.WithMeter(ro.met)))
+	ro.follower = rollout.NewFollower(codec.Config{}, rollout.WithMeter(ro.met))
+	ro.watcher = rollout.NewWatcher(ro.table, cod, ro.follower, rollout.WithMeter(ro.met), archive)
+	ro.acceptor = rollout.NewAcceptor(ro.table, cod, rollout.WithMeter(ro.met), rollout.WithFollower(ro.follower), archive)
+}
+
+func (ro *Router) composeBudgets() {
+	ro.ledger = budget.NewLedger(ro.table, codec.Ledger())
+	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, budget.WithMeter(ro.met))
+	ro.claims = relay.NewClaims(ro.table, codec.JSON[claim.Record]{})
+}
+
+func (ro *Router) composePath() error {
+	fl, err := fleet.New(ro.set.VM, ro.dial,
+		fleet.WithMeter(ro.met), fleet.WithLinks(ro.set.Limits.Links), fleet.WithOnChange(func() { ro.gate.Refresh() }))
+	if err != nil {
+		return errs.Internal.Wrap(err, "compose")
+	}
+	ro.fleet = fl
+	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
+	ro.front = front.New(ro.in, purse{ro.holder}, fl,
+		front.WithGate(ro.gate), front.WithKeys(keys{ro.claims}), front.WithMeter(ro.met),
+		front.WithRetries(front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))))
+	return nil
+}
+
+// Run serves until ctx ends, then lets requests in flight finish and returns
+// all escrow.
+func (ro *Router) Run(ctx context.Context) error {
+	ro.met.Log(evStarted, slog.String("incarnation", string(ro.in)), slog.String("address", ro.CallerAddr()))
+	own, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed, fail := context.WithCancel(ctx)
+	defer fail()
+	ro.fleet.Start(own)
+	var servers, workers sync.WaitGroup
+	errCh := make(chan error, 3)
+	for _, sv := range []*serve.Server{ro.caller, ro.admin, ro.ops} {
+		servers.Go(func() { defer fail(); errCh <- sv.Serve() })
+	}
+	workers.Go(func() { ro.watcher.Run(own) })
+	workers.Go(func() { ro.follow(own) })
+	workers.Go(func() { ro.hold(own) })
+	<-failed.Done()
+	ro.leave()
+	stop()
+	workers.Wait()
+	ro.fleet.Wait()
+	ro.returnEscrow()
+	_ = ro.ops.Close()
+	servers.Wait()
+	close(errCh)
+	ro.met.Log(evStopped)
+	var all []error
+	for err := range errCh {
+		all = append(all, err)
+	}
+	return errors.Join(all...)
+}
+
+// hold registers the incarnation and then keeps the escrow up to date.
+func (ro *Router) hold(ctx context.Context) {
+	for {
+		err := ro.holder.Open(ctx)
+		if err == nil {
+			break
+		}
+		ro.met.Log(evOpening, slog.String("error", err.Error()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(openPause):
+		}
+	}
+	ro.mu.Lock()
+	ro.open = true
+	ro.mu.Unlock()
+	_ = ro.holder.Run(ctx)
+}
+
+// follow applies each configuration that comes into force.
+func (ro *Router) follow(ctx context.Context) {
+	for {
+		changed := ro.follower.Changed()
+		if sn := ro.follower.Cell().Load(); sn.Revision() > 0 {
+			ro.gate.Configure(sn)
+			ro.fleet.Sync(sn)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// readiness is nil when requests can be served.
+func (ro *Router) readiness() error {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	switch {
+	case ro.leaving:
+		return errors.New("leaving")
+	case !ro.follower.Ready():
+		return errors.New("no configuration is in force yet")
+	case !ro.open:
+		return errors.New("the incarnation is not registered yet")
+	default:
+		return nil
+	}
+}
+
+// leave refuses new requests and waits for those in flight.
+func (ro *Router) leave() {
+	ro.met.Log(evLeaving)
+	ro.mu.Lock()
+	ro.leaving = true
+	ro.mu.Unlock()
+	ro.front.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), ro.set.Drain)
+	defer cancel()
+	err := errors.Join(ro.caller.Shutdown(ctx), ro.front.Wait(ctx), ro.admin.Shutdown(ctx))
+	if err != nil {
+		ro.met.Log(evDrained, slog.String("error", err.Error()))
+		_ = ro.caller.Close()
+		_ = ro.admin.Close()
+	}
+}
+
+func (ro *Router) returnEscrow() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	ro.mu.Lock()
+	open := ro.open
+	ro.mu.Unlock()
+	if !open {
+		return
+	}
+	if err := ro.holder.Close(ctx); err != nil {
+		ro.met.Log(evHeld, slog.String("error", err.Error()))
+	}
+}
--- /dev/null
+++ b/internal/role/side/control.go
@@ -0,0 +1,48 @@
+package side
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/adapt/link"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+// control handles the control messages of routers.
+type control struct{ si *Sidecar }
+
+// OfferConfig follows the configuration if its revision is higher.
+func (ct control) OfferConfig(re ident.Revision, document []byte) {
+	if re <= ct.si.cfg.Load().Revision() {
+		return
+	}
+	next, err := (codec.Config{}).Decode(document)
+	if err != nil || next.Revision() != re {
+		return
+	}
+	_, ok := ct.si.cfg.Update(func(cur config.Snapshot) (config.Snapshot, bool) { return config.Follow(cur, next) })
+	if ok {
+		ct.si.met.Log(evFollowed, slog.Uint64("revision", uint64(re)))
+	}
+}
+
+// CloseIncarnation passes the closure on.
+func (ct control) CloseIncarnation(ctx context.Context, in ident.Incarnation) ([]link.Used, error) {
+	usages, err := ct.si.sv.CloseIncarnation(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	used := make([]link.Used, 0, len(usages))
+	for _, us := range usages {
+		used = append(used, link.Used{Budget: us.Budget, Tokens: us.Used})
+	}
+	return used, nil
+}
+
+// Order passes the order on.
+func (ct control) Order(ctx context.Context, or engine.Order) error {
+	return ct.si.order(ctx, or)
+}
