app/budget: test naive variants, read-back and concurrency

Cause: a failure test that a naive variant passes detects nothing. Change: the scenarios of a lost answer, two operators and a paused holder run against a blind repeat, a last write that wins and a reclaim by the clock, and must go wrong there. The first call after a lost answer must be the read of the grant row. Conclusion: each scenario fails on its naive variant.

--- /dev/null
+++ b/internal/app/budget/naive_test.go
@@ -0,0 +1,229 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/table"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// variant is one way to do what the failure tests do.
+type variant struct {
+	topUp   func(ctx context.Context, tb store.Table, amount ident.Tokens, op ident.Op) error
+	reclaim func(ctx context.Context, tb store.Table, inc ident.Incarnation) error
+}
+
+func realVariant() variant {
+	return variant{
+		topUp: func(ctx context.Context, tb store.Table, amount ident.Tokens, op ident.Op) error {
+			return budget.NewLedger(tb, codecs()).TopUp(ctx, meals, amount, op, "op")
+		},
+		reclaim: func(ctx context.Context, tb store.Table, inc ident.Incarnation) error {
+			_, err := budget.NewLedger(tb, codecs()).Recover(ctx, inc, escrow.Evidence{}.WithSidecar("s1"))
+			return err
+		},
+	}
+}
+
+// edit changes the budget row as long as stale values of it are written back:
+// the version is read again before each write, the value is not.
+func edit(ctx context.Context, tb store.Table, change func(*escrow.BudgetRow)) error {
+	js := codec.JSON[escrow.BudgetRow]{}
+	it, _, err := tb.Get(ctx, "budget/"+meals.String())
+	if err != nil {
+		return err
+	}
+	bu, err := js.Decode(it.Value)
+	if err != nil {
+		return err
+	}
+	change(&bu)
+	data, err := js.Encode(bu)
+	if err != nil {
+		return err
+	}
+	for {
+		now, _, err := tb.Get(ctx, it.Key)
+		if err != nil {
+			return err
+		}
+		err = tb.Commit(ctx, store.Write{Key: it.Key, Value: data, IfVersion: now.Version})
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+}
+
+// naiveVariant repeats a write without an answer blindly, writes the last
+// value over others, and reclaims escrow because time has passed.
+func naiveVariant() variant {
+	return variant{
+		topUp: func(ctx context.Context, tb store.Table, amount ident.Tokens, _ ident.Op) error {
+			add := func(bu *escrow.BudgetRow) { bu.Prepaid += amount }
+			err := edit(ctx, tb, add)
+			if errors.Is(err, store.ErrUncertain) {
+				err = edit(ctx, tb, add)
+			}
+			return err
+		},
+		reclaim: func(ctx context.Context, tb store.Table, _ ident.Incarnation) error {
+			return edit(ctx, tb, func(bu *escrow.BudgetRow) { bu.Granted, bu.Holders = 0, 0 })
+		},
+	}
+}
+
+// interleaved runs another call before the first commit.
+type interleaved struct {
+	store.Table
+	once   sync.Once
+	before func()
+}
+
+func (il *interleaved) Commit(ctx context.Context, writes ...store.Write) error {
+	il.once.Do(il.before)
+	return il.Table.Commit(ctx, writes...)
+}
+
+// scenarios return what is wrong in the end, or nothing.
+var scenarios = map[string]func(fl *fleet, va variant) string{
+	"lost answer of a top-up": func(fl *fleet, va variant) string {
+		cl := fl.tb.Client()
+		cl.FailCommits(table.Lost)
+		fl.must(va.topUp(fl.t.Context(), cl, 100, "a"))
+		return fl.differs(1100, 0)
+	},
+	"two operators": func(fl *fleet, va variant) string {
+		il := &interleaved{Table: fl.tb.Client(), before: func() {
+			fl.must(va.topUp(fl.t.Context(), fl.tb.Client(), 100, "b"))
+		}}
+		fl.must(va.topUp(fl.t.Context(), il, 100, "a"))
+		return fl.differs(1200, 0)
+	},
+	"paused holder": func(fl *fleet, va variant) string {
+		one, _ := fl.holder("r1")
+		two, _ := fl.holder("r2")
+		spent := ident.Tokens(0)
+		paused := fl.reserve(one, 900)
+		fl.clock.add(time.Hour)
+		fl.must(va.reclaim(fl.t.Context(), fl.tb.Client(), "r1"))
+		if ho, err := two.Reserve(fl.t.Context(), meals, 900, config.WeighRefusal); err == nil {
+			ho.Settle(900)
+			spent += 900
+		}
+		// The paused holder goes on with a request that its sidecar still runs.
+		paused.Settle(900)
+		if spent += 900; spent > 1000 {
+			return "overspend"
+		}
+		return ""
+	},
+}
+
+func (fl *fleet) differs(prepaid, held ident.Tokens) string {
+	ba, err := fl.ledger.Balance(fl.t.Context(), meals)
+	fl.must(err)
+	return cmp.Diff([]ident.Tokens{prepaid, held}, []ident.Tokens{ba.Prepaid, ba.Held})
+}
+
+// TestNaiveVariants guards against failure tests that detect nothing: each
+// scenario must go wrong with the naive variant and right with the real one.
+func TestNaiveVariants(t *testing.T) {
+	for name, run := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			if wrong := run(newFleet(t, 1000), naiveVariant()); wrong == "" {
+				t.Error("the naive variant passed")
+			}
+			if wrong := run(newFleet(t, 1000), realVariant()); wrong != "" {
+				t.Error(wrong)
+			}
+		})
+	}
+}
+
+// recorder notes the first call after a commit without an answer.
+type recorder struct {
+	store.Table
+	lost  bool
+	calls []string
+}
+
+func (rc *recorder) note(call string) {
+	if rc.lost {
+		rc.calls, rc.lost = append(rc.calls, call), false
+	}
+}
+
+func (rc *recorder) Get(ctx context.Context, key string) (store.Item, bool, error) {
+	rc.note("get " + key)
+	return rc.Table.Get(ctx, key)
+}
+
+func (rc *recorder) Commit(ctx context.Context, writes ...store.Write) error {
+	rc.note("commit")
+	err := rc.Table.Commit(ctx, writes...)
+	rc.lost = errors.Is(err, store.ErrUncertain)
+	return err
+}
+
+// TestReadBack guards against any other call between a lost answer and the
+// read of the grant row.
+func TestReadBack(t *testing.T) {
+	fl := newFleet(t, 1000)
+	cl := fl.tb.Client()
+	rc := &recorder{Table: cl}
+	hd := budget.NewHolder("r1", "vm", "fd1", budget.NewLedger(rc, codecs()), budget.WithClock(fl.clock), budget.WithBatch(1))
+	fl.must(hd.Open(t.Context()))
+	cl.FailCommits(table.Lost)
+	ho := fl.reserve(hd, 10)
+	ho.Settle(10)
+	cl.FailCommits(table.Lost)
+	hd.Flush(t.Context())
+	if len(rc.calls) != 2 || strings.Join(rc.calls, ",") != strings.Repeat(",get grant/sejin/meals/r1", 2)[1:] {
+		t.Errorf("calls after lost answers: %v", rc.calls)
+	}
+}
+
+// TestParallel guards against tokens lost between concurrent reservations,
+// passes and draws.
+func TestParallel(t *testing.T) {
+	fl := newFleet(t, 40_000)
+	hd, _ := fl.holder("r1", budget.WithBatch(1))
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for no := range 1000 {
+				ho, err := hd.Reserve(t.Context(), meals, 20, config.WeighOverspend)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if no%2 == 0 {
+					ho.Settle(10)
+				} else {
+					ho.Release()
+				}
+			}
+		})
+	}
+	group.Go(func() {
+		for range 200 {
+			fl.clock.add(time.Second)
+			hd.Flush(t.Context())
+		}
+	})
+	group.Wait()
+	fl.must(hd.Close(t.Context()))
+	fl.want(40_000, 20_000, 0, 20_000)
+}
--- a/internal/app/budget/random_test.go
+++ b/internal/app/budget/random_test.go
@@ -36,7 +36,6 @@
 	zombies []*actor
 	next    int
 	writes  int64
-	down    bool
 }
 
 func (ch *chaos) fault(commit bool) table.Fault {
