--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -21,6 +21,7 @@
 	idle    int
 	dial    time.Duration
 	idleFor time.Duration
+	fresh   bool
 }
 
 // Option configures a client.
@@ -38,6 +39,11 @@
 // default is 60 s.
 func WithIdleTimeout(d time.Duration) Option { return func(se *settings) { se.idleFor = d } }
 
+// WithFresh makes every request open its own connection. By default
+// connections are kept. On a kept connection net/http repeats a request that
+// it takes for idempotent when the answer is lost.
+func WithFresh() Option { return func(se *settings) { se.fresh = true } }
+
 // New returns a client. Requests are bounded by their contexts only.
 func New(opts ...Option) *http.Client {
 	se := settings{idle: 256, dial: 2 * time.Second, idleFor: 60 * time.Second}
@@ -50,6 +56,7 @@
 			MaxIdleConnsPerHost: se.idle,
 			IdleConnTimeout:     se.idleFor,
 			DisableCompression:  true,
+			DisableKeepAlives:   se.fresh,
 		},
 		// A redirect of a POST with status 307 would send it twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- /dev/null
+++ b/internal/adapt/openai/openai_test.go
@@ -0,0 +1,258 @@
+package openai_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/openai"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/fake/fault"
+	"github.com/balsamwood/balsamwood/internal/fake/model"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+func call(id, members string) engine.Call {
+	return engine.Call{
+		Request: ident.Request(id), Priority: 3,
+		Body: fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":"question %s"}]%s}`, id, members),
+	}
+}
+
+// answer collects the chunks of a call.
+type answer struct {
+	text   string
+	tokens ident.Tokens
+}
+
+func (an *answer) emit(ch engine.Chunk) error {
+	var ev struct {
+		Choices []struct{ Delta struct{ Content string } }
+	}
+	if err := json.Unmarshal(ch.Data, &ev); err != nil {
+		return err
+	}
+	for _, it := range ev.Choices {
+		an.text += it.Delta.Content
+	}
+	an.tokens += ch.Tokens
+	return nil
+}
+
+// TestMixed guards against answers that are mixed up, cut or billed wrongly
+// when many calls share the connections.
+func TestMixed(t *testing.T) {
+	en := model.New(model.WithAnswer(1, 40))
+	srv := httptest.NewServer(en)
+	defer srv.Close()
+	up := openai.New(srv.URL)
+	const calls = 50
+	var wg sync.WaitGroup
+	for idx := range calls {
+		wg.Go(func() {
+			ca, an := call(fmt.Sprint(idx), `,"temperature":0.5`), answer{}
+			res, err := up.Run(t.Context(), ca, an.emit)
+			n, wrong := model.Check(ca.Body, an.text)
+			want := engine.Usage{Prompt: 3, Completion: ident.Tokens(n)}
+			if err != nil || wrong != nil || res.Usage != want || an.tokens != want.Completion || n == 0 {
+				t.Errorf("call %d: %v, %v, usage %v and %d tokens for %d words", idx, err, wrong, res.Usage, an.tokens, n)
+			}
+		})
+	}
+	wg.Wait()
+	for _, ru := range en.Runs() {
+		if ru.State != model.Completed || ru.Priority != 3 {
+			t.Errorf("run %+v, want it completed with priority 3", ru)
+		}
+	}
+}
+
+// TestBody guards against members of the caller's body that are lost, and
+// against a token limit above what escrow covers.
+func TestBody(t *testing.T) {
+	tests := []struct {
+		name, members string
+		most          ident.Tokens
+		want          string
+	}{
+		{"kept", `,"seed":12345678901234567890,"stream":false`, 0, `,"seed":12345678901234567890`},
+		{"options merged", `,"stream_options":{"other":1}`, 0, `,"stream_options":{"include_usage":true,"other":1}`},
+		{"limit added", ``, 9, `,"max_tokens":9`},
+		{"limit lowered", `,"max_completion_tokens":20`, 9, `,"max_completion_tokens":9`},
+		{"lower limit kept", `,"max_tokens":5`, 9, `,"max_tokens":5`},
+	}
+	for _, tt := range tests {
+		var got map[string]json.RawMessage
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, re *http.Request) {
+			if err := json.NewDecoder(re.Body).Decode(&got); err != nil {
+				t.Error(err)
+			}
+		}))
+		ca := call("1", tt.members)
+		ca.MaxTokens = tt.most
+		_, _ = openai.New(srv.URL).Run(t.Context(), ca, new(answer).emit)
+		srv.Close()
+		want := map[string]json.RawMessage{"stream_options": json.RawMessage(`{"include_usage":true}`)}
+		for _, body := range []string{string(call("1", tt.want).Body), `{"stream":true,"priority":3}`} {
+			if err := json.Unmarshal([]byte(body), &want); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: body (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
+
+func sse(lines ...string) http.HandlerFunc {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		wr.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+		_, _ = wr.Write([]byte(strings.Join(lines, "\n")))
+	}
+}
+
+const (
+	token = `data: {"choices":[{"delta":{"content":"x"}}]}`
+	total = `data: {"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":5}}`
+	last  = "data: [DONE]"
+)
+
+// TestOutcome guards against a truncated or failed answer that passes as a
+// whole one, against a refusal that wrongly claims that the call did not run,
+// and against usage that is lost with the error.
+func TestOutcome(t *testing.T) {
+	status := func(code int) http.HandlerFunc {
+		return func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(code) }
+	}
+	abort := func(http.ResponseWriter, *http.Request) { fault.Abort() }
+	few, none := engine.Usage{Prompt: 2, Completion: 2}, engine.Usage{}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    refuse.Reason
+		usage   engine.Usage
+	}{
+		{"whole", sse(token, "", ": comment", "", total, "", last, "", ""), "", engine.Usage{Prompt: 7, Completion: 5}},
+		{"carriage returns", sse(token+"\r", "\r", last+"\r", "\r", ""), "", engine.Usage{Prompt: 2, Completion: 1}},
+		{"data in two lines", sse(`data: {"choices":`, `data: []}`, "", last, "", ""), "", engine.Usage{Prompt: 2}},
+		{"no last event", sse(token, "", token, "", ""), refuse.Truncated, few},
+		{"cut in an event", sse(token, "", token, "", token[:20]), refuse.Truncated, few},
+		{"cut before the blank line", sse(token, "", token, "", last), refuse.Truncated, few},
+		{"error event", sse(token, "", token, "", `data: {"error":{"message":"out of memory"}}`, "", last, "", ""), refuse.UpstreamFailed, few},
+		{"invalid event", sse(token, "", token, "", "data: {", "", ""), refuse.UpstreamFailed, few},
+		{"long line", sse(token, "", token, "", "data: "+strings.Repeat("x", 300), "", ""), refuse.UpstreamFailed, few},
+		{"long answer", sse(token, "", token, "", strings.Repeat(": filler\n", 200)), refuse.UpstreamFailed, few},
+		{"other content type", status(200), refuse.UpstreamFailed, engine.Usage{Prompt: 2}},
+		{"no answer", abort, refuse.UpstreamFailed, engine.Usage{Prompt: 2}},
+		{"internal error", status(500), refuse.UpstreamFailed, engine.Usage{Prompt: 2}},
+		{"bad request", status(400), refuse.BadRequest, none},
+		{"unknown model", status(404), refuse.Rejected, none},
+		{"queue full", status(429), refuse.Busy, none},
+		{"overload", status(503), refuse.Busy, none},
+		{"refused connection", nil, refuse.Busy, none},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			srv := httptest.NewServer(tt.handler)
+			defer srv.Close()
+			if tt.handler == nil {
+				srv.Close()
+			}
+			up := openai.New(srv.URL, openai.WithMaxLine(250), openai.WithMaxAnswer(1000),
+				openai.WithPromptCount(func([]byte) ident.Tokens { return 2 }))
+			res, err := up.Run(t.Context(), call("1", ""), new(answer).emit)
+			if diff := cmp.Diff(tt.usage, res.Usage); diff != "" {
+				t.Errorf("usage (-want +got):\n%s", diff)
+			}
+			if tt.want == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			if rf := refuse.From(err); err == nil || rf.Reason != tt.want || rf.Outcome != tt.want.Outcome() {
+				t.Errorf("Run = %v, want %s", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestCancel guards against a call that the engine continues after the caller
+// went away or the answer can no longer be passed on, and against a token that
+// is held back: emit fails on the first one while the engine has more to say.
+func TestCancel(t *testing.T) {
+	stop := errors.New("stop")
+	for _, name := range []string{"emit fails", "context ends"} {
+		en := model.New(model.WithAnswer(1<<30, 1<<30))
+		srv := httptest.NewServer(en)
+		ctx, cancel := context.WithCancel(t.Context())
+		res, err := openai.New(srv.URL).Run(ctx, call("1", ""), func(engine.Chunk) error {
+			if name == "emit fails" {
+				return stop
+			}
+			cancel()
+			return nil
+		})
+		cancel()
+		if err == nil || (name == "emit fails") != errors.Is(err, stop) || res.Usage.Completion < 1 {
+			t.Errorf("%s: Run = %v, %v, want an error and usage", name, res, err)
+		}
+		// Close waits until the engine has ended the call.
+		srv.Close()
+		if got := en.Runs()[0].State; got != model.Cancelled {
+			t.Errorf("%s: the run is %s, want it cancelled", name, got)
+		}
+	}
+}
+
+// TestSilent guards against a call that waits past its context for an engine
+// that accepts and never answers.
+func TestSilent(t *testing.T) {
+	en := model.New()
+	en.Faults().Set(fault.Setting{}.WithSilent(true))
+	ctx, cancel := context.WithCancel(t.Context())
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		cancel()
+		en.ServeHTTP(wr, re)
+	}))
+	defer srv.Close()
+	for _, want := range []refuse.Outcome{refuse.Unknown, refuse.NotRun} {
+		if _, err := openai.New(srv.URL).Run(ctx, call("1", ""), new(answer).emit); refuse.From(err).Outcome != want {
+			t.Errorf("Run = %v, want outcome %s", err, want)
+		}
+	}
+}
+
+// TestControl guards against a superseded order that passes as accepted, and
+// against a load report that loses a member.
+func TestControl(t *testing.T) {
+	en := model.New(model.WithSlots(2), model.WithTokenTime(100*time.Millisecond))
+	srv := httptest.NewServer(en)
+	defer srv.Close()
+	up := openai.New(srv.URL)
+	var got []bool
+	for _, fence := range []ident.Fence{5, 4, 6} {
+		err := up.Order(t.Context(), engine.Order{Fence: fence, Kind: engine.LoadModel, Subject: "m"})
+		got = append(got, err == nil)
+	}
+	if diff := cmp.Diff([]bool{true, false, true}, got); diff != "" {
+		t.Errorf("accepted orders (-want +got):\n%s", diff)
+	}
+	en.Set(model.Setting{}.WithLeaving(true))
+	lo, err := up.Load(t.Context())
+	want := engine.Load{Slots: 2, TokensPerSecond: 20, Leaving: true}
+	if diff := cmp.Diff(want, lo, cmpopts.IgnoreFields(engine.Load{}, "At")); diff != "" || err != nil || lo.At.IsZero() {
+		t.Errorf("load %v, %v (-want +got):\n%s", lo.At, err, diff)
+	}
+}
