adapt: strengthen two tests of the upstream adapters

Cause: trial changes on a scratch copy showed two gaps: a call that the adapter does not cancel, and a chunk whose memory is used again, passed. Ruled out: relying on the caller's context in the cancel test; the test ended that context itself and so did the adapter's work. Change: the cancel test ends its context only after the check, and a new test keeps the chunks of a long answer. The comment on the key header states what was seen: a call with a body is repeated as well. Conclusion: the two faults no longer pass.

--- a/internal/adapt/openai/openai_test.go
+++ b/internal/adapt/openai/openai_test.go
@@ -197,6 +197,7 @@
 		en := model.New(model.WithAnswer(1<<30, 1<<30))
 		srv := httptest.NewServer(en)
 		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
 		res, err := openai.New(srv.URL).Run(ctx, call("1", ""), func(engine.Chunk) error {
 			if name == "emit fails" {
 				return stop
@@ -204,7 +205,6 @@
 			cancel()
 			return nil
 		})
-		cancel()
 		if err == nil || (name == "emit fails") != errors.Is(err, stop) || res.Usage.Completion < 1 {
 			t.Errorf("%s: Run = %v, %v, want an error and usage", name, res, err)
 		}
--- a/internal/adapt/plain/plain.go
+++ b/internal/adapt/plain/plain.go
@@ -22,8 +22,8 @@
 const chunkBytes = 32 << 10
 
 // keyHeader is written in lower case on purpose: net/http repeats a request
-// with an empty body that carries "Idempotency-Key" when a kept connection
-// breaks, and a call must not be sent twice.
+// that carries "Idempotency-Key" when a kept connection breaks, and a call must
+// not be sent twice.
 const keyHeader = "idempotency-key"
 
 // Service is an engine.Upstream. Any HTTP status is an answer of the service;
--- a/internal/adapt/plain/plain_test.go
+++ b/internal/adapt/plain/plain_test.go
@@ -1,6 +1,7 @@
 package plain_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -48,6 +49,27 @@
 	}
 }
 
+// TestRetained guards against a chunk that changes after it was passed on: the
+// sidecar keeps chunks for resumption.
+func TestRetained(t *testing.T) {
+	want := strings.Repeat("0123456789abcdef_", 10_000)
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		_, _ = wr.Write([]byte(want))
+	}))
+	defer srv.Close()
+	var kept [][]byte
+	ca := engine.Call{Method: http.MethodGet, Path: "/filings"}
+	if _, err := plain.New(srv.URL).Run(t.Context(), ca, func(ch engine.Chunk) error {
+		kept = append(kept, ch.Data)
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if got := string(bytes.Join(kept, nil)); got != want {
+		t.Errorf("%d bytes in %d chunks differ from the %d that were sent", len(got), len(kept), len(want))
+	}
+}
+
 // TestLostAnswer guards against a call that reaches the service twice because
 // net/http repeats it on a kept connection, or because of a redirect.
 func TestLostAnswer(t *testing.T) {
