--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -41,8 +41,10 @@
 	progress time.Duration
 	config   ConfigSource
 	onReport func(peer.Report)
+	onConfig func(document []byte)
 
 	cur    atomic.Pointer[session]
+	tried  atomic.Bool
 	report atomic.Pointer[peer.Report]
 
 	mu      sync.Mutex
@@ -87,12 +89,19 @@
 	return func(cl *Client) { cl.onReport = fn }
 }
 
+// WithOnConfig sets a function that is called with each configuration that the
+// sidecar offers. The default ignores it.
+func WithOnConfig(fn func(document []byte)) ClientOption {
+	return func(cl *Client) { cl.onConfig = fn }
+}
+
 // NewClient returns a client that connects through dial while Run runs.
 func NewClient(id Identity, dial Dialer, opts ...ClientOption) *Client {
 	cl := &Client{
 		id: id, dial: dial, clk: clock.System{}, progress: 3 * time.Second,
 		config:   func() (ident.Revision, []byte) { return 0, nil },
 		onReport: func(peer.Report) {},
+		onConfig: func([]byte) {},
 		changed:  make(chan struct{}),
 		replace:  make(chan *session, 1),
 		waiters:  make(map[string]chan *wire.OrderDone),
@@ -111,6 +120,10 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		se, err := cl.connect(ctx)
+		if err == nil {
+			cl.install(se)
+		}
+		cl.tried.Store(true)
 		if err != nil {
 			if !sleep(ctx, backoff/2+rand.N(backoff/2)) {
 				return
@@ -119,7 +132,6 @@
 			continue
 		}
 		backoff = minBackoff
-		cl.install(se)
 		wg.Go(func() { cl.readControl(se) })
 		cl.watch(ctx, se)
 	}
@@ -242,6 +254,8 @@
 		case *wire.Frame_LoadReport:
 			cl.setReport(se, bo.LoadReport)
 			cl.offerConfig(se, ident.Revision(bo.LoadReport.GetRevision()))
+		case *wire.Frame_ConfigUpdate:
+			cl.onConfig(bo.ConfigUpdate.GetDocument())
 		case *wire.Frame_OrderDone:
 			cl.orderDone(bo.OrderDone)
 		case *wire.Frame_ClosedIncarnation:
@@ -262,9 +276,7 @@
 	if re <= has || se.offered.Swap(uint64(re)) == uint64(re) {
 		return
 	}
-	_ = se.ctl.send(&wire.Frame{Body: &wire.Frame_ConfigUpdate{ConfigUpdate: &wire.ConfigUpdate{
-		Revision: uint64(re), Document: doc,
-	}}})
+	_ = se.ctl.send(configUpdate(re, doc))
 }
 
 // ConfigChanged offers the configuration now in force to the sidecar.
@@ -283,6 +295,9 @@
 	return *rp, true
 }
 
+// Tried reports whether a first attempt to connect has ended.
+func (cl *Client) Tried() bool { return cl.tried.Load() }
+
 // Connected reports whether a session is open.
 func (cl *Client) Connected() bool { return cl.cur.Load() != nil }
 
--- a/internal/adapt/link/control.go
+++ b/internal/adapt/link/control.go
@@ -23,13 +23,15 @@
 	if he.GetProtocol() != protocolVersion {
 		return
 	}
-	var re ident.Revision
-	if rp, ok := sv.si.Report(); ok {
-		re = rp.Revision
-	}
+	re, doc := sv.ct.InForce()
 	if err := fc.send(&wire.Frame{Body: &wire.Frame_Hello{Hello: sv.id.hello(re)}}); err != nil {
 		return
 	}
+	// A router that starts while the table is down learns the configuration
+	// from the sidecars that it reaches.
+	if re > ident.Revision(he.GetRevision()) && fc.send(configUpdate(re, doc)) != nil {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -71,6 +73,12 @@
 	}
 }
 
+func configUpdate(re ident.Revision, doc []byte) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_ConfigUpdate{ConfigUpdate: &wire.ConfigUpdate{
+		Revision: uint64(re), Document: doc,
+	}}}
+}
+
 func changed(old, now *wire.LoadReport) bool {
 	cp := proto.CloneOf(now)
 	cp.AtUnixMillis = old.GetAtUnixMillis()
--- a/internal/adapt/link/server.go
+++ b/internal/adapt/link/server.go
@@ -20,6 +20,8 @@
 type Control interface {
 	// OfferConfig passes a configuration that a router has in force.
 	OfferConfig(re ident.Revision, document []byte)
+	// InForce returns the newest configuration that the sidecar has heard of.
+	InForce() (ident.Revision, []byte)
 	// CloseIncarnation forwards no more work of the incarnation and returns
 	// what it used.
 	CloseIncarnation(ctx context.Context, in ident.Incarnation) ([]Used, error)
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -31,6 +31,8 @@
 	peer.Sidecar
 	// Run keeps the connection open until ctx ends.
 	Run(ctx context.Context)
+	// Tried reports whether a first attempt to connect has ended.
+	Tried() bool
 	// Connected reports whether the connection is open.
 	Connected() bool
 	// ConfigChanged offers the configuration in force to the sidecar.
@@ -210,6 +212,16 @@
 	}
 }
 
+// Tried reports whether a first attempt to connect to every sidecar has ended.
+func (fl *Fleet) Tried() bool {
+	for _, no := range fl.nodes.Load() {
+		if !no.link.Tried() {
+			return false
+		}
+	}
+	return true
+}
+
 // View returns the candidates as they are known now.
 func (fl *Fleet) View() route.View { return fl.view.Load() }
 
--- /dev/null
+++ b/internal/app/rollout/accept_test.go
@@ -0,0 +1,236 @@
+package rollout_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+var codecs = rollout.Codecs{
+	Head:   codec.JSON[rollout.Head]{},
+	Audit:  codec.JSON[rollout.Audit]{},
+	Config: codec.Config{},
+}
+
+func account(id string) config.Account {
+	return config.Account{ID: ident.Account(id), Weight: config.WeighRefusal}
+}
+
+func proposal(base ident.Revision, by, op string) rollout.Proposal {
+	return rollout.Proposal{
+		Base: base, Author: ident.Operator(by), Op: ident.Op(op),
+		Snapshot: config.Snapshot{}.WithAccount(account(by)),
+	}
+}
+
+// TestInvalidRefused guards against a bad configuration that is accepted, and
+// against a refusal that names only the first fault.
+func TestInvalidRefused(t *testing.T) {
+	me := newMemory()
+	ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+	pr := proposal(0, "ann", "1")
+	pr.Snapshot = pr.Snapshot.WithAccount(config.Account{ID: "a/b"})
+	_, err := ac.Accept(t.Context(), pr)
+	var in *rollout.Invalid
+	if !errors.As(err, &in) || len(in.Findings) != 2 {
+		t.Errorf("error is %v, want 2 findings", err)
+	}
+	if len(me.rows) != 0 {
+		t.Errorf("%d rows written", len(me.rows))
+	}
+}
+
+// TestOperatorsRacing guards against two operators who are both told that their
+// change was accepted.
+func TestOperatorsRacing(t *testing.T) {
+	me := newMemory()
+	errs := make([]error, 8)
+	var wg sync.WaitGroup
+	for ix := range errs {
+		wg.Go(func() {
+			ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+			_, errs[ix] = ac.Accept(t.Context(), proposal(0, fmt.Sprint("op", ix), fmt.Sprint(ix)))
+		})
+	}
+	wg.Wait()
+	won := -1
+	for ix, err := range errs {
+		if err == nil && won >= 0 {
+			t.Fatalf("operators %d and %d both won", won, ix)
+		}
+		if err == nil {
+			won = ix
+		}
+	}
+	for ix, err := range errs {
+		var co *rollout.Conflict
+		if ix == won {
+			continue
+		}
+		if !errors.As(err, &co) {
+			t.Fatalf("operator %d: %v, want a conflict", ix, err)
+		}
+		want := rollout.Conflict{Base: 0, Revision: 1, Author: ident.Operator(fmt.Sprint("op", won))}
+		if diff := cmp.Diff(want, *co); diff != "" {
+			t.Errorf("conflict (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestLostAnswers guards against a change that is reported as failed although
+// it was accepted, or that is accepted twice.
+func TestLostAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		faults []fault
+		rival  bool
+		want   string
+	}{
+		{"effect before the answer was lost", []fault{lostAfter}, false, "accepted"},
+		{"no effect", []fault{lostBefore, lostBefore}, false, "accepted"},
+		{"effect after the read back", []fault{lostLate}, false, "accepted"},
+		{"effect after several read backs", []fault{lostLate, lostBefore, lostBefore, lostBefore}, false, "accepted"},
+		{"never an answer", []fault{lostBefore, lostBefore, lostBefore, lostBefore, lostBefore}, false, "unsettled"},
+		{"rival accepted meanwhile", []fault{lostBefore}, true, "conflict"},
+		{"rival accepted after us", []fault{lostAfter}, true, "accepted"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				me := newMemory()
+				po := &port{memory: me, fault: tc.faults}
+				ac := rollout.NewAcceptor(po, codecs)
+				if tc.rival {
+					go func() {
+						time.Sleep(50 * time.Millisecond)
+						ri := rollout.NewAcceptor(&port{memory: me}, codecs)
+						cur, _ := ri.Current(t.Context())
+						_, _ = ri.Accept(t.Context(), proposal(cur.Revision(), "bob", "rival"))
+					}()
+				}
+				pr := proposal(0, "ann", "1")
+				_, err := ac.Accept(t.Context(), pr)
+				if got := outcome(err); got != tc.want {
+					t.Fatalf("%s (%v), want %s", got, err, tc.want)
+				}
+				time.Sleep(5 * time.Second)
+				if tc.want == "conflict" {
+					return
+				}
+				if _, err := ac.Accept(t.Context(), pr); err != nil {
+					t.Errorf("the same op again: %v", err)
+				}
+				rows, err := ac.History(t.Context(), 0, 10)
+				if err != nil || rows[0].Op != "1" || len(rows) > 2 || len(rows) == 2 && !tc.rival {
+					t.Errorf("audit is %v, %v", rows, err)
+				}
+			})
+		})
+	}
+}
+
+func outcome(err error) string {
+	var (
+		un *rollout.Unsettled
+		co *rollout.Conflict
+	)
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, &un):
+		return "unsettled"
+	case errors.As(err, &co):
+		return "conflict"
+	default:
+		return "failed"
+	}
+}
+
+// TestOpReused guards against an op that is taken as accepted for another
+// document.
+func TestOpReused(t *testing.T) {
+	ac := rollout.NewAcceptor(&port{memory: newMemory()}, codecs)
+	if _, err := ac.Accept(t.Context(), proposal(0, "ann", "1")); err != nil {
+		t.Fatal(err)
+	}
+	pr := proposal(0, "ann", "1")
+	pr.Snapshot = pr.Snapshot.WithAccount(account("other"))
+	if _, err := ac.Accept(t.Context(), pr); err == nil {
+		t.Error("another document with the same op is reported as accepted")
+	}
+}
+
+// TestChangeRepeated guards against a change that is applied twice when its
+// answer is lost between the operator and the router.
+func TestChangeRepeated(t *testing.T) {
+	ac := rollout.NewAcceptor(&port{memory: newMemory()}, codecs)
+	runs := 0
+	change := func(sn config.Snapshot) (config.Snapshot, error) {
+		runs++
+		return sn.WithAccount(account(fmt.Sprint("a", runs))), nil
+	}
+	for _, op := range []ident.Op{"1", "2", "1"} {
+		if _, err := ac.Change(t.Context(), "ann", op, change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sn, err := ac.Current(t.Context())
+	if err != nil || runs != 2 || sn.Revision() != 2 || len(sn.Accounts()) != 2 {
+		t.Errorf("%d runs, revision %d, %v", runs, sn.Revision(), err)
+	}
+}
+
+// large returns a configuration with 1,000 budgets for each account.
+func large(accounts int) config.Snapshot {
+	sn := config.Snapshot{}
+	for ix := range accounts {
+		it := account(fmt.Sprint("account-", ix))
+		for jx := range 1000 {
+			it.Budgets = append(it.Budgets, ident.Budget(fmt.Sprint("budget-", jx)))
+		}
+		sn = sn.WithAccount(it)
+	}
+	return sn
+}
+
+// TestLargeDocument guards against a configuration of the planned size that
+// does not fit in a row, and against rows that are never removed.
+func TestLargeDocument(t *testing.T) {
+	me := newMemory()
+	ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+	planned, small := large(110), large(20)
+	for re, sn := range []config.Snapshot{small, small, small, small, planned} {
+		if _, err := ac.Accept(t.Context(), rollout.Proposal{Base: ident.Revision(re), Snapshot: sn, Author: "ann"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := ac.Current(t.Context())
+	if err != nil || len(config.Diff(planned, got)) != 0 {
+		t.Errorf("the configuration read back differs: %v", err)
+	}
+	documents := 0
+	for key, it := range me.rows {
+		if len(it.Value) > 400<<10 {
+			t.Errorf("row %s has %d bytes", key, len(it.Value))
+		}
+		if len(key) > 16 && key[:16] == "config/document/" {
+			documents += len(it.Value)
+		}
+	}
+	one, _ := codec.Config{}.Encode(got)
+	if documents > 2*len(one) {
+		t.Errorf("%d bytes of documents are kept for a document of %d bytes", documents, len(one))
+	}
+}
+
+var _ store.Table = (*port)(nil)
--- /dev/null
+++ b/internal/app/rollout/watch_test.go
@@ -0,0 +1,304 @@
+package rollout_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+// record keeps the numbers of events and the sums of counters.
+type record struct {
+	meter.Nop
+	mu     sync.Mutex
+	events []int
+	counts map[string]int64
+}
+
+func (re *record) Log(ev meter.Event, _ ...slog.Attr) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.events = append(re.events, ev.Number)
+}
+
+func (re *record) Count(name, _, _ string, num int64) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.counts == nil {
+		re.counts = map[string]int64{}
+	}
+	re.counts[name] += num
+}
+
+func (re *record) sum(name string) int64 {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.counts[name]
+}
+
+func (re *record) numbers() []int {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return append([]int(nil), re.events...)
+}
+
+// node is a process with a follower.
+type node struct {
+	*rollout.Follower
+	port  *port
+	meter *record
+	ar    *rollout.Archive
+}
+
+// start runs a node until ctx ends.
+func start(ctx context.Context, po *port, peers rollout.Peers) *node {
+	no := &node{port: po, meter: &record{}}
+	opts := []rollout.Option{rollout.WithMeter(no.meter)}
+	no.Follower = rollout.NewFollower(codecs.Config, opts...)
+	no.ar = rollout.NewArchive(bucket{po}, opts...)
+	opts = append(opts, rollout.WithArchive(no.ar))
+	if peers != nil {
+		opts = append(opts, rollout.WithPeers(peers))
+	}
+	go rollout.NewWatcher(po, codecs, no.Follower, opts...).Run(ctx)
+	return no
+}
+
+// ask answers from another node's follower.
+type ask struct{ from *rollout.Follower }
+
+func (as ask) Newer(_ context.Context, than ident.Revision) ([]byte, bool, error) {
+	st := as.from.InForce()
+	return st.Document, st.Revision > than, nil
+}
+
+// accept accepts count configurations and keeps them in the object store.
+func accept(t *testing.T, me *memory, count int) {
+	t.Helper()
+	po := &port{memory: me}
+	ac := rollout.NewAcceptor(po, codecs, rollout.WithArchive(rollout.NewArchive(bucket{po})))
+	for range count {
+		cur, err := ac.Current(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ac.Accept(t.Context(), proposal(cur.Revision(), "ann", "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestWatcher guards against nodes that follow late, follow an older revision,
+// or lose what is in force while the table is away.
+func TestWatcher(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		during func(t *testing.T, me *memory, no *node)
+		want   ident.Revision
+		older  bool
+	}{
+		{"new revision", func(t *testing.T, me *memory, _ *node) { accept(t, me, 2) }, 5, false},
+		{"table down", func(t *testing.T, me *memory, no *node) {
+			no.port.set(func(po *port) { po.down = true })
+			accept(t, me, 1)
+		}, 3, false},
+		{"table slow", func(t *testing.T, me *memory, no *node) {
+			no.port.set(func(po *port) { po.slow = 800 * time.Millisecond })
+			accept(t, me, 1)
+		}, 4, false},
+		{"table silent", func(t *testing.T, me *memory, no *node) {
+			no.port.set(func(po *port) { po.slow = time.Hour })
+			accept(t, me, 1)
+		}, 3, false},
+		{"table back after an outage", func(t *testing.T, me *memory, no *node) {
+			no.port.set(func(po *port) { po.down = true })
+			accept(t, me, 1)
+			time.Sleep(time.Hour)
+			no.port.set(func(po *port) { po.down = false })
+		}, 4, false},
+		{"table back with an older revision", func(t *testing.T, me *memory, no *node) {
+			backup := me.snapshot()
+			accept(t, me, 1)
+			time.Sleep(2 * time.Second)
+			no.port.set(func(po *port) { po.stale = backup })
+		}, 4, true},
+		{"table back empty", func(_ *testing.T, _ *memory, no *node) {
+			no.port.set(func(po *port) { po.stale = newMemory().rows })
+		}, 3, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				me := newMemory()
+				accept(t, me, 3)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				no := start(ctx, &port{memory: me}, nil)
+				time.Sleep(1500 * time.Millisecond)
+				if got := no.InForce().Revision; got != 3 {
+					t.Fatalf("revision %d in force after the start, want 3", got)
+				}
+				tc.during(t, me, no)
+				time.Sleep(5 * time.Second)
+				if got := no.InForce().Revision; got != tc.want {
+					t.Errorf("revision %d in force, want %d", got, tc.want)
+				}
+				if got := no.meter.sum("config_older") > 0; got != tc.older {
+					t.Errorf("older revision counted = %v, want %v", got, tc.older)
+				}
+			})
+		})
+	}
+}
+
+// TestStartDuringOutage guards against a process that becomes ready without a
+// configuration, or stays away although a peer or the object store has one.
+func TestStartDuringOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		table   bool
+		peer    ident.Revision
+		objects int
+		want    ident.Revision
+		source  string
+	}{
+		{"nothing answers", false, 0, 0, 0, ""},
+		{"peer before object store", false, 5, 3, 5, "peer"},
+		{"object store only", false, 0, 3, 3, "object store"},
+		{"table older than the peers", true, 5, 0, 5, "peer"},
+		{"table only", true, 0, 0, 2, "table"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				me := newMemory()
+				if tc.table {
+					accept(t, me, 2)
+				}
+				po := &port{memory: me, down: !tc.table}
+				other := newMemory()
+				accept(t, other, tc.objects)
+				peer := rollout.NewFollower(codecs.Config)
+				if tc.peer > 0 {
+					doc, _ := codecs.Config.Encode(proposal(0, "a", "").Snapshot.WithRevision(tc.peer, "a"))
+					if ok, err := peer.Offer(doc); !ok || err != nil {
+						t.Fatal(ok, err)
+					}
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				fo := rollout.NewFollower(codecs.Config)
+				ar := rollout.NewArchive(bucket{&port{memory: other}})
+				began := time.Now()
+				go rollout.NewWatcher(po, codecs, fo, rollout.WithArchive(ar), rollout.WithPeers(ask{peer})).Run(ctx)
+				time.Sleep(2 * time.Second)
+				st := fo.InForce()
+				if st.Revision != tc.want || st.Source != tc.source || fo.Ready() != (tc.want > 0) {
+					t.Errorf("revision %d from %q, ready %v", st.Revision, st.Source, fo.Ready())
+				}
+				if tc.want > 0 && !st.Since.Equal(began) {
+					t.Errorf("in force since %v, want %v", st.Since, began)
+				}
+			})
+		})
+	}
+}
+
+// TestPartitionedNode guards against a node that is cut off from the table and
+// misses what its peers follow.
+func TestPartitionedNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		me := newMemory()
+		accept(t, me, 1)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		near := start(ctx, &port{memory: me}, nil)
+		cut := start(ctx, &port{memory: me}, ask{near.Follower})
+		time.Sleep(2 * time.Second)
+		cut.port.set(func(po *port) { po.down = true })
+		accept(t, me, 3)
+		time.Sleep(3 * time.Second)
+		if got := cut.InForce(); got.Revision != 4 || got.Source != "peer" {
+			t.Errorf("revision %d from %s, want 4 from peer", got.Revision, got.Source)
+		}
+		if diff := cmp.Diff([]int{4003, 4006, 4003}, cut.meter.numbers()); diff != "" {
+			t.Errorf("events (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestBehind guards against a revision number that is given to a second
+// configuration after the table was restored from a backup.
+func TestBehind(t *testing.T) {
+	me := newMemory()
+	accept(t, me, 1)
+	po := &port{memory: me}
+	fo := rollout.NewFollower(codecs.Config)
+	ac := rollout.NewAcceptor(po, codecs, rollout.WithFollower(fo))
+	backup := me.snapshot()
+	if _, err := ac.Accept(t.Context(), proposal(1, "ann", "")); err != nil {
+		t.Fatal(err)
+	}
+	me.rows = backup
+	_, err := ac.Accept(t.Context(), proposal(1, "bob", ""))
+	be, ok := err.(*rollout.Behind)
+	if !ok || be.Table != 1 || be.InForce != 2 {
+		t.Errorf("error is %v, want a table behind", err)
+	}
+}
+
+// TestArchive guards against documents that are lost to the object store after
+// an outage, and against a search that stops at a missing revision.
+func TestArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		po := &port{memory: newMemory()}
+		ar := rollout.NewArchive(bucket{po})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go ar.Run(ctx)
+		for re := range ident.Revision(200) {
+			// Revisions 60 to 66 are missing for good.
+			if re > 0 && (re < 60 || re > 66) {
+				po.set(func(po *port) { po.down = re > 190 })
+				ar.Keep(ctx, re, []byte{byte(re)})
+			}
+		}
+		po.set(func(po *port) { po.down = false })
+		time.Sleep(6 * time.Second)
+		doc, ok, err := ar.Newest(ctx)
+		if !ok || err != nil || doc[0] != 199 {
+			t.Errorf("newest is %v, %v, %v, want 199", doc, ok, err)
+		}
+	})
+}
+
+// TestChanged guards against a link that does not learn of a new revision.
+func TestChanged(t *testing.T) {
+	fo := rollout.NewFollower(codecs.Config)
+	first := fo.Changed()
+	for _, re := range []ident.Revision{2, 1, 2} {
+		doc, _ := codecs.Config.Encode(proposal(0, "a", "").Snapshot.WithRevision(re, "a"))
+		if _, err := fo.Offer(doc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case <-first:
+	default:
+		t.Error("the channel is open after revision 2")
+	}
+	select {
+	case <-fo.Changed():
+		t.Error("the channel is closed without a higher revision")
+	default:
+	}
+	if _, err := fo.Offer([]byte("{")); err == nil || fo.InForce().Revision != 2 {
+		t.Errorf("broken document: %v, revision %d", err, fo.InForce().Revision)
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,157 @@
+// Package demo runs the main job on real processes and checks the results
+// against what the stand-ins have recorded.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/bench/call"
+	"github.com/balsamwood/balsamwood/internal/bench/deploy"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+const (
+	theModel = ident.Model("desk-model")
+	desk     = ident.Service("register")
+	// engineCount and routerCount are a small deployment over three failure
+	// domains.
+	engineCount = 3
+	routerCount = 2
+	timeLimit   = 2 * time.Minute
+)
+
+// account is a client account of the demo.
+type account struct {
+	ref     ident.BudgetRef
+	weight  config.Weight
+	prepaid ident.Tokens
+	key     string
+	caller  *call.Caller
+}
+
+func newAccount(name, budget string, we config.Weight, prepaid ident.Tokens) *account {
+	ac := &account{
+		ref:    ident.BudgetRef{Account: ident.Account(name), Budget: ident.Budget(budget)},
+		weight: we, prepaid: prepaid, key: config.NewAPIKey(),
+	}
+	ac.caller = call.New(ac.key)
+	return ac
+}
+
+func (ac *account) config() config.Account {
+	return config.Account{
+		ID: ac.ref.Account, Keys: []config.KeyHash{config.HashAPIKey(ac.key)},
+		Budgets: []ident.Budget{ac.ref.Budget}, Weight: ac.weight,
+	}
+}
+
+// demo is one run.
+type demo struct {
+	out      io.Writer
+	de       *deploy.Deployment
+	engines  []*deploy.Node
+	services []*deploy.Node
+	routers  []*deploy.Node
+	sejin    *account
+	trent    *account
+	small    *account
+	// owners tells which account sent a request.
+	owners map[ident.Request]*account
+	tally  Tally
+}
+
+// Run runs the demo with the programs in bin. Output of the processes goes to
+// log, if it is not nil. A fault is returned as an error.
+func Run(ctx context.Context, bin string, out, log io.Writer) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "balsamwood-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	de, err := deploy.New(bin, dir, deploy.WithLog(log))
+	if err != nil {
+		return err
+	}
+	dm := &demo{
+		out: out, de: de, owners: make(map[ident.Request]*account),
+		sejin: newAccount("sejin-desk", "breakfast", config.WeighRefusal, 200_000),
+		trent: newAccount("trentside", "drafts", config.WeighOverspend, 100_000),
+		small: newAccount("small-firm", "trial", config.WeighOverspend, 2_000),
+	}
+	if err := dm.run(ctx); err != nil {
+		return errors.Join(err, de.Close())
+	}
+	return dm.finish(ctx)
+}
+
+func (dm *demo) run(ctx context.Context) error {
+	if err := dm.start(ctx); err != nil {
+		return err
+	}
+	for _, step := range steps {
+		if err := step.run(ctx, dm); err != nil {
+			return fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return nil
+}
+
+func (dm *demo) start(ctx context.Context) error {
+	var ups, more []config.Upstream
+	var err error
+	args := []string{"--min-answer", "24", "--max-answer", "24", "--token-time", "2ms", "--model", string(theModel)}
+	if dm.engines, _, ups, err = dm.de.Engines(engineCount, theModel, args...); err != nil {
+		return err
+	}
+	if dm.services, _, more, err = dm.de.Services(1, desk); err != nil {
+		return err
+	}
+	_, err = dm.de.Accept(ctx, func(sn config.Snapshot) config.Snapshot {
+		for _, up := range append(ups, more...) {
+			sn = sn.WithUpstream(up)
+		}
+		for _, ac := range dm.accounts() {
+			sn = sn.WithAccount(ac.config())
+		}
+		return sn.WithService(config.Service{ID: desk, Routes: []config.Route{
+			{Method: "POST", Path: "/vouchers", Cost: 10},
+			{Method: "POST", Path: "/filings", Cost: 10},
+			{Method: "GET", Path: "/vouchers/", Idempotent: true, Cost: 1},
+			{Method: "GET", Path: "/filings/", Idempotent: true, Cost: 1},
+		}})
+	})
+	if err != nil {
+		return err
+	}
+	for _, ac := range dm.accounts() {
+		if err := dm.de.Fund(ctx, ac.ref, ac.prepaid); err != nil {
+			return err
+		}
+	}
+	for ix := range routerCount {
+		ro, err := dm.de.Router(ident.VM(fmt.Sprintf("entry-%d", ix+1)), deploy.Domain(ix))
+		if err != nil {
+			return err
+		}
+		if err := ro.Ready(ctx); err != nil {
+			return err
+		}
+		dm.routers = append(dm.routers, ro)
+	}
+	dm.printf("started %d engines, %d service, their sidecars and %d routers", len(dm.engines), len(dm.services), len(dm.routers))
+	return nil
+}
+
+func (dm *demo) accounts() []*account { return []*account{dm.sejin, dm.trent, dm.small} }
+
+func (dm *demo) router(number int) string { return dm.routers[number%len(dm.routers)].URL() }
+
+func (dm *demo) printf(format string, args ...any) { _, _ = fmt.Fprintf(dm.out, format+"\n", args...) }
--- /dev/null
+++ b/internal/bench/deploy/deploy.go
@@ -0,0 +1,196 @@
+// Package deploy runs a deployment of separate processes on loopback: the
+// platform's stand-in, engines and plain services, their sidecars and routers.
+package deploy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/bench/procs"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// startTime bounds the start of one process.
+const startTime = 20 * time.Second
+
+// Numbers of the events that tell the addresses of a process.
+const (
+	routerStarted  = 9101
+	sidecarStarted = 9201
+)
+
+// Node is a process of the deployment with its address.
+type Node struct {
+	*procs.Proc
+	Addr  string
+	Admin string
+	Ops   string
+}
+
+// URL returns the base URL of the node's main address.
+func (no *Node) URL() string { return "http://" + no.Addr }
+
+// Deployment is a set of processes.
+type Deployment struct {
+	Platform *Node
+
+	bin string
+	dir string
+	log io.Writer
+
+	mu    sync.Mutex
+	nodes []*Node
+}
+
+// Option configures a Deployment.
+type Option func(*Deployment)
+
+// WithLog copies the output of all processes. The default discards it.
+func WithLog(wr io.Writer) Option { return func(de *Deployment) { de.log = wr } }
+
+// New starts the platform's stand-in. bin holds the programs; settings are
+// written below dir.
+func New(bin, dir string, opts ...Option) (*Deployment, error) {
+	de := &Deployment{bin: bin, dir: dir}
+	for _, op := range opts {
+		op(de)
+	}
+	no, err := de.Fake("platform", "platform")
+	if err != nil {
+		return nil, err
+	}
+	de.Platform = no
+	return de, nil
+}
+
+// Fake starts a stand-in: platform, engine or service.
+func (de *Deployment) Fake(name, kind string, args ...string) (*Node, error) {
+	pr, err := procs.Start(name, filepath.Join(de.bin, "balsamfake"), de.log,
+		append([]string{kind, "--listen", "127.0.0.1:0"}, args...)...)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	line, err := pr.Find(ctx, func(string) bool { return true })
+	if err != nil {
+		return nil, err
+	}
+	return de.keep(&Node{Proc: pr, Addr: strings.TrimSpace(line)}), nil
+}
+
+func (de *Deployment) keep(no *Node) *Node {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	de.nodes = append(de.nodes, no)
+	return no
+}
+
+// Sidecar starts the sidecar of an upstream and returns it with the upstream's
+// entry for the configuration. An empty address takes a free port.
+func (de *Deployment) Sidecar(up config.Upstream, upstream *Node, addr string) (*Node, config.Upstream, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	set := fmt.Sprintf(`vm: %s
+domain: %s
+region: r1
+upstream: %s
+kind: %s
+listen: %s
+metricsListen: 127.0.0.1:0
+upstreamURL: %s
+platform: {table: %[7]s, objects: %[7]s, vms: %[7]s/vms}
+tls: {disabled: true}
+`, up.VM, up.Domain, up.ID, up.Kind, addr, upstream.URL(), de.Platform.URL())
+	no, err := de.program("sidecar-"+string(up.ID), "sidecar", set, sidecarStarted)
+	if err != nil {
+		return nil, up, err
+	}
+	up.Sidecar = no.Addr
+	return no, up, nil
+}
+
+// Router starts a router.
+func (de *Deployment) Router(vm ident.VM, domain ident.Domain, keys ...AdminKey) (*Node, error) {
+	set := fmt.Sprintf(`vm: %s
+domain: %s
+region: r1
+listen: 127.0.0.1:0
+adminListen: 127.0.0.1:0
+metricsListen: 127.0.0.1:0
+platform: {table: %[3]s, objects: %[3]s, vms: %[3]s/vms}
+tls: {disabled: true}
+`, vm, domain, de.Platform.URL())
+	if len(keys) > 0 {
+		set += "adminKeys:\n"
+	}
+	for _, ak := range keys {
+		set += fmt.Sprintf("  - {operator: %s, role: %s, keyHash: %s}\n", ak.Operator, ak.Role, config.HashAPIKey(ak.Key))
+	}
+	return de.program("router-"+string(vm), "router", set, routerStarted)
+}
+
+// AdminKey lets an operator use the administration API.
+type AdminKey struct {
+	Operator ident.Operator
+	Role     string
+	Key      string
+}
+
+func (de *Deployment) program(name, command, settings string, started int) (*Node, error) {
+	file := filepath.Join(de.dir, name+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	pr, err := procs.Start(name, filepath.Join(de.bin, "balsamwood"), de.log, command, "--settings", file)
+	if err != nil {
+		return nil, err
+	}
+	no := &Node{Proc: pr}
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	_, err = pr.Find(ctx, func(line string) bool { return no.addresses(line, started) })
+	if err != nil {
+		return nil, err
+	}
+	return de.keep(no), nil
+}
+
+// addresses reads the addresses from the event that reports the start.
+func (no *Node) addresses(line string, started int) bool {
+	var ev struct {
+		Event   int    `json:"event"`
+		Address string `json:"address"`
+		Admin   string `json:"admin"`
+		Ops     string `json:"ops"`
+	}
+	if json.Unmarshal([]byte(line), &ev) != nil || ev.Event != started {
+		return false
+	}
+	no.Addr, no.Admin, no.Ops = ev.Address, ev.Admin, ev.Ops
+	return true
+}
+
+// Close stops all processes in the reverse order of their start.
+func (de *Deployment) Close() error {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	var all []error
+	for ix := len(de.nodes) - 1; ix >= 0; ix-- {
+		if no := de.nodes[ix]; no.Running() {
+			all = append(all, no.Stop())
+		}
+	}
+	de.nodes = nil
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/bench/deploy/town.go
@@ -0,0 +1,122 @@
+package deploy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// readyTime bounds the wait for a router to be ready.
+const readyTime = 20 * time.Second
+
+// pollTime is the pause between two looks at a condition.
+const pollTime = 10 * time.Millisecond
+
+// domains are the failure domains of a small deployment.
+var domains = []ident.Domain{"fd-1", "fd-2", "fd-3"}
+
+// Domain returns the failure domain of the VM with the given number.
+func Domain(number int) ident.Domain { return domains[number%len(domains)] }
+
+// Engines starts engines with their sidecars over the failure domains.
+func (de *Deployment) Engines(count int, mo ident.Model, args ...string) ([]*Node, []*Node, []config.Upstream, error) {
+	var engines, sidecars []*Node
+	var ups []config.Upstream
+	for ix := range count {
+		name := fmt.Sprintf("engine-%d", ix+1)
+		en, err := de.Fake(name, "engine", args...)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		si, up, err := de.Sidecar(config.Upstream{
+			ID: ident.Upstream(name), VM: ident.VM("vm-" + name), Kind: config.Engine,
+			Domain: Domain(ix), Models: []ident.Model{mo},
+		}, en, "")
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		engines, sidecars, ups = append(engines, en), append(sidecars, si), append(ups, up)
+	}
+	return engines, sidecars, ups, nil
+}
+
+// Services starts processes of a plain service with their sidecars.
+func (de *Deployment) Services(count int, se ident.Service, args ...string) ([]*Node, []*Node, []config.Upstream, error) {
+	var services, sidecars []*Node
+	var ups []config.Upstream
+	for ix := range count {
+		name := fmt.Sprintf("%s-%d", se, ix+1)
+		sv, err := de.Fake(name, "service", args...)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		si, up, err := de.Sidecar(config.Upstream{
+			ID: ident.Upstream(name), VM: ident.VM("vm-" + name), Kind: config.Plain,
+			Domain: Domain(ix), Service: se,
+		}, sv, "")
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		services, sidecars, ups = append(services, sv), append(sidecars, si), append(ups, up)
+	}
+	return services, sidecars, ups, nil
+}
+
+// Ledger returns the budget ledger in the platform's table.
+func (de *Deployment) Ledger() *budget.Ledger {
+	return budget.NewLedger(dynamo.New(de.Platform.URL()), codec.Ledger())
+}
+
+// Accept makes the changed configuration the current one.
+func (de *Deployment) Accept(ctx context.Context, change func(config.Snapshot) config.Snapshot) (ident.Revision, error) {
+	ac := rollout.NewAcceptor(dynamo.New(de.Platform.URL()), rollout.Codecs{
+		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	})
+	acc, err := ac.Change(ctx, "bench", ident.NewOp(),
+		func(sn config.Snapshot) (config.Snapshot, error) { return change(sn), nil })
+	return acc.Revision, err
+}
+
+// Fund creates the budget and tops it up.
+func (de *Deployment) Fund(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens) error {
+	if err := de.Ledger().Create(ctx, rf); err != nil {
+		return err
+	}
+	return de.Ledger().TopUp(ctx, rf, tokens, ident.NewOp(), "bench")
+}
+
+// Ready waits until the router serves requests.
+func (no *Node) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	return Until(ctx, func() bool {
+		rs, err := http.Get(no.URL() + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = rs.Body.Close()
+		return rs.StatusCode == http.StatusOK
+	})
+}
+
+// Until polls the condition until it holds or ctx ends.
+func Until(ctx context.Context, holds func() bool) error {
+	ti := time.NewTicker(pollTime)
+	defer ti.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ti.C:
+		}
+	}
+	return nil
+}
--- a/internal/role/router/listen.go
+++ b/internal/role/router/listen.go
@@ -53,7 +53,8 @@
 // dial returns a link to the upstream's sidecar.
 func (ro *Router) dial(up config.Upstream, onReport func(peer.Report)) fleet.Link {
 	id := link.Identity{VM: ro.set.VM, Incarnation: ro.in, Domain: ro.set.Domain, Upstream: up.ID}
-	return link.NewClient(id, ro.dialer(up.Sidecar), link.WithOnReport(onReport), link.WithConfig(ro.inForce))
+	return link.NewClient(id, ro.dialer(up.Sidecar), link.WithOnReport(onReport), link.WithConfig(ro.inForce),
+		link.WithOnConfig(func(doc []byte) { _, _ = ro.follower.Offer(doc) }))
 }
 
 func (ro *Router) dialer(addr string) link.Dialer {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -129,7 +129,8 @@
 // Run serves until ctx ends, then lets requests in flight finish and returns
 // all escrow.
 func (ro *Router) Run(ctx context.Context) error {
-	ro.met.Log(evStarted, slog.String("incarnation", string(ro.in)), slog.String("address", ro.CallerAddr()))
+	ro.met.Log(evStarted, slog.String("incarnation", string(ro.in)), slog.String("address", ro.CallerAddr()),
+		slog.String("admin", ro.AdminAddr()), slog.String("ops", ro.ops.Addr()))
 	own, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed, fail := context.WithCancel(ctx)
@@ -205,6 +206,8 @@
 		return errors.New("leaving")
 	case !ro.follower.Ready():
 		return errors.New("no configuration is in force yet")
+	case ro.fleet.View().Len() == 0 || !ro.fleet.Tried():
+		return errors.New("the links to the sidecars are not open yet")
 	case !ro.open:
 		return errors.New("the incarnation is not registered yet")
 	default:
--- a/internal/role/side/control.go
+++ b/internal/role/side/control.go
@@ -25,10 +25,30 @@
 	}
 	_, ok := ct.si.cfg.Update(func(cur config.Snapshot) (config.Snapshot, bool) { return config.Follow(cur, next) })
 	if ok {
+		ct.si.keep(re, document)
 		ct.si.met.Log(evFollowed, slog.Uint64("revision", uint64(re)))
 	}
 }
 
+// InForce returns the newest configuration that was offered.
+func (ct control) InForce() (ident.Revision, []byte) {
+	do := ct.si.doc.Load()
+	return do.revision, do.data
+}
+
+// document is an encoded configuration.
+type document struct {
+	revision ident.Revision
+	data     []byte
+}
+
+// keep remembers the document, to be offered to routers that have none.
+func (si *Sidecar) keep(re ident.Revision, data []byte) {
+	si.doc.Update(func(cur document) (document, bool) {
+		return document{revision: re, data: data}, re > cur.revision
+	})
+}
+
 // CloseIncarnation passes the closure on.
 func (ct control) CloseIncarnation(ctx context.Context, in ident.Incarnation) ([]link.Used, error) {
 	usages, err := ct.si.sv.CloseIncarnation(ctx, in)
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -51,6 +51,7 @@
 	ls    net.Listener
 	ln    *link.Server
 	cfg   *snap.Cell[config.Snapshot]
+	doc   *snap.Cell[document]
 	ready *snap.Cell[error]
 
 	fences fences
@@ -61,6 +62,7 @@
 	si := &Sidecar{
 		set: set, met: me, up: newUpstream(set),
 		cfg:   snap.NewCell(config.Snapshot{}),
+		doc:   snap.NewCell(document{}),
 		ready: snap.NewCell[error](nil),
 	}
 	in := ident.NewIncarnation()
@@ -124,7 +126,8 @@
 
 // Run serves until ctx ends, then lets requests in flight finish.
 func (si *Sidecar) Run(ctx context.Context) error {
-	si.met.Log(evStarted, slog.String("upstream", string(si.set.Upstream)), slog.String("address", si.Addr()))
+	si.met.Log(evStarted, slog.String("upstream", string(si.set.Upstream)), slog.String("address", si.Addr()),
+		slog.String("ops", si.ops.Addr()))
 	own, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
