--- a/internal/bench/budget/agenda.go
+++ b/internal/bench/budget/agenda.go
@@ -12,6 +12,7 @@
 // virtual is a clock that the simulation moves.
 type virtual struct{ now time.Time }
 
+// Now returns the virtual time.
 func (vi *virtual) Now() time.Time { return vi.now }
 
 // running is a request that is being served.
--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -71,7 +71,7 @@
 
 func coverFor(we config.Weight) cover {
 	if we == config.WeighOverspend {
-		return cover{seconds: 10, low: 5, requests: 2, parts: 16}
+		return cover{seconds: 30, low: 15, requests: 2, parts: 16}
 	}
 	return cover{seconds: 90, low: 60, requests: 8, parts: 4}
 }
