app/budget: run lost draws and settlements on the naive variant

Cause: only top-ups and reclaims had a naive counterpart. Change: one scenario that loses the answers of a draw and a settlement; the blind repeat counts both twice.

--- a/internal/app/budget/naive_test.go
+++ b/internal/app/budget/naive_test.go
@@ -23,6 +23,9 @@
 type variant struct {
 	topUp   func(ctx context.Context, tb store.Table, amount ident.Tokens, op ident.Op) error
 	reclaim func(ctx context.Context, tb store.Table, inc ident.Incarnation) error
+	// spend draws, uses and settles tokens of a holder, losing the answers of
+	// the draw and of the settlement. It returns what the holder has left.
+	spend func(fl *fleet, used ident.Tokens) ident.Tokens
 }
 
 func realVariant() variant {
@@ -34,6 +37,14 @@
 			_, err := budget.NewLedger(tb, codecs()).Recover(ctx, inc, escrow.Evidence{}.WithSidecar("s1"))
 			return err
 		},
+		spend: func(fl *fleet, used ident.Tokens) ident.Tokens {
+			hd, cl := fl.holder("r1", budget.WithBatch(1))
+			cl.FailCommits(table.Lost)
+			fl.reserve(hd, 100).Settle(used)
+			cl.FailCommits(table.Lost)
+			hd.Flush(fl.t.Context())
+			return hd.Counts(meals).Sum()
+		},
 	}
 }
 
@@ -66,17 +77,32 @@
 	}
 }
 
+// blind repeats a change whose answer was lost.
+func blind(ctx context.Context, tb store.Table, change func(*escrow.BudgetRow)) error {
+	err := edit(ctx, tb, change)
+	if errors.Is(err, store.ErrUncertain) {
+		err = edit(ctx, tb, change)
+	}
+	return err
+}
+
 // naiveVariant repeats a write without an answer blindly, writes the last
 // value over others, and reclaims escrow because time has passed.
 func naiveVariant() variant {
 	return variant{
 		topUp: func(ctx context.Context, tb store.Table, amount ident.Tokens, _ ident.Op) error {
-			add := func(bu *escrow.BudgetRow) { bu.Prepaid += amount }
-			err := edit(ctx, tb, add)
-			if errors.Is(err, store.ErrUncertain) {
-				err = edit(ctx, tb, add)
-			}
-			return err
+			return blind(ctx, tb, func(bu *escrow.BudgetRow) { bu.Prepaid += amount })
+		},
+		spend: func(fl *fleet, used ident.Tokens) ident.Tokens {
+			cl := fl.tb.Client()
+			cl.FailCommits(table.Lost)
+			fl.must(blind(fl.t.Context(), cl, func(bu *escrow.BudgetRow) { bu.Granted += 100 }))
+			cl.FailCommits(table.Lost)
+			fl.must(blind(fl.t.Context(), cl, func(bu *escrow.BudgetRow) {
+				bu.Settled += used
+				bu.Granted -= used
+			}))
+			return 100 - used
 		},
 		reclaim: func(ctx context.Context, tb store.Table, _ ident.Incarnation) error {
 			return edit(ctx, tb, func(bu *escrow.BudgetRow) { bu.Granted, bu.Holders = 0, 0 })
@@ -111,6 +137,12 @@
 		fl.must(va.topUp(fl.t.Context(), il, 100, "a"))
 		return fl.differs(1200, 0)
 	},
+	"lost answers of a draw and a settlement": func(fl *fleet, va variant) string {
+		left := va.spend(fl, 30)
+		ba, err := fl.ledger.Balance(fl.t.Context(), meals)
+		fl.must(err)
+		return cmp.Diff([]ident.Tokens{30, left}, []ident.Tokens{ba.Settled, ba.Held})
+	},
 	"paused holder": func(fl *fleet, va variant) string {
 		one, _ := fl.holder("r1")
 		two, _ := fl.holder("r2")
