adapt/dynamo, fake/cloud: send an empty value as empty, not as null

Cause: a row without a value was sent as the attribute {"B":null}, which the public table refuses; the stand-in accepted it and hid the fault. Ruled out: leaving the attribute out, because then a missing value and an empty one cannot be told apart. Change: the stand-in refuses a row without a value attribute; the adapter sends an empty one. The concurrency test ends on any error but a conflict; it ran into its time limit on this fault. A test shows that a token is not held back, and answer headers are bounded at 64 KiB. Conclusion: the stand-in is as strict as the table at this point.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -17,6 +17,9 @@
 // ErrTooLarge means that a body exceeds its limit.
 var ErrTooLarge = errors.New("client: body exceeds its limit")
 
+// maxHeaderBytes bounds the header of an answer.
+const maxHeaderBytes = 64 << 10
+
 type settings struct {
 	idle    int
 	dial    time.Duration
@@ -57,6 +60,8 @@
 			IdleConnTimeout:     se.idleFor,
 			DisableCompression:  true,
 			DisableKeepAlives:   se.fresh,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		// A redirect of a POST with status 307 would send it twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/adapt/dynamo/dynamo.go
+++ b/internal/adapt/dynamo/dynamo.go
@@ -145,7 +145,7 @@
 	case store.Put:
 		op.Item = key
 		op.Item["version"] = number(wr.IfVersion + 1)
-		op.Item["val"] = attr{B: &wr.Value}
+		op.Item["val"] = binary(wr.Value)
 		return transactItem{Put: op}, nil
 	case store.Delete:
 		op.Key = key
--- a/internal/adapt/dynamo/dynamo_test.go
+++ b/internal/adapt/dynamo/dynamo_test.go
@@ -220,8 +220,13 @@
 					t.Error(err)
 					return
 				}
-				if err := ta.Commit(t.Context(), store.Write{Key: "a/1", IfVersion: it.Version}); err == nil {
+				err = ta.Commit(t.Context(), store.Write{Key: "a/1", IfVersion: it.Version})
+				switch {
+				case err == nil:
 					done++
+				case !errors.Is(err, store.ErrConflict):
+					t.Error(err)
+					return
 				}
 			}
 		})
--- a/internal/adapt/dynamo/wire.go
+++ b/internal/adapt/dynamo/wire.go
@@ -66,6 +66,14 @@
 	return attr{N: &dec}
 }
 
+// binary returns an empty value for nil, which JSON would write as null.
+func binary(val []byte) attr {
+	if val == nil {
+		val = []byte{}
+	}
+	return attr{B: &val}
+}
+
 func keyAttrs(pk, sk string) attrs { return attrs{"pk": text(pk), "sk": text(sk)} }
 
 func (at attrs) item() (store.Item, error) {
--- a/internal/adapt/openai/openai_test.go
+++ b/internal/adapt/openai/openai_test.go
@@ -216,6 +216,35 @@
 	}
 }
 
+// TestImmediate guards against a token that is held back: the engine sends the
+// next one only after the last one was passed on.
+func TestImmediate(t *testing.T) {
+	passed := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+		wr.Header().Set("Content-Type", "text/event-stream")
+		for _, line := range []string{token, token, total} {
+			_, _ = fmt.Fprintf(wr, "%s\n\n", line)
+			_ = http.NewResponseController(wr).Flush()
+			select {
+			case <-passed:
+			case <-re.Context().Done():
+			}
+		}
+		_, _ = fmt.Fprintf(wr, "%s\n\n", last)
+	}))
+	defer srv.Close()
+	var got []ident.Tokens
+	_, err := openai.New(srv.URL).Run(t.Context(), call("1", ""), func(ch engine.Chunk) error {
+		got = append(got, ch.Tokens)
+		passed <- struct{}{}
+		return nil
+	})
+	// The engine counts 5 tokens in the 2 events.
+	if diff := cmp.Diff([]ident.Tokens{1, 1, 3}, got); diff != "" || err != nil {
+		t.Errorf("Run = %v, tokens (-want +got):\n%s", err, diff)
+	}
+}
+
 // TestSilent guards against a call that waits past its context for an engine
 // that accepts and never answers.
 func TestSilent(t *testing.T) {
--- a/internal/fake/cloud/dynamo.go
+++ b/internal/fake/cloud/dynamo.go
@@ -28,7 +28,7 @@
 type attr struct {
 	S *string `json:"S,omitempty"`
 	N *string `json:"N,omitempty"`
-	B []byte  `json:"B,omitempty"`
+	B *[]byte `json:"B,omitempty"`
 }
 
 type attrs map[string]attr
@@ -273,10 +273,11 @@
 	wr.row = Row{Partition: pk, Sort: sk}
 	if wr.kind == put {
 		vers, ok := number(pa.Item["version"])
-		if !ok {
-			return wr, invalid("the item has no version")
+		val := pa.Item["val"].B
+		if !ok || val == nil {
+			return wr, invalid("Supplied AttributeValue is empty, must contain exactly one of the supported datatypes")
 		}
-		wr.row.Version, wr.row.Value = vers, pa.Item["val"].B
+		wr.row.Version, wr.row.Value = vers, *val
 	}
 	return wr, condition(pa, &wr)
 }
@@ -315,9 +316,5 @@
 
 func itemOf(row Row) attrs {
 	vers := strconv.FormatUint(row.Version, 10)
-	out := attrs{"pk": {S: &row.Partition}, "sk": {S: &row.Sort}, "version": {N: &vers}}
-	if len(row.Value) > 0 {
-		out["val"] = attr{B: row.Value}
-	}
-	return out
+	return attrs{"pk": {S: &row.Partition}, "sk": {S: &row.Sort}, "version": {N: &vers}, "val": {B: &row.Value}}
 }
