--- a/internal/app/relay/run.go
+++ b/internal/app/relay/run.go
@@ -147,6 +147,7 @@
 		rn.holds = rn.sv.leaving.enter()
 	}
 	rn.watch(vw)
+	rn.advance()
 	rn.notify()
 	return st, nil
 }
--- /dev/null
+++ b/internal/app/relay/stream_test.go
@@ -0,0 +1,308 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/app/relay"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
+)
+
+const alphabet = "abcdefghijklmnopqrstuvwxyz"
+
+// TestAdmission guards against a refusal that comes without proof, and against
+// work that is run although a condition does not hold.
+func TestAdmission(t *testing.T) {
+	cases := map[refuse.Reason]func(sv *relay.Service, di *peer.Dispatch){
+		refuse.DeadlinePassed: func(_ *relay.Service, di *peer.Dispatch) { di.Call.Deadline = time.Now() },
+		refuse.KeyRequired:    func(_ *relay.Service, di *peer.Dispatch) { di.Idempotent, di.Call.Key = false, "" },
+		refuse.Leaving:        func(sv *relay.Service, _ *peer.Dispatch) { sv.Leave() },
+		refuse.StoreUnavailable: func(_ *relay.Service, di *peer.Dispatch) {
+			di.Idempotent = false
+		},
+		refuse.ClosedIncarnation: func(_ *relay.Service, di *peer.Dispatch) { di.Router = "closed" },
+		refuse.Busy: func(sv *relay.Service, _ *peer.Dispatch) {
+			if _, err := sv.Open(context.Background(), dispatch("busy", "")); err != nil {
+				panic(err)
+			}
+		},
+	}
+	for re, prepare := range cases {
+		t.Run(string(re), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				eng := newScript(2, time.Second)
+				sv := service(t, eng, relay.WithMaxRunning(1), relay.WithClosed("closed"))
+				di := dispatch("r", "k")
+				prepare(sv, &di)
+				equal(t, "answer", notRun(re), ask(t, sv, di))
+				runs, _ := eng.count("k")
+				equal(t, "runs", 0, runs)
+			})
+		})
+	}
+}
+
+// TestAttach guards against a second run, or a second charge, of an attempt or
+// a key that is known.
+func TestAttach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := newScript(26, time.Second)
+		sv := service(t, eng, relay.WithMaxRunning(1), relay.WithRetention(time.Hour))
+		whole := answer{Text: alphabet, Kind: peer.Final, Charged: 26}
+		replay := answer{Text: alphabet, Kind: peer.Final, Replay: true}
+		got := make(chan answer, 2)
+		retry := dispatch("r2", "k")
+		retry.Router = "router2"
+		time.AfterFunc(0, func() { got <- ask(t, sv, dispatch("r1", "k")) })
+		time.AfterFunc(5*time.Second, func() { got <- ask(t, sv, retry) })
+		equal(t, "charged", 26, (<-got).Charged+(<-got).Charged)
+		equal(t, "same attempt", whole, ask(t, sv, dispatch("r1", "k")))
+		equal(t, "same key", replay, ask(t, sv, retry))
+		other := dispatch("r3", "k")
+		other.Fingerprint = []byte("other")
+		equal(t, "other body", notRun(refuse.KeyReused), ask(t, sv, other))
+		foreign := dispatch("r4", "k")
+		foreign.Account = "z"
+		equal(t, "other account", whole, ask(t, sv, foreign))
+		runs, _ := eng.count("k")
+		equal(t, "runs", 2, runs)
+		equal(t, "second router", nil, sv.Used("router2"))
+	})
+}
+
+// TestResume guards against chunks that are lost or repeated when an attempt
+// is read on several connections that fall silent, with acknowledgements that
+// are lost or late.
+func TestResume(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			eng := newScript(26, time.Second)
+			sv := service(t, eng, relay.WithOutputBuffer(8, 8), relay.WithGrace(20*time.Second))
+			di := dispatch("r", "")
+			di.Call.Deadline = time.Now().Add(time.Hour)
+			st, err := sv.Open(t.Context(), di)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var text strings.Builder
+			next := uint64(1)
+			for kind := peer.Accepted; kind != peer.Final; {
+				ctx, stop := context.WithTimeout(t.Context(), time.Duration(rnd.IntN(5000))*time.Millisecond)
+				ev, err := st.Recv(ctx)
+				stop()
+				old := st
+				if err == nil && ev.Kind == peer.Data {
+					text.Write(ev.Chunk.Data)
+					next++
+				}
+				if err == nil {
+					kind = ev.Kind
+				} else if !errors.Is(err, context.DeadlineExceeded) {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				if kind == peer.Failed {
+					t.Fatalf("seed %d: %v", seed, ev.Refusal)
+				}
+				if rnd.IntN(2) == 0 {
+					st.Ack(uint64(rnd.IntN(int(next))))
+				}
+				if kind == peer.Final || rnd.IntN(3) > 0 {
+					continue
+				}
+				if st, err = sv.Resume(t.Context(), "r", 1, next); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				old.Ack(26)
+				old.Cancel()
+			}
+			equal(t, "text", alphabet, text.String())
+			runs, _ := eng.count("")
+			equal(t, "runs", 1, runs)
+		})
+	}
+}
+
+// TestRelease guards against a call that goes on at the upstream after its
+// reader cancelled, fell silent or ran out of time, and against consumption
+// that is not charged.
+func TestRelease(t *testing.T) {
+	cases := map[string]struct {
+		act     func(sv *relay.Service, st peer.Stream)
+		want    refuse.Reason
+		charged ident.Tokens
+	}{
+		"cancel": {act: func(_ *relay.Service, st peer.Stream) { st.Cancel() }, want: refuse.Cancelled, charged: 3},
+		"silent": {act: func(*relay.Service, peer.Stream) {}, want: refuse.LinkLost, charged: 10},
+		"closed": {act: func(sv *relay.Service, _ peer.Stream) {
+			_, _ = sv.CloseIncarnation(context.Background(), "router1")
+		}, want: refuse.ClosedIncarnation, charged: 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				eng := newScript(50, time.Second)
+				sv := service(t, eng, relay.WithGrace(10500*time.Millisecond))
+				st, err := sv.Open(t.Context(), dispatch("r", "k"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(3500 * time.Millisecond)
+				tc.act(sv, st)
+				time.Sleep(8 * time.Second)
+				_, ended := eng.count("k")
+				equal(t, "ended calls", 1, ended)
+				used, err := sv.CloseIncarnation(t.Context(), "router1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				equal(t, "used", []relay.Usage{{Budget: ident.BudgetRef{Account: "a", Budget: "b"}, Used: tc.charged}}, used)
+				_, err = st.Recv(t.Context())
+				equal(t, "stream", unknown(tc.want), refusal(err))
+			})
+		})
+	}
+}
+
+// TestDeadline guards against a call that goes on after its deadline, and
+// against a cut answer that is taken for a whole one.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := newScript(80, time.Second)
+		sv := service(t, eng)
+		want := answer{Text: strings.Repeat(alphabet, 3)[:59], Kind: peer.Failed, Charged: 59, Outcome: refuse.Unknown, Reason: refuse.TimedOut}
+		di := dispatch("r1", "")
+		di.Call.Deadline = time.Now().Add(59500 * time.Millisecond)
+		equal(t, "late", want, ask(t, sv, di))
+		eng.chunks, eng.err = 3, errEngine
+		want = answer{Text: "abc", Kind: peer.Failed, Charged: 3, Outcome: refuse.Unknown, Reason: refuse.UpstreamFailed}
+		equal(t, "cut", want, ask(t, sv, dispatch("r2", "k")))
+		eng.chunks, eng.err = 5, nil
+		equal(t, "again", answer{Text: "abcde", Kind: peer.Final, Charged: 2}, ask(t, sv, dispatch("r3", "k")))
+	})
+}
+
+// TestReserved guards against a call that is charged more than was reserved.
+func TestReserved(t *testing.T) {
+	over := refuse.OverBudget
+	cases := map[string]struct {
+		chunks         int
+		tokens, prompt ident.Tokens
+		reserved, max  ident.Tokens
+		want           answer
+	}{
+		"within":          {chunks: 4, tokens: 2, prompt: 10, reserved: 18, max: 8, want: answer{Text: "abcd", Kind: peer.Final, Charged: 18}},
+		"answer too long": {chunks: 9, tokens: 2, prompt: 10, reserved: 18, max: 8, want: answer{Text: "abcd", Kind: peer.Failed, Charged: 18, Outcome: refuse.Unknown, Reason: over}},
+		"no limit set":    {chunks: 9, tokens: 2, prompt: 0, reserved: 5, max: 0, want: answer{Text: "ab", Kind: peer.Failed, Charged: 4, Outcome: refuse.Unknown, Reason: over}},
+		"prompt too long": {chunks: 2, tokens: 2, prompt: 30, reserved: 18, max: 8, want: answer{Text: "ab", Kind: peer.Final, Charged: 18}},
+		"nothing held":    {chunks: 2, tokens: 2, reserved: 0, max: 8, want: answer{Kind: peer.Failed, Outcome: refuse.Unknown, Reason: over}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				eng := newScript(tc.chunks, time.Second)
+				eng.tokens, eng.prompt = tc.tokens, tc.prompt
+				sv := service(t, eng)
+				di := dispatch("r", "k")
+				di.Reserved, di.Call.MaxTokens = tc.reserved, tc.max
+				equal(t, "answer", tc.want, ask(t, sv, di))
+			})
+		})
+	}
+}
+
+// TestSlowReader guards against a reader that holds up other attempts, or
+// whose output grows without a bound.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := newScript(26, time.Second)
+		sv := service(t, eng, relay.WithOutputBuffer(4, 4), relay.WithGrace(time.Minute))
+		slow, err := sv.Open(t.Context(), dispatch("slow", "k"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		equal(t, "other attempt", answer{Text: alphabet, Kind: peer.Final, Charged: 26}, ask(t, sv, dispatch("r1", "")))
+		equal(t, "ended calls", 1, func() int { _, n := eng.count(""); return n }())
+		equal(t, "same key", answer{Text: alphabet, Kind: peer.Final, Replay: true}, ask(t, sv, dispatch("r2", "k")))
+		_, err = slow.Recv(t.Context())
+		equal(t, "slow reader", unknown(refuse.Truncated), refusal(err))
+		alone, err := sv.Open(t.Context(), dispatch("alone", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		equal(t, "alone", answer{Text: alphabet, Kind: peer.Final, Charged: 26}, read(t.Context(), t, alone, 1))
+	})
+}
+
+// TestLeave guards against a process that ends while an answer is not
+// delivered, or that waits for ever for a reader that is lost.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sv := service(t, newScript(26, time.Second), relay.WithGrace(40*time.Second), relay.WithTable(newTable(), rows))
+		begin := time.Now()
+		streams := map[ident.Request]peer.Stream{}
+		for _, di := range []peer.Dispatch{dispatch("read", ""), dispatch("lost", ""), action("act", "k")} {
+			st, err := sv.Open(t.Context(), di)
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams[di.Request] = st
+		}
+		sv.Leave()
+		equal(t, "new work", notRun(refuse.Leaving), ask(t, sv, dispatch("r2", "")))
+		for _, re := range []ident.Request{"read", "act"} {
+			equal(t, "answer", answer{Text: alphabet, Kind: peer.Final, Charged: 26}, read(t.Context(), t, streams[re], 1))
+		}
+		if err := sv.Wait(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		equal(t, "waited for the lost reader", 40*time.Second, time.Since(begin))
+		rp, _ := sv.Report()
+		equal(t, "leaving", true, rp.Leaving)
+	})
+}
+
+// TestCloseIncarnation guards against work of a closed incarnation that runs
+// or is read again, and against the end of another router's answer.
+func TestCloseIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		eng := newScript(26, time.Second)
+		sv := service(t, eng)
+		if _, err := sv.Open(t.Context(), dispatch("r1", "k")); err != nil {
+			t.Fatal(err)
+		}
+		retry := dispatch("r2", "k")
+		retry.Router = "router2"
+		got := make(chan answer, 1)
+		time.AfterFunc(time.Second, func() { got <- ask(t, sv, retry) })
+		time.Sleep(5 * time.Second)
+		used, err := sv.CloseIncarnation(t.Context(), "router1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := []relay.Usage{{Budget: ident.BudgetRef{Account: "a", Budget: "b"}, Used: 26}}
+		equal(t, "used", want, used)
+		equal(t, "other router", answer{Text: alphabet, Kind: peer.Final, Replay: true}, <-got)
+		equal(t, "known attempt", unknown(refuse.ClosedIncarnation), ask(t, sv, dispatch("r1", "k")))
+		equal(t, "known key", unknown(refuse.ClosedIncarnation), ask(t, sv, dispatch("r3", "k")))
+		_, err = sv.Resume(t.Context(), "r1", 1, 1)
+		equal(t, "resume", unknown(refuse.ClosedIncarnation), refusal(err))
+		time.Sleep(time.Hour)
+		equal(t, "new work", notRun(refuse.ClosedIncarnation), ask(t, sv, dispatch("r4", "")))
+		runs, _ := eng.count("k")
+		equal(t, "runs", 1, runs)
+		again, err := sv.CloseIncarnation(t.Context(), "router1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		equal(t, "used later", want, again)
+	})
+}
