--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -22,6 +22,10 @@
 const (
 	defaultUrgentShare = 0.15
 	defaultBatchShare  = 0.30
+	// defaultTolerance lies above the error of estimates from reports that are
+	// about a second old. Without it a third of the urgent requests beside a
+	// backlog of drafts were refused falsely.
+	defaultTolerance = 0.25
 )
 
 // Ask is what the gate knows about a request and the upstreams.
@@ -40,6 +44,11 @@
 	// zero Slots means that it is unknown.
 	Slots   int
 	Running int
+	// Sent counts the requests in Running that this router sent since the last
+	// report, and Peers the routers that use the upstream. The others are taken
+	// to send as much; without that they all fill the same free slots.
+	Sent  int
+	Peers int
 	// Queued is the number of queued requests that go before this one, and
 	// QueueLimit the capacity of the queue; a limit of zero means that only the
 	// upstreams queue.
@@ -47,6 +56,8 @@
 	QueueLimit int
 }
 
+func (as Ask) running() int { return as.Running + as.Sent*max(0, as.Peers-1) }
+
 // Decision is the verdict with the reason of a refusal.
 type Decision struct {
 	Verdict Verdict
@@ -59,6 +70,7 @@
 type Gate struct {
 	urgentShare float64
 	batchShare  float64
+	tolerance   float64
 }
 
 // GateOption configures a Gate.
@@ -76,9 +88,16 @@
 	return func(ga *Gate) { ga.batchShare = min(1, max(0, share)) }
 }
 
+// WithTolerance sets by how much of itself an expected delay may be too long. A
+// request is refused only when it would be late after a delay that is shorter by
+// this share. The default is 0.25, the range is 0 to 1.
+func WithTolerance(share float64) GateOption {
+	return func(ga *Gate) { ga.tolerance = min(1, max(0, share)) }
+}
+
 // NewGate returns a gate.
 func NewGate(opts ...GateOption) Gate {
-	ga := Gate{urgentShare: defaultUrgentShare, batchShare: defaultBatchShare}
+	ga := Gate{urgentShare: defaultUrgentShare, batchShare: defaultBatchShare, tolerance: defaultTolerance}
 	for _, opt := range opts {
 		opt(&ga)
 	}
@@ -93,9 +112,9 @@
 	switch {
 	case !as.Deadline.IsZero() && !now.Before(as.Deadline):
 		return Decision{Verdict: Refuse, Reason: refuse.DeadlinePassed}
-	case ga.unmeetable(as):
+	case ga.unmeetable(as, now):
 		return Decision{Verdict: Refuse, Reason: refuse.DeadlineUnmeetable, RetryAt: retryAt(as, now)}
-	case as.Slots <= 0 || as.Running < ga.Limit(as.Class, as.Slots) && as.Queued == 0:
+	case as.Slots <= 0 || as.running() < ga.Limit(as.Class, as.Slots) && as.Queued == 0:
 		return Decision{Verdict: Admit}
 	case as.Class == config.Urgent || as.QueueLimit <= 0:
 		return Decision{Verdict: Admit}
@@ -119,12 +138,13 @@
 	}
 }
 
-func (ga Gate) unmeetable(as Ask) bool {
-	if !as.Known {
-		return false
-	}
-	return !as.Deadline.IsZero() && as.Finish.After(as.Deadline) ||
-		!as.FirstBy.IsZero() && as.FirstToken.After(as.FirstBy)
+func (ga Gate) unmeetable(as Ask, now time.Time) bool {
+	return as.Known && (ga.late(as.Finish, as.Deadline, now) || ga.late(as.FirstToken, as.FirstBy, now))
+}
+
+func (ga Gate) late(expected, deadline, now time.Time) bool {
+	delay := time.Duration(float64(expected.Sub(now)) * (1 - ga.tolerance))
+	return !deadline.IsZero() && now.Add(delay).After(deadline)
 }
 
 // retryAt returns when the expected delay will have fallen by what the request
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -133,8 +133,16 @@
 }
 
 // Pop removes the next entry. It also removes and returns the entries whose
-// latest start has passed, which are refused.
+// latest start has passed, which are refused. The next entry carries the class in
+// which it is served: batch work whose latest start is near is served as normal.
 func (qu *Queue[T]) Pop(now time.Time) (next Entry[T], ok bool, expired []Entry[T]) {
+	return qu.PopIf(now, func(Entry[T]) bool { return true })
+}
+
+// PopIf is Pop for callers that take the next entry only if it is ready, for
+// example because an upstream has room for it. An entry that is not ready stays
+// the next one. Ready runs under the queue's lock and must not use the queue.
+func (qu *Queue[T]) PopIf(now time.Time, ready func(Entry[T]) bool) (next Entry[T], ok bool, expired []Entry[T]) {
 	qu.mu.Lock()
 	defer qu.mu.Unlock()
 	expired = qu.expire(now)
@@ -143,6 +151,12 @@
 		return next, false, expired
 	}
 	next = sh.head()
+	if next.Class == config.Batch && qu.rank(next, now) < config.Batch.Rank() {
+		next.Class = config.Normal
+	}
+	if !ready(next) {
+		return Entry[T]{}, false, expired
+	}
 	sh.served++
 	sh.entries = sh.entries[:len(sh.entries)-1]
 	la.prune()
@@ -150,16 +164,6 @@
 	return next, true, expired
 }
 
-// Peek returns the entry that is next, whether or not it has expired.
-func (qu *Queue[T]) Peek(now time.Time) (next Entry[T], ok bool) {
-	qu.mu.Lock()
-	defer qu.mu.Unlock()
-	if _, sh := qu.pick(now); sh != nil {
-		return sh.head(), true
-	}
-	return next, false
-}
-
 // pick returns the share with the next entry and its lane.
 func (qu *Queue[T]) pick(now time.Time) (*lane[T], *share[T]) {
 	var la *lane[T]
--- a/internal/core/admit/queue_test.go
+++ b/internal/core/admit/queue_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// TestQueueServedClass guards against pressing batch work that still has to keep
+// out of the slots of normal work.
+func TestQueueServedClass(t *testing.T) {
+	qu := admit.NewQueue[string](admit.WithLead(time.Minute))
+	qu.Push(entry("draft", "a", config.Batch, time.Hour))
+	var got []config.Class
+	for _, now := range []time.Time{start, start.Add(time.Hour - time.Minute)} {
+		qu.PopIf(now, func(en admit.Entry[string]) bool {
+			got = append(got, en.Class)
+			return false
+		})
+	}
+	if diff := cmp.Diff([]config.Class{config.Batch, config.Normal}, got); diff != "" || qu.Len() != 1 {
+		t.Errorf("length %d, served as (-want +got):\n%s", qu.Len(), diff)
+	}
+}
+
 // TestQueueFairness guards against one account's backlog that delays another
 // account by more than the quantum.
 func TestQueueFairness(t *testing.T) {
@@ -142,9 +159,14 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "pass")) * time.Second)
-			if rapid.IntRange(0, 3).Draw(t, "step") == 0 {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0:
 				pop()
 				continue
+			case 1:
+				_, _, expired := qu.PopIf(now, func(admit.Entry[int]) bool { return false })
+				count(expired...)
+				continue
 			}
 			en := admit.Entry[int]{
 				Item: pushed, Account: ident.Account(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")),
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -3,8 +3,10 @@
 import "sync/atomic"
 
 const (
-	defaultRatio   = 0.1
-	defaultReserve = 10
+	defaultRatio = 0.1
+	// defaultReserve covers a lost failure domain: with three domains a third of
+	// about 110 requests in flight at a router.
+	defaultReserve = 50
 	// unit is the fixed-point value of one attempt.
 	unit = 1 << 16
 )
@@ -32,7 +34,7 @@
 }
 
 // WithReserve sets the retries that can be saved up, which are also available at
-// the start. The default is 10, the range is 0 or more.
+// the start. The default is 50, the range is 0 or more.
 func WithReserve(retries int) BudgetOption {
 	return func(bs *budgetSettings) { bs.reserve = max(0, retries) }
 }
--- a/internal/core/retry/policy.go
+++ b/internal/core/retry/policy.go
@@ -63,7 +63,8 @@
 }
 
 // Decide returns what happens after the failure. A decision to go elsewhere has
-// taken one attempt from the budget.
+// taken one attempt from the budget, except that an attempt which was not sent is
+// free, because it put no load on an upstream.
 func (po Policy) Decide(fa Failure, rng *rand.Rand, now time.Time) Decision {
 	de := Classify(fa)
 	if de.Action == Stop {
@@ -73,6 +74,9 @@
 		return Decision{Action: Stop, Code: Attempts}
 	}
 	de.At = po.Backoff(fa.Attempts, rng, now)
+	if !fa.Sent && po.inTime(de.At, fa.Deadline) {
+		return de
+	}
 	return po.take(de, fa.Deadline)
 }
 
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -62,6 +62,7 @@
 		{"attempts", 1, func(fa *retry.Failure) { fa.Attempts = 3 }, retry.Attempts},
 		{"deadline", 1, func(fa *retry.Failure) { fa.Deadline = start.Add(40 * time.Millisecond) }, retry.NoTime},
 		{"budget", 0, func(*retry.Failure) {}, retry.NoBudget},
+		{"not sent is free", 0, func(fa *retry.Failure) { fa.Sent = false }, retry.Proved},
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
--- a/internal/core/route/estimate.go
+++ b/internal/core/route/estimate.go
@@ -24,6 +24,8 @@
 	Start      time.Time
 	FirstToken time.Time
 	Finish     time.Time
+	// Requests is the expected number of requests at the upstream.
+	Requests int
 	// Known is false when the upstream reports no token rate. Such an estimate
 	// only orders candidates and is no reason to refuse.
 	Known bool
@@ -38,7 +40,7 @@
 	ld := ca.load
 	if ld.TokensPerSecond <= 0 || ld.Slots <= 0 {
 		at := now.Add(time.Duration(ca.own.Requests) * unknownService)
-		return Estimate{Start: at, FirstToken: at.Add(unknownService), Finish: at.Add(unknownService)}
+		return Estimate{Start: at, FirstToken: at.Add(unknownService), Finish: at.Add(unknownService), Requests: ca.own.Requests}
 	}
 	requests, tokens := backlog(ld, ca.own, now)
 	start := now.Add(seconds(waiting(ld, ca.own, de, requests, tokens) / ld.TokensPerSecond))
@@ -48,6 +50,7 @@
 		Start:      start,
 		FirstToken: first,
 		Finish:     first.Add(seconds(float64(de.Output) / perSlot)),
+		Requests:   int(requests),
 		Known:      true,
 	}
 }
@@ -67,16 +70,16 @@
 
 // waiting returns the tokens that are generated before the request gets a slot.
 // Work is taken as spread evenly over the requests, so a slot is free after the
-// work of all requests but Slots-1. Engines honour priorities: an urgent
-// request passes waiting work and needs only the next slot after those that the
-// router's own urgent requests take.
+// work of all requests but Slots-1. Engines honour priorities: an urgent request
+// passes waiting work but that of its own class, whose share is taken to be that
+// among the router's own requests, because reports do not tell classes apart.
 func waiting(ld Load, ow Own, de Demand, requests, tokens float64) float64 {
 	over := requests - float64(ld.Slots-1)
 	if over <= 0 {
 		return 0
 	}
 	if de.Class == config.Urgent {
-		over = min(over, float64(1+ow.Urgent))
+		over = min(over, 1+over*float64(ow.Urgent)/float64(max(1, ow.Requests)))
 	}
 	return tokens * over / requests
 }
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -44,6 +44,7 @@
 		{"sent since the report", busy("e", "d", 0).WithOwn(route.Own{Requests: 10, Tokens: 1000, SentRequests: 10, SentTokens: 1000}), nil, 0, 1200 * time.Millisecond},
 		{"own work bounds a frozen report", busy("e", "d", 0).WithOwn(route.Own{Requests: 20, Tokens: 2000}), nil, time.Hour, 1200 * time.Millisecond},
 		{"urgent passes waiting work", busy("e", "d", 10), func(de *route.Demand) { de.Class = config.Urgent }, 0, 200 * time.Millisecond},
+		{"urgent behind urgent", busy("e", "d", 10).WithOwn(route.Own{Requests: 4, Tokens: 400, Urgent: 2}), func(de *route.Demand) { de.Class = config.Urgent }, 0, 750 * time.Millisecond},
 		{"cached prefix", busy("e", "d", 0), func(de *route.Demand) { de.Hint = route.Hint{Upstream: "e", Tokens: 800} }, 0, 100 * time.Millisecond},
 		{"prefix cached elsewhere", busy("e", "d", 0), func(de *route.Demand) { de.Hint = route.Hint{Upstream: "f", Tokens: 800} }, 0, 200 * time.Millisecond},
 	}
