--- a/internal/bench/routes/arrive.go
+++ b/internal/bench/routes/arrive.go
@@ -68,6 +68,12 @@
 	{config.Batch, 0.2, 2000, 1500, 520, 120 * time.Second},
 }
 
+// WithoutFaults returns the scenario with its arrivals but no flood and no fault.
+func (sc Scenario) WithoutFaults() Scenario {
+	sc.slow, sc.frozen, sc.gone, sc.flood, sc.outage = 0, window{}, window{}, window{}, window{}
+	return sc
+}
+
 func steady(rates ...float64) func(time.Duration) [3]float64 {
 	return func(time.Duration) [3]float64 { return [3]float64{rates[0], rates[1], rates[2]} }
 }
--- a/internal/bench/routes/router.go
+++ b/internal/bench/routes/router.go
@@ -51,7 +51,7 @@
 func newRouter(ar Arm, fleet []*engine, seed uint64) (*router, error) {
 	ro := &router{
 		tracker: route.NewTracker(), prefixes: route.NewPrefixes(route.WithHintSets(1024)),
-		queue: admit.NewQueue[*job](admit.WithLead(20 * time.Second)), gate: admit.NewGate(),
+		queue: admit.NewQueue[*job](admit.WithLead(40 * time.Second)), gate: admit.NewGate(),
 		rates: admit.NewRates[int](), fair: admit.NewFair[claim](), budget: retry.NewBudget(),
 		rng: route.NewRand(seed), admits: ar.Admission,
 	}
--- a/internal/bench/routes/tally.go
+++ b/internal/bench/routes/tally.go
@@ -20,6 +20,8 @@
 	// OnTime is the share of first requests of callers that were answered in
 	// time, per class rank.
 	OnTime [3]float64
+	// Urgent is the number of first urgent requests.
+	Urgent int
 	// Quiet is the share for urgent requests of all accounts but the first.
 	Quiet float64
 	// Refused and False are shares of all requests: those refused, and those
@@ -100,7 +102,7 @@
 
 func (ta *tally) result(sc Scenario, ar Arm, fleet []*engine) Result {
 	re := Result{
-		Scenario: sc.Name, Arm: ar, Offered: ta.all, Quiet: share(ta.quietGood, ta.quiet),
+		Scenario: sc.Name, Arm: ar, Offered: ta.all, Urgent: ta.total[0], Quiet: share(ta.quietGood, ta.quiet),
 		Refused: share(ta.refusals, ta.all), False: share(ta.servable, ta.all),
 		Goodput: float64(ta.good) / horizon.Seconds(), Reasons: ta.reasons,
 		FirstToken: time.Duration(ta.first.ValueAtQuantile(95)) * time.Microsecond,
--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	defaultUrgentShare = 0.15
-	defaultBatchShare  = 0.30
+	defaultUrgentShare = 0.10
+	defaultBatchShare  = 0.20
 	// defaultTolerance lies above the error of estimates from reports that are
 	// about a second old. Without it a third of the urgent requests beside a
 	// backlog of drafts were refused falsely.
@@ -77,13 +77,13 @@
 type GateOption func(*Gate)
 
 // WithUrgentShare sets the share of slots that only urgent work takes. The
-// default is 0.15, the range is 0 to 1.
+// default is 0.10, the range is 0 to 1.
 func WithUrgentShare(share float64) GateOption {
 	return func(ga *Gate) { ga.urgentShare = min(1, max(0, share)) }
 }
 
 // WithBatchShare sets the share of slots that batch work leaves to the other
-// classes. The default is 0.30, the range is 0 to 1.
+// classes. The default is 0.20, the range is 0 to 1.
 func WithBatchShare(share float64) GateOption {
 	return func(ga *Gate) { ga.batchShare = min(1, max(0, share)) }
 }
