--- a/internal/core/admit/gate.go
+++ b/internal/core/admit/gate.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	defaultUrgentShare = 0.10
+	defaultUrgentShare = 0.15
 	defaultBatchShare  = 0.20
 	// defaultTolerance lies above the error of estimates from reports that are
 	// about a second old. Without it a third of the urgent requests beside a
@@ -77,7 +77,7 @@
 type GateOption func(*Gate)
 
 // WithUrgentShare sets the share of slots that only urgent work takes. The
-// default is 0.10, the range is 0 to 1.
+// default is 0.15, the range is 0 to 1.
 func WithUrgentShare(share float64) GateOption {
 	return func(ga *Gate) { ga.urgentShare = min(1, max(0, share)) }
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	defaultCapacity = 1024
+	defaultCapacity = 4096
 	defaultQuantum  = 4
 	defaultLead     = 10 * time.Minute
 	// pressing is the part of the lead time in which batch work ranks with
@@ -78,7 +78,7 @@
 	lead     time.Duration
 }
 
-// WithCapacity sets the number of entries. The default is 1024, the range is
+// WithCapacity sets the number of entries. The default is 4096, the range is
 // above 0.
 func WithCapacity(entries int) QueueOption {
 	return func(qs *queueSettings) { qs.capacity = max(1, entries) }
--- a/internal/core/route/demand.go
+++ b/internal/core/route/demand.go
@@ -36,7 +36,8 @@
 	list []attempt
 }
 
-// With returns a copy that contains the upstream.
+// With returns a copy that contains the upstream. With an empty domain only the
+// upstream is excluded and no failure domain avoided.
 func (tr Tried) With(up ident.Upstream, domain ident.Domain) Tried {
 	next := make([]attempt, len(tr.list), len(tr.list)+1)
 	copy(next, tr.list)
@@ -59,7 +60,7 @@
 // Domain reports whether an upstream of the failure domain was tried.
 func (tr Tried) Domain(domain ident.Domain) bool {
 	for _, at := range tr.list {
-		if at.domain == domain {
+		if at.domain == domain && domain != "" {
 			return true
 		}
 	}
