--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -18,10 +18,10 @@
 
 // Events of this package.
 var (
-	eventFenced    = meter.Event{Number: 301, Level: slog.LevelError, Text: "incarnation was closed by a recovery, no more work is accepted"}
-	eventUncharged = meter.Event{Number: 302, Level: slog.LevelError, Text: "use above the reservation could not be charged"}
-	eventFlush     = meter.Event{Number: 303, Level: slog.LevelWarn, Text: "settlements could not be written and are kept for the next pass"}
-	eventHeld      = meter.Event{Number: 304, Level: slog.LevelWarn, Text: "escrow stays held at the end of the incarnation"}
+	eventFenced    = meter.Event{Number: 3001, Level: slog.LevelError, Text: "incarnation was closed by a recovery, no more work is accepted"}
+	eventUncharged = meter.Event{Number: 3002, Level: slog.LevelError, Text: "use above the reservation could not be charged"}
+	eventFlush     = meter.Event{Number: 3003, Level: slog.LevelWarn, Text: "settlements could not be written and are kept for the next pass"}
+	eventHeld      = meter.Event{Number: 3004, Level: slog.LevelWarn, Text: "escrow stays held at the end of the incarnation"}
 )
 
 // refusePerHolder scales how long a refusal stands with the holders of the
