--- a/cmd/balsambench/main.go
+++ b/cmd/balsambench/main.go
@@ -17,6 +17,7 @@
 
 type commands struct {
 	Demo demoCmd `cmd:"" help:"Run the main job on real processes and print a closing line of counts."`
+	Path pathCmd `cmd:"" help:"Measure the latency that router and sidecar add to a direct call."`
 }
 
 type demoCmd struct {
@@ -26,18 +27,24 @@
 
 // Run runs the demo.
 func (dc demoCmd) Run(ctx context.Context) error {
-	if dc.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		dc.Bin = filepath.Dir(self)
+	bin, err := programs(dc.Bin)
+	if err != nil {
+		return err
 	}
 	var log io.Writer
 	if dc.Verbose {
 		log = os.Stderr
 	}
-	return demo.Run(ctx, dc.Bin, os.Stdout, log)
+	return demo.Run(ctx, bin, os.Stdout, log)
+}
+
+// programs returns the directory with the programs.
+func programs(bin string) (string, error) {
+	if bin != "" {
+		return bin, nil
+	}
+	self, err := os.Executable()
+	return filepath.Dir(self), err
 }
 
 func main() {
--- /dev/null
+++ b/cmd/balsambench/path.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/bench/path"
+)
+
+type pathCmd struct {
+	Bin       string        `type:"path" help:"Directory with the programs (default: that of this program)."`
+	Streams   []int         `default:"1,200" help:"Numbers of streams at once (default ${default})."`
+	Requests  int           `default:"2000" help:"Requests for each number of streams and way (default ${default})."`
+	TokenTime time.Duration `default:"43ms" help:"Time of the engine for one token (default ${default}, the planned pace)."`
+}
+
+// Run measures what router and sidecar add.
+func (pc pathCmd) Run(ctx context.Context) error {
+	bin, err := programs(pc.Bin)
+	if err != nil {
+		return err
+	}
+	lines, err := path.Run(ctx, path.Options{Bin: bin, Streams: pc.Streams, Requests: pc.Requests, TokenTime: pc.TokenTime})
+	if err != nil {
+		return err
+	}
+	fmt.Print(path.Render(lines))
+	return nil
+}
--- /dev/null
+++ b/internal/bench/path/path.go
@@ -0,0 +1,193 @@
+// Package path measures what router and sidecar add to a direct call of the
+// same engine.
+package path
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/balsamwood/balsamwood/internal/bench/call"
+	"github.com/balsamwood/balsamwood/internal/bench/deploy"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+const (
+	theModel = ident.Model("m1")
+	// tokens is the length of each answer.
+	tokens = 32
+	// longest bounds what the histograms record.
+	longest = time.Minute
+	// significant is the number of significant digits of the histograms.
+	significant = 3
+)
+
+// Options sets the size of a run.
+type Options struct {
+	Bin string
+	// Streams are the numbers of streams at once.
+	Streams []int
+	// Requests is the number of requests for each number of streams and way.
+	Requests int
+	// TokenTime is the engine's time for one token.
+	TokenTime time.Duration
+}
+
+// Line is the result for one number of streams.
+type Line struct {
+	Streams        int
+	Direct, Routed Latency
+}
+
+// Latency is the distribution of the time to the first token and of the whole
+// answer.
+type Latency struct {
+	First50, First99 time.Duration
+	Whole50, Whole99 time.Duration
+	Failed           int
+}
+
+// Added returns what the routed way adds to the first token at the median and
+// at the 99th percentile.
+func (li Line) Added() (median, tail time.Duration) {
+	return li.Routed.First50 - li.Direct.First50, li.Routed.First99 - li.Direct.First99
+}
+
+// Run measures both ways in turn, on the same processes.
+func Run(ctx context.Context, op Options) (lines []Line, err error) {
+	dir, err := os.MkdirTemp("", "balsamwood-path-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	de, err := deploy.New(op.Bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if cerr := de.Close(); err == nil {
+			err = cerr
+		}
+	}()
+	key := config.NewAPIKey()
+	engine, router, err := start(ctx, de, op, key)
+	if err != nil {
+		return nil, err
+	}
+	ca := call.New(key)
+	for _, streams := range op.Streams {
+		// A first pass opens connections and draws escrow.
+		ld := load{streams: streams, requests: streams, spread: tokens * op.TokenTime}
+		measure(ctx, ca, router.URL(), ld)
+		measure(ctx, ca, engine.URL(), ld)
+		ld.requests = op.Requests
+		lines = append(lines, Line{
+			Streams: streams,
+			Direct:  measure(ctx, ca, engine.URL(), ld),
+			Routed:  measure(ctx, ca, router.URL(), ld),
+		})
+	}
+	return lines, ctx.Err()
+}
+
+func start(ctx context.Context, de *deploy.Deployment, op Options, key string) (engine, router *deploy.Node, err error) {
+	most := 1
+	for _, streams := range op.Streams {
+		most = max(most, streams)
+	}
+	engines, _, ups, err := de.Engines(1, theModel, "--slots", fmt.Sprint(2*most), "--token-time", op.TokenTime.String(),
+		"--min-answer", fmt.Sprint(tokens), "--max-answer", fmt.Sprint(tokens), "--model", string(theModel))
+	if err != nil {
+		return nil, nil, err
+	}
+	rf := ident.BudgetRef{Account: "a1", Budget: "b1"}
+	_, err = de.Accept(ctx, func(sn config.Snapshot) config.Snapshot {
+		return sn.WithUpstream(ups[0]).WithAccount(config.Account{
+			ID: rf.Account, Budgets: []ident.Budget{rf.Budget}, Weight: config.WeighRefusal,
+			Keys: []config.KeyHash{config.HashAPIKey(key)},
+		})
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := de.Fund(ctx, rf, 1<<40); err != nil {
+		return nil, nil, err
+	}
+	if router, err = de.Router("entry-1", deploy.Domain(0)); err != nil {
+		return nil, nil, err
+	}
+	return engines[0], router, router.Ready(ctx)
+}
+
+// load is a number of requests over a number of streams at once. The streams
+// start evenly over the time of one answer: started together they would stay in
+// step, and each answer would wait for all the others.
+type load struct {
+	streams, requests int
+	spread            time.Duration
+}
+
+// measure sends the requests.
+func measure(ctx context.Context, ca *call.Caller, url string, ld load) Latency {
+	var mu sync.Mutex
+	first := hdrhistogram.New(1, longest.Microseconds(), significant)
+	whole := hdrhistogram.New(1, longest.Microseconds(), significant)
+	failed := 0
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for stream := range ld.streams {
+		wg.Go(func() {
+			time.Sleep(ld.spread * time.Duration(stream) / time.Duration(ld.streams))
+			for ix := range work {
+				re := ca.Stream(ctx, url, call.Chat{
+					Model: theModel, Prompt: fmt.Sprintf("question %d", ix), MaxTokens: 2 * tokens, Class: config.Urgent,
+				})
+				mu.Lock()
+				if re.Served {
+					_ = first.RecordValue(re.First.Microseconds())
+					_ = whole.RecordValue(re.Total.Microseconds())
+				} else {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for ix := range ld.requests {
+		work <- ix
+	}
+	close(work)
+	wg.Wait()
+	return Latency{
+		First50: quantile(first, 50), First99: quantile(first, 99),
+		Whole50: quantile(whole, 50), Whole99: quantile(whole, 99), Failed: failed,
+	}
+}
+
+func quantile(hi *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(hi.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Render returns the lines as a table.
+func Render(lines []Line) string {
+	var sb strings.Builder
+	sb.WriteString("| streams | way | first p50 | first p99 | whole p50 | whole p99 | failed |\n|---|---|---|---|---|---|---|\n")
+	for _, li := range lines {
+		for _, way := range []struct {
+			name string
+			la   Latency
+		}{{"direct", li.Direct}, {"routed", li.Routed}} {
+			fmt.Fprintf(&sb, "| %d | %s | %s | %s | %s | %s | %d |\n", li.Streams, way.name,
+				way.la.First50, way.la.First99, way.la.Whole50, way.la.Whole99, way.la.Failed)
+		}
+		median, tail := li.Added()
+		fmt.Fprintf(&sb, "| %d | added | %s | %s | | | |\n", li.Streams, median, tail)
+	}
+	return sb.String()
+}
