bench/slopes: measure how control work grows with the size

Cause: docs/CAPACITY.md needs slopes instead of guesses. Ruled out: measuring configuration memory without keeping the document alive (it gave negative values). Change: balsambench slopes for links, configuration and escrow.

--- a/cmd/balsambench/main.go
+++ b/cmd/balsambench/main.go
@@ -16,8 +16,9 @@
 )
 
 type commands struct {
-	Demo demoCmd `cmd:"" help:"Run the main job on real processes and print a closing line of counts."`
-	Path pathCmd `cmd:"" help:"Measure the latency that router and sidecar add to a direct call."`
+	Demo   demoCmd   `cmd:"" help:"Run the main job on real processes and print a closing line of counts."`
+	Path   pathCmd   `cmd:"" help:"Measure the latency that router and sidecar add to a direct call."`
+	Slopes slopesCmd `cmd:"" help:"Measure how the cost of control work grows with the size."`
 }
 
 type demoCmd struct {
--- /dev/null
+++ b/cmd/balsambench/slopes.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/bench/slopes"
+)
+
+type slopesCmd struct {
+	Links    []int         `default:"8,32,128" help:"Numbers of links (default ${default})."`
+	Accounts []int         `default:"10,90,360" help:"Numbers of client accounts (default ${default})."`
+	Budgets  []int         `default:"100,1000,5000" help:"Numbers of budgets (default ${default})."`
+	Window   time.Duration `default:"10s" help:"Time for which links are measured (default ${default})."`
+}
+
+// Run measures the slopes that docs/CAPACITY.md uses.
+func (sc slopesCmd) Run(ctx context.Context) error {
+	lines, err := slopes.Links(ctx, sc.Links, sc.Window)
+	if err != nil {
+		return err
+	}
+	more, err := slopes.Configs(sc.Accounts)
+	if err != nil {
+		return err
+	}
+	escrow, err := slopes.Budgets(ctx, sc.Budgets)
+	if err != nil {
+		return err
+	}
+	more = append(more, escrow...)
+	fmt.Print(slopes.Render(append(lines, more...)))
+	return nil
+}
--- /dev/null
+++ b/internal/bench/slopes/budgets.go
@@ -0,0 +1,54 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/table"
+)
+
+// Budgets measures a router's escrow by the number of budgets in use: memory,
+// and the time of one pass of settlement without anything due.
+func Budgets(ctx context.Context, sizes []int) ([]Line, error) {
+	mem := Line{Name: "escrow memory", Unit: "bytes", Sizes: sizes}
+	cpu := Line{Name: "escrow pass without work", Unit: "ms", Sizes: sizes}
+	for _, size := range sizes {
+		ledger := budget.NewLedger(table.New().Client(), codec.Ledger())
+		hd := budget.NewHolder(ident.NewIncarnation(), "vm", "d1", ledger)
+		if err := hd.Open(ctx); err != nil {
+			return nil, err
+		}
+		refs := make([]ident.BudgetRef, size)
+		for ix := range refs {
+			refs[ix] = ident.BudgetRef{Account: ident.Account(fmt.Sprintf("a%d", ix%360)), Budget: ident.Budget(fmt.Sprintf("b%d", ix))}
+			if err := ledger.Create(ctx, refs[ix]); err != nil {
+				return nil, err
+			}
+			if err := ledger.TopUp(ctx, refs[ix], 1_000_000, ident.NewOp(), "slopes"); err != nil {
+				return nil, err
+			}
+		}
+		before := memory()
+		for _, rf := range refs {
+			ho, err := hd.Reserve(ctx, rf, 100, config.WeighRefusal)
+			if err != nil {
+				return nil, err
+			}
+			ho.Release()
+		}
+		held := memory() - before
+		hd.Flush(ctx)
+		began := time.Now()
+		hd.Flush(ctx)
+		cpu.Vals = append(cpu.Vals, float64(time.Since(began).Microseconds())/1000)
+		mem.Vals = append(mem.Vals, held)
+		runtime.KeepAlive(refs)
+	}
+	return []Line{mem, cpu}, nil
+}
--- /dev/null
+++ b/internal/bench/slopes/config.go
@@ -0,0 +1,65 @@
+package slopes
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// budgetsPerAccount is 110,000 budgets over 360 client accounts.
+const budgetsPerAccount = 306
+
+// Configs measures the configuration document by the number of client accounts:
+// its size, the time to decode it and the memory that it takes.
+func Configs(sizes []int) ([]Line, error) {
+	size := Line{Name: "configuration document", Unit: "bytes", Sizes: sizes}
+	cpu := Line{Name: "configuration decode", Unit: "ms", Sizes: sizes}
+	mem := Line{Name: "configuration memory", Unit: "bytes", Sizes: sizes}
+	for _, accounts := range sizes {
+		doc, err := codec.Config{}.Encode(sample(accounts))
+		if err != nil {
+			return nil, err
+		}
+		before, began := memory(), time.Now()
+		sn, err := codec.Config{}.Decode(doc)
+		if err != nil {
+			return nil, err
+		}
+		spent := time.Since(began)
+		held := memory() - before
+		size.Vals = append(size.Vals, float64(len(doc)))
+		cpu.Vals = append(cpu.Vals, float64(spent.Microseconds())/1000)
+		mem.Vals = append(mem.Vals, held)
+		// Both must be alive at both readings of the memory.
+		runtime.KeepAlive(doc)
+		runtime.KeepAlive(sn)
+	}
+	return []Line{size, cpu, mem}, nil
+}
+
+// sample returns a configuration with as many upstreams per account as at the
+// planned size.
+func sample(accounts int) config.Snapshot {
+	sn := config.Snapshot{}.WithRevision(1, "slopes")
+	for ac := range accounts {
+		one := config.Account{
+			ID: ident.Account(fmt.Sprintf("account-%04d", ac)), Weight: config.WeighRefusal,
+			Keys: []config.KeyHash{config.HashAPIKey(fmt.Sprint(ac))},
+		}
+		for bu := range budgetsPerAccount {
+			one.Budgets = append(one.Budgets, ident.Budget(fmt.Sprintf("budget-%05d", bu)))
+		}
+		sn = sn.WithAccount(one)
+	}
+	for up := range accounts * 600 / 360 {
+		sn = sn.WithUpstream(config.Upstream{
+			ID: ident.Upstream(fmt.Sprintf("engine-%03d", up)), VM: ident.VM(fmt.Sprintf("vm-%03d", up)),
+			Kind: config.Engine, Domain: "d1", Sidecar: "10.0.0.1:7443", Models: []ident.Model{"model-1"},
+		})
+	}
+	return sn
+}
--- /dev/null
+++ b/internal/bench/slopes/slopes.go
@@ -0,0 +1,62 @@
+// Package slopes measures how the cost of control work grows with the size of a
+// deployment.
+package slopes
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+)
+
+// Line is one measured quantity at several sizes.
+type Line struct {
+	Name  string
+	Unit  string
+	Sizes []int
+	Vals  []float64
+}
+
+// Slope returns the least-squares increase per unit of size.
+func (li Line) Slope() float64 {
+	var sx, sy, sxx, sxy float64
+	for ix, size := range li.Sizes {
+		vx, vy := float64(size), li.Vals[ix]
+		sx, sy, sxx, sxy = sx+vx, sy+vy, sxx+vx*vx, sxy+vx*vy
+	}
+	cnt := float64(len(li.Sizes))
+	return (cnt*sxy - sx*sy) / (cnt*sxx - sx*sx)
+}
+
+// At returns the value that the line predicts for the size.
+func (li Line) At(size int) float64 {
+	var sx, sy float64
+	for ix, sz := range li.Sizes {
+		sx, sy = sx+float64(sz), sy+li.Vals[ix]
+	}
+	cnt := float64(len(li.Sizes))
+	return sy/cnt + li.Slope()*(float64(size)-sx/cnt)
+}
+
+// Render returns the lines as a table.
+func Render(lines []Line) string {
+	var sb strings.Builder
+	sb.WriteString("| quantity | unit | sizes | values | per unit of size |\n|---|---|---|---|---|\n")
+	for _, li := range lines {
+		sizes, vals := make([]string, len(li.Sizes)), make([]string, len(li.Sizes))
+		for ix := range li.Sizes {
+			sizes[ix], vals[ix] = fmt.Sprint(li.Sizes[ix]), fmt.Sprintf("%.4g", li.Vals[ix])
+		}
+		fmt.Fprintf(&sb, "| %s | %s | %s | %s | %.4g |\n", li.Name, li.Unit,
+			strings.Join(sizes, ", "), strings.Join(vals, ", "), li.Slope())
+	}
+	return sb.String()
+}
+
+// memory returns the bytes in use by heap objects and stacks after a collection.
+func memory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapAlloc + ms.StackInuse)
+}
