recov: recover the escrow of dead routers on evidence

Cause: nothing called Ledger.Recover, so the escrow of a killed router stayed held until an operator acted, and a sidecar that started after a closure would have run work of the closed incarnation.

Change: app/recov watches the incarnation rows and the platform's VM list, declares dead incarnations, asks the sidecars and books the evidence. Which sidecars are asked is not guessed from the VM list: a sidecar writes a witness row before its first work of an incarnation, in one transaction that requires the incarnation row to be unchanged. After the declaration no witness can be added, so the list is final. A sidecar that leaves in order writes its usage. The link keeps answers of different starts of a sidecar apart. The bench deployment keeps the VM list in step.

Ruled out: the opening time against the start of a sidecar as proof that no usage was lost, because it compares clocks of two VMs; reading the row without writing, because work could start between the read and the closure.

--- a/internal/adapt/codec/ledger.go
+++ b/internal/adapt/codec/ledger.go
@@ -13,5 +13,6 @@
 		TopUp:       JSON[escrow.TopUpRow]{},
 		Incarnation: JSON[escrow.IncarnationRow]{},
 		Closure:     JSON[escrow.ClosureRow]{},
+		Witness:     JSON[escrow.WitnessRow]{},
 	}
 }
--- a/internal/adapt/conf/router.go
+++ b/internal/adapt/conf/router.go
@@ -20,6 +20,8 @@
 	Limits        RouterLimits `yaml:"limits"`
 	// Drain is the time allowed for a graceful shutdown. Default: 30s.
 	Drain time.Duration `yaml:"drain" rule:"min=0s,max=10m"`
+	// Recovery is the mean time between two looks for dead routers. Default: 5s.
+	Recovery time.Duration `yaml:"recovery" rule:"min=10ms,max=10m"`
 	// AdminKeys and the keys in AdminKeysFile are used together.
 	AdminKeys     []AdminKey `yaml:"adminKeys"`
 	AdminKeysFile string     `yaml:"adminKeysFile"`
@@ -43,8 +45,9 @@
 // LoadRouter reads the settings of a router. The error is of type Findings.
 func LoadRouter(path string) (Router, error) {
 	ro := Router{
-		Log:   defaultLog(),
-		Drain: defaultDrain,
+		Log:      defaultLog(),
+		Drain:    defaultDrain,
+		Recovery: 5 * time.Second,
 		Limits: RouterLimits{
 			MaxBody: 786432, MaxHeader: 16384, MaxRunning: 4096, Queue: 1024, Links: 64,
 		},
--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -51,7 +51,7 @@
 	changed chan struct{}
 	replace chan *session
 	waiters map[string]chan *wire.OrderDone
-	closers map[string][]chan []Used
+	closers map[closing][]chan []Used
 }
 
 // session is one yamux session with its control stream.
@@ -105,7 +105,7 @@
 		changed:  make(chan struct{}),
 		replace:  make(chan *session, 1),
 		waiters:  make(map[string]chan *wire.OrderDone),
-		closers:  make(map[string][]chan []Used),
+		closers:  make(map[closing][]chan []Used),
 	}
 	for _, op := range opts {
 		op(cl)
@@ -259,7 +259,7 @@
 		case *wire.Frame_OrderDone:
 			cl.orderDone(bo.OrderDone)
 		case *wire.Frame_ClosedIncarnation:
-			cl.closedIncarnation(bo.ClosedIncarnation)
+			cl.closedIncarnation(se, bo.ClosedIncarnation)
 		}
 	}
 }
--- a/internal/app/budget/ledger.go
+++ b/internal/app/budget/ledger.go
@@ -21,6 +21,7 @@
 	TopUp       store.Codec[escrow.TopUpRow]
 	Incarnation store.Codec[escrow.IncarnationRow]
 	Closure     store.Codec[escrow.ClosureRow]
+	Witness     store.Codec[escrow.WitnessRow]
 }
 
 // Ledger reads and writes the rows of all budgets in the table.
@@ -65,9 +66,13 @@
 func incarnationKey(inc ident.Incarnation) string { return "incarnation/" + string(inc) }
 
 func closureKey(inc, side ident.Incarnation) string {
-	return "closure/" + string(inc) + "/" + string(side)
+	return closurePrefix(inc) + string(side)
 }
 
+func witnessPrefix(inc ident.Incarnation) string { return "witness/" + string(inc) + "/" }
+
+func closurePrefix(inc ident.Incarnation) string { return "closure/" + string(inc) + "/" }
+
 // row is a decoded row with its version. A version of store.Absent means that
 // the row does not exist.
 type row[T any] struct {
--- /dev/null
+++ b/internal/app/recov/option.go
@@ -0,0 +1,55 @@
+package recov
+
+import (
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/port/clock"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+type options struct {
+	clock clock.Clock
+	meter meter.Meter
+	every time.Duration
+	probe time.Duration
+	ask   time.Duration
+}
+
+// Option configures a Recoverer.
+type Option func(*options)
+
+func newOptions(opts []Option) options {
+	op := options{
+		clock: clock.System{}, meter: meter.Nop{},
+		every: 5 * time.Second, probe: 2 * time.Second, ask: 10 * time.Second,
+	}
+	for _, apply := range opts {
+		apply(&op)
+	}
+	return op
+}
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(ck clock.Clock) Option { return func(op *options) { op.clock = ck } }
+
+// WithMeter sets the meter. By default nothing is recorded.
+func WithMeter(me meter.Meter) Option { return func(op *options) { op.meter = me } }
+
+// WithEvery sets the mean time between two passes. The default is 5 s, which 0
+// keeps, and the range is 10 ms to 10 min. It decides how soon escrow is
+// recovered, never whether.
+func WithEvery(d time.Duration) Option {
+	return func(op *options) {
+		if d > 0 {
+			op.every = min(max(d, 10*time.Millisecond), 10*time.Minute)
+		}
+	}
+}
+
+// WithProbeTime sets how long a process may take to answer. The default is 2 s,
+// and the range is above 0.
+func WithProbeTime(d time.Duration) Option { return func(op *options) { op.probe = d } }
+
+// WithAskTime sets how long a sidecar may take to close an incarnation in one
+// pass. The default is 10 s, and the range is above 0.
+func WithAskTime(d time.Duration) Option { return func(op *options) { op.ask = d } }
--- a/internal/app/relay/admit.go
+++ b/internal/app/relay/admit.go
@@ -59,8 +59,12 @@
 }
 
 // start admits the attempt and runs it. It returns neither a run nor a refusal
-// when a concurrent dispatch became known first.
-func (sv *Service) start(di peer.Dispatch) (*run, *refuse.Refusal) {
+// when a concurrent dispatch became known first. Only work that is not known
+// yet is checked with the registry, so a refusal of it is notRun.
+func (sv *Service) start(ctx context.Context, di peer.Dispatch) (*run, *refuse.Refusal) {
+	if rf := sv.vouch(ctx, di.Router); rf != nil {
+		return nil, rf
+	}
 	if rf := sv.admit(di); rf != nil {
 		return nil, rf
 	}
--- a/internal/app/relay/gate.go
+++ b/internal/app/relay/gate.go
@@ -8,6 +8,8 @@
 	// state is the number of entries, plus shut once the gate is closed.
 	state atomic.Int64
 	empty chan struct{}
+	// vouched is set once the registry has said that the incarnation is open.
+	vouched atomic.Bool
 }
 
 const shut int64 = 1 << 62
--- a/internal/app/relay/option.go
+++ b/internal/app/relay/option.go
@@ -27,6 +27,7 @@
 	askAt       func(ident.Account, ident.Key) string
 	revision    func() ident.Revision
 	closed      []ident.Incarnation
+	registry    Registry
 }
 
 func defaults() settings {
@@ -105,3 +106,7 @@
 func WithClosed(closed ...ident.Incarnation) Option {
 	return func(se *settings) { se.closed = append(se.closed, closed...) }
 }
+
+// WithRegistry sets where a router incarnation is looked up before its first
+// work. Default: none, and every incarnation that was not closed here may run.
+func WithRegistry(rg Registry) Option { return func(se *settings) { se.registry = rg } }
--- a/internal/app/relay/service.go
+++ b/internal/app/relay/service.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
@@ -23,6 +25,7 @@
 	self     ident.Incarnation
 	engine   engine.Upstream
 	books    books
+	lookups  singleflight.Group
 	// leaving counts work that must be delivered before the process may end;
 	// life counts the goroutines of runs.
 	leaving  *gate
@@ -83,7 +86,7 @@
 func (sv *Service) Open(ctx context.Context, di peer.Dispatch) (peer.Stream, error) {
 	rn, rf := sv.find(ctx, di)
 	for rf == nil && rn == nil {
-		if rn, rf = sv.start(di); rf == nil && rn == nil {
+		if rn, rf = sv.start(ctx, di); rf == nil && rn == nil {
 			rn, rf = sv.find(ctx, di)
 		}
 	}
--- a/internal/bench/deploy/deploy.go
+++ b/internal/bench/deploy/deploy.go
@@ -17,6 +17,7 @@
 	"github.com/balsamwood/balsamwood/internal/bench/procs"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/cloud"
 )
 
 // startTime bounds the start of one process.
@@ -47,8 +48,11 @@
 	dir string
 	log io.Writer
 
+	recovery time.Duration
+
 	mu    sync.Mutex
 	nodes []*Node
+	vms   []cloud.VM
 }
 
 // Option configures a Deployment.
@@ -57,6 +61,10 @@
 // WithLog copies the output of all processes. The default discards it.
 func WithLog(wr io.Writer) Option { return func(de *Deployment) { de.log = wr } }
 
+// WithRecovery sets the mean time between two looks for dead routers. The
+// default is that of the settings.
+func WithRecovery(every time.Duration) Option { return func(de *Deployment) { de.recovery = every } }
+
 // New starts the platform's stand-in. bin holds the programs; settings are
 // written below dir.
 func New(bin, dir string, opts ...Option) (*Deployment, error) {
@@ -117,7 +125,7 @@
 		return nil, up, err
 	}
 	up.Sidecar = no.Addr
-	return no, up, nil
+	return no, up, de.list(cloud.VM{ID: string(up.VM), Address: no.Addr, Domain: string(up.Domain), Role: role(up.Kind)})
 }
 
 // Router starts a router.
@@ -137,7 +145,14 @@
 	for _, ak := range keys {
 		set += fmt.Sprintf("  - {operator: %s, role: %s, keyHash: %s}\n", ak.Operator, ak.Role, config.HashAPIKey(ak.Key))
 	}
-	return de.program("router-"+string(vm), "router", set, routerStarted)
+	if de.recovery > 0 {
+		set += fmt.Sprintf("recovery: %s\n", de.recovery)
+	}
+	no, err := de.program("router-"+string(vm), "router", set, routerStarted)
+	if err != nil {
+		return nil, err
+	}
+	return no, de.list(cloud.VM{ID: string(vm), Address: no.Addr, Domain: string(domain), Role: "router"})
 }
 
 // AdminKey lets an operator use the administration API.
--- a/internal/core/escrow/evidence.go
+++ b/internal/core/escrow/evidence.go
@@ -58,6 +58,13 @@
 	return sum
 }
 
+// WitnessRow is the evidence that a sidecar may have run work of an
+// incarnation. The sidecar writes it before the first work, on the condition
+// that the incarnation is open, so that no witness joins after the closure.
+type WitnessRow struct {
+	VM ident.VM `json:"vm"`
+}
+
 // Evidence names the sidecars whose closure rows are needed to recover an
 // incarnation. A sidecar is identified by its own incarnation, because a
 // restarted sidecar no longer knows the usage from before. Evidence without
@@ -65,6 +72,14 @@
 type Evidence struct {
 	needed []ident.Incarnation
 	gone   []ident.Incarnation
+	whole  bool
+}
+
+// WithWhole returns a copy in which the named sidecars are proved to be all
+// that can have had work of the incarnation, even if none is named.
+func (ev Evidence) WithWhole() Evidence {
+	ev.whole = true
+	return ev
 }
 
 // WithSidecar returns a copy that needs the sidecar's closure row.
@@ -83,8 +98,8 @@
 	return ev
 }
 
-// Empty reports whether no sidecar is named.
-func (ev Evidence) Empty() bool { return len(ev.needed) == 0 }
+// Empty reports whether the evidence proves nothing.
+func (ev Evidence) Empty() bool { return len(ev.needed) == 0 && !ev.whole }
 
 // Needed returns the sidecars whose closure rows are needed.
 func (ev Evidence) Needed() []ident.Incarnation {
--- a/internal/core/member/state.go
+++ b/internal/core/member/state.go
@@ -86,6 +86,9 @@
 // Address returns the address on the platform's list, or empty.
 func (vm VM) Address() string { return vm.address }
 
+// Absent returns the number of consecutive lists without the VM.
+func (vm VM) Absent() int { return vm.absent }
+
 // Incarnation returns the incarnation that last stated itself, or empty.
 func (vm VM) Incarnation() ident.Incarnation { return vm.said.Incarnation }
 
--- /dev/null
+++ b/internal/role/router/recover.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/certs"
+	"github.com/balsamwood/balsamwood/internal/adapt/client"
+	"github.com/balsamwood/balsamwood/internal/adapt/link"
+	"github.com/balsamwood/balsamwood/internal/app/fleet"
+	"github.com/balsamwood/balsamwood/internal/app/recov"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// sidecars are the sidecars behind the open links.
+type sidecars struct{ fl *fleet.Fleet }
+
+// Connected returns the sidecars that are connected now.
+func (si sidecars) Connected() []recov.Sidecar {
+	var all []recov.Sidecar
+	for _, ln := range si.fl.Links() {
+		cl, ok := ln.(*link.Client)
+		if !ok {
+			continue
+		}
+		if vm, in, ok := cl.Peer(); ok {
+			all = append(all, sidecar{cl: cl, vm: vm, in: in})
+		}
+	}
+	return all
+}
+
+// sidecar is one start of a sidecar.
+type sidecar struct {
+	cl *link.Client
+	vm ident.VM
+	in ident.Incarnation
+}
+
+// Incarnation identifies the start of the sidecar.
+func (si sidecar) Incarnation() ident.Incarnation { return si.in }
+
+// VM is where the sidecar runs.
+func (si sidecar) VM() ident.VM { return si.vm }
+
+// Close closes the router incarnation at this start of the sidecar.
+func (si sidecar) Close(ctx context.Context, router ident.Incarnation) (escrow.ClosureRow, error) {
+	used, err := si.cl.CloseAt(ctx, si.in, router)
+	if err != nil {
+		return escrow.ClosureRow{}, err
+	}
+	var cr escrow.ClosureRow
+	for _, us := range used {
+		cr.Used = append(cr.Used, escrow.Use{Account: us.Budget.Account, Budget: us.Budget.Budget, Tokens: us.Tokens})
+	}
+	return cr, nil
+}
+
+// prober asks for the health page of another router.
+type prober struct {
+	hc     *http.Client
+	scheme string
+}
+
+func newProber(fl *certs.Fleet) prober {
+	if fl == nil {
+		return prober{hc: client.New(client.WithFresh()), scheme: "http"}
+	}
+	return prober{hc: client.New(client.WithFresh()), scheme: "https"}
+}
+
+// Answers reports whether a process answers at the address. A certificate that
+// this router does not trust is an answer too.
+func (pr prober) Answers(ctx context.Context, address string) bool {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, pr.scheme+"://"+address+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	rs, err := pr.hc.Do(rq)
+	if err == nil {
+		_ = rs.Body.Close()
+		return true
+	}
+	var ce *tls.CertificateVerificationError
+	return errors.As(err, &ce)
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -14,11 +14,13 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
+	"github.com/balsamwood/balsamwood/internal/adapt/httpsd"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/fleet"
 	"github.com/balsamwood/balsamwood/internal/app/front"
 	"github.com/balsamwood/balsamwood/internal/app/gate"
+	"github.com/balsamwood/balsamwood/internal/app/recov"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
@@ -62,6 +64,7 @@
 	front    *front.Service
 	claims   relay.Claims
 	certs    *certs.Fleet
+	recov    *recov.Recoverer
 
 	caller *serve.Server
 	admin  *serve.Server
@@ -119,6 +122,8 @@
 		return errs.Internal.Wrap(err, "compose")
 	}
 	ro.fleet = fl
+	ro.recov = recov.New(ro.in, ro.ledger, httpsd.New(ro.set.Platform.VMs), sidecars{fl}, newProber(ro.certs),
+		recov.WithMeter(ro.met), recov.WithEvery(ro.set.Recovery))
 	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
 	ro.front = front.New(ro.in, purse{ro.holder}, fl,
 		front.WithGate(ro.gate), front.WithKeys(keys{ro.claims}), front.WithMeter(ro.met),
@@ -144,6 +149,7 @@
 	workers.Go(func() { ro.watcher.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
+	workers.Go(func() { ro.recov.Run(own) })
 	<-failed.Done()
 	ro.leave()
 	stop()
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -19,6 +19,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/openai"
 	"github.com/balsamwood/balsamwood/internal/adapt/plain"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/config"
@@ -54,7 +55,8 @@
 	doc   *snap.Cell[document]
 	ready *snap.Cell[error]
 
-	fences fences
+	fences   fences
+	registry registry
 }
 
 // New composes a sidecar and listens. ops makes the server for operators.
@@ -66,9 +68,11 @@
 		ready: snap.NewCell[error](nil),
 	}
 	in := ident.NewIncarnation()
+	si.registry = registry{ledger: budget.NewLedger(dynamo.New(set.Platform.Table), codec.Ledger()), self: in, vm: set.VM}
 	up := config.Upstream{ID: set.Upstream, VM: set.VM, Kind: set.Kind, Domain: set.Domain}
 	si.sv = relay.NewService(up, in, si.up,
 		relay.WithTable(dynamo.New(set.Platform.Table), codec.JSON[claim.Record]{}),
+		relay.WithRegistry(si.registry),
 		relay.WithMeter(me),
 		relay.WithMaxRunning(set.Limits.MaxRunning),
 		relay.WithOutputBuffer(set.Limits.ReplayBytes, set.Limits.ReplayBytes),
@@ -140,6 +144,7 @@
 	si.leave()
 	stop()
 	si.sv.Close()
+	si.testify()
 	_ = si.ops.Close()
 	wg.Wait()
 	si.met.Log(evStopped)
