admin: use cases and HTTP API for operators

Cause: the administration address answered 404, so accounts, keys, budgets and upstreams could only be changed by code. Ruled out: applying a change again to a newer revision after a lost race, because the operator has not seen that revision. Change: internal/app/admin holds the use cases, internal/adapt/admin the handlers, roles and problem details. The ledger lists holdings and lets an operator declare an incarnation dead. Routers write a row node/<vm> when the revision in force at them or at their sidecars changes.

--- /dev/null
+++ b/internal/adapt/admin/accounts.go
@@ -0,0 +1,176 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/balsamwood/balsamwood/internal/app/admin"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// List is the answer that lists items.
+type List[T any] struct {
+	Revision ident.Revision `json:"revision,omitempty"`
+	Items    []T            `json:"items"`
+}
+
+// NewAccount is the body that adds a client account.
+type NewAccount struct {
+	ID ident.Account `json:"id"`
+	admin.Limits
+}
+
+// NewBudget is the body that adds a budget.
+type NewBudget struct {
+	Budget ident.Budget `json:"budget"`
+}
+
+// TopUp is the body of a top-up.
+type TopUp struct {
+	Amount ident.Tokens `json:"amount"`
+}
+
+// ToppedUp is the answer to a top-up.
+type ToppedUp struct {
+	Op      ident.Op `json:"op"`
+	Balance Balance  `json:"balance"`
+}
+
+// Balance is the state of a budget: prepaid = settled + held + free.
+type Balance struct {
+	Account ident.Account `json:"account"`
+	Budget  ident.Budget  `json:"budget"`
+	Prepaid ident.Tokens  `json:"prepaid"`
+	Settled ident.Tokens  `json:"settled"`
+	Held    ident.Tokens  `json:"held"`
+	Free    ident.Tokens  `json:"free"`
+	Holders []Holder      `json:"holders,omitempty"`
+}
+
+// Holder is the part of a budget that one incarnation holds or held.
+type Holder struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+	State       escrow.State      `json:"state"`
+	Drawn       ident.Tokens      `json:"drawn"`
+	Settled     ident.Tokens      `json:"settled"`
+	Returned    ident.Tokens      `json:"returned"`
+	Held        ident.Tokens      `json:"held"`
+}
+
+func newBalance(ba budget.Balance) Balance {
+	out := Balance{
+		Account: ba.Ref.Account, Budget: ba.Ref.Budget,
+		Prepaid: ba.Prepaid, Settled: ba.Settled, Held: ba.Held, Free: ba.Free,
+	}
+	for _, hb := range ba.Holders {
+		gr := hb.Grant
+		out.Holders = append(out.Holders, Holder{
+			Incarnation: hb.Incarnation, State: hb.State,
+			Drawn: gr.Drawn, Settled: gr.Settled, Returned: gr.Returned, Held: gr.Outstanding(),
+		})
+	}
+	return out
+}
+
+func accountOf(ec echo.Context) ident.Account { return ident.Account(ec.Param("account")) }
+
+func refOf(ec echo.Context) ident.BudgetRef {
+	return ident.BudgetRef{Account: accountOf(ec), Budget: ident.Budget(ec.Param("budget"))}
+}
+
+func (sv *Server) accounts(ec echo.Context) error {
+	sn, err := sv.use.Current(ec.Request().Context())
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, List[config.Account]{sn.Revision(), sn.Accounts()})
+}
+
+func (sv *Server) addAccount(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusCreated, func(te admin.Terms, na NewAccount) (admin.Changed, error) {
+		return sv.use.AddAccount(ec.Request().Context(), te, na.ID, na.Limits)
+	})
+}
+
+func (sv *Server) setAccount(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusOK, func(te admin.Terms, li admin.Limits) (admin.Changed, error) {
+		return sv.use.SetAccount(ec.Request().Context(), te, accountOf(ec), li)
+	})
+}
+
+func (sv *Server) removeAccount(ec echo.Context) error {
+	return change(ec, http.StatusOK, func(te admin.Terms) (admin.Changed, error) {
+		return sv.use.RemoveAccount(ec.Request().Context(), te, accountOf(ec))
+	})
+}
+
+func (sv *Server) addKey(ec echo.Context) error {
+	return change(ec, http.StatusCreated, func(te admin.Terms) (admin.NewKey, error) {
+		return sv.use.AddKey(ec.Request().Context(), te, accountOf(ec))
+	})
+}
+
+func (sv *Server) rotateKey(ec echo.Context) error {
+	return change(ec, http.StatusCreated, func(te admin.Terms) (admin.NewKey, error) {
+		return sv.use.RotateKey(ec.Request().Context(), te, accountOf(ec), ec.Param("hash"))
+	})
+}
+
+func (sv *Server) revokeKey(ec echo.Context) error {
+	return change(ec, http.StatusOK, func(te admin.Terms) (admin.Changed, error) {
+		return sv.use.RevokeKey(ec.Request().Context(), te, accountOf(ec), ec.Param("hash"))
+	})
+}
+
+func (sv *Server) balances(ec echo.Context) error {
+	all, err := sv.use.Balances(ec.Request().Context(), accountOf(ec))
+	if err != nil {
+		return err
+	}
+	out := List[Balance]{Items: make([]Balance, 0, len(all))}
+	for _, ba := range all {
+		out.Items = append(out.Items, newBalance(ba))
+	}
+	return ec.JSON(http.StatusOK, out)
+}
+
+func (sv *Server) balance(ec echo.Context) error {
+	ba, err := sv.use.Balance(ec.Request().Context(), refOf(ec))
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, newBalance(ba))
+}
+
+func (sv *Server) addBudget(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusCreated, func(te admin.Terms, nb NewBudget) (admin.Changed, error) {
+		return sv.use.AddBudget(ec.Request().Context(), te, ident.BudgetRef{Account: accountOf(ec), Budget: nb.Budget})
+	})
+}
+
+func (sv *Server) removeBudget(ec echo.Context) error {
+	return change(ec, http.StatusOK, func(te admin.Terms) (admin.Changed, error) {
+		return sv.use.RemoveBudget(ec.Request().Context(), te, refOf(ec))
+	})
+}
+
+func (sv *Server) topUp(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusCreated, func(te admin.Terms, tu TopUp) (ToppedUp, error) {
+		if te.DryRun || te.Base != nil {
+			return ToppedUp{}, badRequest("a top-up has neither base nor dryRun")
+		}
+		op, err := sv.use.TopUp(ec.Request().Context(), te, refOf(ec), tu.Amount)
+		if err != nil {
+			return ToppedUp{}, &opError{op, err}
+		}
+		ba, err := sv.use.Balance(ec.Request().Context(), refOf(ec))
+		if err != nil {
+			return ToppedUp{}, &opError{op, err}
+		}
+		return ToppedUp{Op: op, Balance: newBalance(ba)}, nil
+	})
+}
--- /dev/null
+++ b/internal/adapt/admin/problem.go
@@ -0,0 +1,148 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/balsamwood/balsamwood/internal/app/admin"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// problemType is the media type of RFC 9457.
+const problemType = "application/problem+json"
+
+// problem is an error as problem details. Outcome says whether the change was
+// made: notRun, or unknown when the table's answer was lost.
+type problem struct {
+	Type     string           `json:"type"`
+	Title    string           `json:"title"`
+	Status   int              `json:"status"`
+	Detail   string           `json:"detail,omitempty"`
+	Outcome  refuse.Outcome   `json:"outcome"`
+	Reason   string           `json:"reason"`
+	Revision *ident.Revision  `json:"revision,omitempty"`
+	Author   ident.Operator   `json:"author,omitempty"`
+	Op       ident.Op         `json:"op,omitempty"`
+	Findings []config.Finding `json:"findings,omitempty"`
+}
+
+// Error returns the reason and the detail.
+func (pr *problem) Error() string { return pr.Reason + ": " + pr.Detail }
+
+func badRequest(format string, args ...any) *problem {
+	return &problem{Status: http.StatusBadRequest, Reason: "badRequest", Detail: fmt.Sprintf(format, args...)}
+}
+
+// opError adds the op to an error, so that the operator can repeat the change.
+type opError struct {
+	op  ident.Op
+	err error
+}
+
+// Error returns the text of the error.
+func (oe *opError) Error() string { return oe.err.Error() }
+
+// Unwrap returns the error.
+func (oe *opError) Unwrap() error { return oe.err }
+
+// kinds maps errors to statuses and reasons. The first match counts.
+var kinds = []struct {
+	err    error
+	status int
+	reason string
+}{
+	{admin.ErrNotFound, http.StatusNotFound, "notFound"},
+	{budget.ErrUnknownBudget, http.StatusNotFound, "notFound"},
+	{budget.ErrUnknownIncarnation, http.StatusNotFound, "notFound"},
+	{budget.ErrUnknownGrant, http.StatusNotFound, "notFound"},
+	{admin.ErrExists, http.StatusConflict, "exists"},
+	{admin.ErrNotEmpty, http.StatusConflict, "notEmpty"},
+	{admin.ErrInUse, http.StatusConflict, "inUse"},
+	{admin.ErrWrongVM, http.StatusConflict, "wrongVM"},
+	{admin.ErrAmbiguous, http.StatusConflict, "ambiguous"},
+	{budget.ErrStillOpen, http.StatusConflict, "stillOpen"},
+	{budget.ErrOpReused, http.StatusConflict, "opReused"},
+	{escrow.ErrAmount, http.StatusUnprocessableEntity, "amount"},
+	{escrow.ErrExcess, http.StatusUnprocessableEntity, "amount"},
+	{store.ErrUncertain, http.StatusServiceUnavailable, "storeUncertain"},
+	{store.ErrThrottled, http.StatusServiceUnavailable, "storeThrottled"},
+	{store.ErrConflict, http.StatusServiceUnavailable, "storeContended"},
+	{store.ErrUnavailable, http.StatusServiceUnavailable, "storeUnavailable"},
+}
+
+// problemOf returns the problem details of an error. An unexpected error
+// leaves the outcome unknown.
+func problemOf(err error) *problem {
+	pr := describe(err)
+	var oe *opError
+	if errors.As(err, &oe) {
+		pr.Op = oe.op
+	}
+	pr.Type, pr.Title = "about:blank", http.StatusText(pr.Status)
+	if pr.Outcome == "" {
+		pr.Outcome = refuse.NotRun
+	}
+	if pr.Detail == "" {
+		pr.Detail = err.Error()
+	}
+	return pr
+}
+
+func describe(err error) *problem {
+	var pr *problem
+	var conflict *rollout.Conflict
+	var invalid *rollout.Invalid
+	var unsettled *rollout.Unsettled
+	var behind *rollout.Behind
+	var he *echo.HTTPError
+	switch {
+	case errors.As(err, &pr):
+		cp := *pr
+		return &cp
+	case errors.As(err, &conflict):
+		return &problem{Status: http.StatusConflict, Reason: "conflict", Revision: &conflict.Revision, Author: conflict.Author}
+	case errors.As(err, &invalid):
+		return &problem{Status: http.StatusUnprocessableEntity, Reason: "invalid", Findings: invalid.Findings}
+	case errors.As(err, &unsettled):
+		return &problem{Status: http.StatusServiceUnavailable, Reason: "storeUncertain", Outcome: refuse.Unknown,
+			Revision: &unsettled.Revision, Op: unsettled.Op}
+	case errors.As(err, &behind):
+		return &problem{Status: http.StatusServiceUnavailable, Reason: "tableBehind", Revision: &behind.InForce}
+	case errors.As(err, &he):
+		return &problem{Status: he.Code, Reason: "badRequest", Detail: fmt.Sprint(he.Message)}
+	}
+	for _, ki := range kinds {
+		if errors.Is(err, ki.err) {
+			out := &problem{Status: ki.status, Reason: ki.reason}
+			if ki.status == http.StatusServiceUnavailable {
+				// An earlier try of the same call may have had no answer.
+				out.Outcome = refuse.Unknown
+			}
+			return out
+		}
+	}
+	return &problem{Status: http.StatusInternalServerError, Reason: "internal", Outcome: refuse.Unknown}
+}
+
+// handleError answers every error with problem details.
+func handleError(err error, ec echo.Context) {
+	if ec.Response().Committed {
+		return
+	}
+	pr := problemOf(err)
+	if ec.Request().Method == http.MethodGet {
+		pr.Outcome = refuse.NotRun
+	}
+	ec.Response().Header().Set(echo.HeaderContentType, problemType)
+	ec.Response().WriteHeader(pr.Status)
+	_ = ec.Echo().JSONSerializer.Serialize(ec, pr, "")
+}
--- /dev/null
+++ b/internal/adapt/admin/upstreams.go
@@ -0,0 +1,71 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/balsamwood/balsamwood/internal/app/admin"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Fencing is the body that changes an upstream.
+type Fencing struct {
+	ChecksFencing *bool `json:"checksFencing"`
+}
+
+// Routes is the body that adds or replaces a service.
+type Routes struct {
+	Routes []config.Route `json:"routes"`
+}
+
+func (sv *Server) upstreams(ec echo.Context) error {
+	sn, err := sv.use.Current(ec.Request().Context())
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, List[config.Upstream]{sn.Revision(), sn.Upstreams()})
+}
+
+func (sv *Server) addUpstream(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusCreated, func(te admin.Terms, up config.Upstream) (admin.Changed, error) {
+		return sv.use.AddUpstream(ec.Request().Context(), te, up)
+	})
+}
+
+func (sv *Server) setUpstream(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusOK, func(te admin.Terms, fe Fencing) (admin.Changed, error) {
+		if fe.ChecksFencing == nil {
+			return admin.Changed{}, badRequest("checksFencing is missing")
+		}
+		return sv.use.SetFencing(ec.Request().Context(), te, ident.Upstream(ec.Param("upstream")), *fe.ChecksFencing)
+	})
+}
+
+func (sv *Server) removeUpstream(ec echo.Context) error {
+	return change(ec, http.StatusOK, func(te admin.Terms) (admin.Changed, error) {
+		return sv.use.RemoveUpstream(ec.Request().Context(), te, ident.Upstream(ec.Param("upstream")))
+	})
+}
+
+func (sv *Server) services(ec echo.Context) error {
+	sn, err := sv.use.Current(ec.Request().Context())
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, List[config.Service]{sn.Revision(), sn.Services()})
+}
+
+func (sv *Server) putService(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusOK, func(te admin.Terms, ro Routes) (admin.Changed, error) {
+		return sv.use.PutService(ec.Request().Context(), te,
+			config.Service{ID: ident.Service(ec.Param("service")), Routes: ro.Routes})
+	})
+}
+
+func (sv *Server) removeService(ec echo.Context) error {
+	return change(ec, http.StatusOK, func(te admin.Terms) (admin.Changed, error) {
+		return sv.use.RemoveService(ec.Request().Context(), te, ident.Service(ec.Param("service")))
+	})
+}
--- a/internal/adapt/codec/config.go
+++ b/internal/adapt/codec/config.go
@@ -10,7 +10,8 @@
 // Config encodes a configuration as a JSON document.
 type Config struct{}
 
-type document struct {
+// Document is the form of a configuration in JSON.
+type Document struct {
 	Revision  ident.Revision    `json:"revision"`
 	Author    ident.Operator    `json:"author"`
 	Accounts  []config.Account  `json:"accounts"`
@@ -20,7 +21,7 @@
 
 // Encode returns the document. Equal configurations have equal documents.
 func (Config) Encode(sn config.Snapshot) ([]byte, error) {
-	return json.Marshal(document{
+	return json.Marshal(Document{
 		Revision:  sn.Revision(),
 		Author:    sn.Author(),
 		Accounts:  sn.Accounts(),
@@ -31,7 +32,7 @@
 
 // Decode parses a document.
 func (Config) Decode(data []byte) (config.Snapshot, error) {
-	var doc document
+	var doc Document
 	if err := json.Unmarshal(data, &doc); err != nil {
 		return config.Snapshot{}, err
 	}
--- /dev/null
+++ b/internal/app/admin/budget.go
@@ -0,0 +1,114 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// AddBudget creates a budget without tokens. The ledger's row is written
+// first, so that an accepted configuration names no budget without a row. A
+// budget that was removed is added again with the balance it had.
+func (se *Service) AddBudget(ctx context.Context, te Terms, rf ident.BudgetRef) (Changed, error) {
+	ed := func(ac config.Account) (config.Account, error) {
+		if ac.Owns(rf.Budget) {
+			return ac, fmt.Errorf("%w: budget %s", ErrExists, rf)
+		}
+		return ac.WithBudget(rf.Budget), nil
+	}
+	te = te.withOp()
+	dry := te
+	dry.DryRun = true
+	ch, err := se.editAccount(ctx, dry, rf.Account, ed)
+	var moved *rollout.Conflict
+	switch {
+	case te.DryRun:
+		return ch, err
+	case errors.Is(err, ErrExists), errors.As(err, &moved):
+		// The op may be one whose answer was lost.
+		return se.editAccount(ctx, te, rf.Account, ed)
+	case err != nil:
+		return ch, err
+	}
+	if err := se.ledger.Create(ctx, rf); err != nil {
+		return Changed{}, err
+	}
+	return se.editAccount(ctx, te, rf.Account, ed)
+}
+
+// RemoveBudget removes a budget that has neither free nor held tokens. The
+// ledger's row stays as the record of what was spent.
+func (se *Service) RemoveBudget(ctx context.Context, te Terms, rf ident.BudgetRef) (Changed, error) {
+	return se.editAccount(ctx, te, rf.Account, func(ac config.Account) (config.Account, error) {
+		if !ac.Owns(rf.Budget) {
+			return ac, fmt.Errorf("%w: budget %s", ErrNotFound, rf)
+		}
+		ba, err := se.ledger.Balance(ctx, rf)
+		switch {
+		case errors.Is(err, budget.ErrUnknownBudget):
+		case err != nil:
+			return ac, err
+		case ba.Free != 0 || ba.Held != 0:
+			return ac, fmt.Errorf("%w: %s has %d free and %d held", ErrNotEmpty, rf, ba.Free, ba.Held)
+		}
+		return ac.WithoutBudget(rf.Budget), nil
+	})
+}
+
+// Balance returns the balance of a budget with its holders. It also answers
+// for a budget that was removed.
+func (se *Service) Balance(ctx context.Context, rf ident.BudgetRef) (budget.Balance, error) {
+	return se.ledger.Balance(ctx, rf)
+}
+
+// Balances returns the balances of all budgets of an account.
+func (se *Service) Balances(ctx context.Context, id ident.Account) ([]budget.Balance, error) {
+	sn, err := se.acceptor.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ac, err := account(sn, id)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]budget.Balance, 0, len(ac.Budgets))
+	for _, bu := range ac.Budgets {
+		rf := ident.BudgetRef{Account: id, Budget: bu}
+		ba, err := se.ledger.Balance(ctx, rf)
+		if err != nil && !errors.Is(err, budget.ErrUnknownBudget) {
+			return nil, err
+		}
+		ba.Ref = rf
+		out = append(out, ba)
+	}
+	return out, nil
+}
+
+// TopUp adds tokens to a budget once per op and returns the op. After an error
+// of the table it is to be repeated with the same op and amount.
+func (se *Service) TopUp(ctx context.Context, te Terms, rf ident.BudgetRef, amount ident.Tokens) (ident.Op, error) {
+	te = te.withOp()
+	sn, err := se.acceptor.Current(ctx)
+	if err != nil {
+		return te.Op, err
+	}
+	ac, err := account(sn, rf.Account)
+	if err != nil {
+		return te.Op, err
+	}
+	if !ac.Owns(rf.Budget) {
+		return te.Op, fmt.Errorf("%w: budget %s", ErrNotFound, rf)
+	}
+	if err := se.ledger.TopUp(ctx, rf, amount, te.Op, te.By); err != nil {
+		return te.Op, err
+	}
+	se.met.Log(evToppedUp, slog.String("budget", rf.String()), slog.Int64("tokens", int64(amount)),
+		slog.String("op", string(te.Op)), slog.String("operator", string(te.By)))
+	return te.Op, nil
+}
--- /dev/null
+++ b/internal/app/admin/held.go
@@ -0,0 +1,55 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/core/claim"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Held lists what each incarnation holds.
+func (se *Service) Held(ctx context.Context) ([]budget.Holding, error) {
+	return se.ledger.Holdings(ctx)
+}
+
+// Declare declares an incarnation dead, so that its escrow can be resolved. The
+// operator names the VM as a confirmation that its process is gone: a router
+// that still runs would go on spending what is then freed.
+func (se *Service) Declare(ctx context.Context, te Terms, inc ident.Incarnation, vm ident.VM) error {
+	ir, err := se.ledger.Incarnation(ctx, inc)
+	if err != nil {
+		return err
+	}
+	if ir.VM != vm {
+		return fmt.Errorf("%w: %s", ErrWrongVM, ir.VM)
+	}
+	if err := se.ledger.Declare(ctx, inc); err != nil {
+		return err
+	}
+	se.met.Log(evClosing, slog.String("incarnation", string(inc)), slog.String("vm", string(vm)),
+		slog.String("operator", string(te.By)))
+	return nil
+}
+
+// Resolve settles the escrow of one budget at a dead incarnation with the total
+// that its requests used, and frees the rest.
+func (se *Service) Resolve(ctx context.Context, te Terms, inc ident.Incarnation, rf ident.BudgetRef, used ident.Tokens) error {
+	if err := se.ledger.Resolve(ctx, rf, inc, used, te.By); err != nil {
+		return err
+	}
+	se.met.Log(evResolved, slog.String("incarnation", string(inc)), slog.String("budget", rf.String()),
+		slog.Int64("used", int64(used)), slog.String("operator", string(te.By)))
+	return nil
+}
+
+// Outcome returns the record of an account's idempotency key.
+func (se *Service) Outcome(ctx context.Context, id ident.Account, key ident.Key) (claim.Record, error) {
+	rc, ok, err := se.claims.Ask(ctx, id, key)
+	if err == nil && !ok {
+		err = fmt.Errorf("%w: key %s of account %s", ErrNotFound, key, id)
+	}
+	return rc, err
+}
--- /dev/null
+++ b/internal/app/admin/upstream.go
@@ -0,0 +1,62 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// AddUpstream adds an upstream.
+func (se *Service) AddUpstream(ctx context.Context, te Terms, up config.Upstream) (Changed, error) {
+	return se.change(ctx, te, func(sn config.Snapshot) (config.Snapshot, error) {
+		if _, ok := sn.Upstream(up.ID); ok {
+			return sn, fmt.Errorf("%w: upstream %s", ErrExists, up.ID)
+		}
+		return sn.WithUpstream(up), nil
+	})
+}
+
+// SetFencing says whether an upstream itself refuses superseded orders.
+func (se *Service) SetFencing(ctx context.Context, te Terms, id ident.Upstream, checks bool) (Changed, error) {
+	return se.change(ctx, te, func(sn config.Snapshot) (config.Snapshot, error) {
+		up, ok := sn.Upstream(id)
+		if !ok {
+			return sn, fmt.Errorf("%w: upstream %s", ErrNotFound, id)
+		}
+		up.ChecksFencing = checks
+		return sn.WithUpstream(up), nil
+	})
+}
+
+// RemoveUpstream removes an upstream. It gets no new work; its requests in
+// flight finish.
+func (se *Service) RemoveUpstream(ctx context.Context, te Terms, id ident.Upstream) (Changed, error) {
+	return se.change(ctx, te, func(sn config.Snapshot) (config.Snapshot, error) {
+		if _, ok := sn.Upstream(id); !ok {
+			return sn, fmt.Errorf("%w: upstream %s", ErrNotFound, id)
+		}
+		return sn.WithoutUpstream(id), nil
+	})
+}
+
+// PutService adds a plain service or replaces its routes.
+func (se *Service) PutService(ctx context.Context, te Terms, sv config.Service) (Changed, error) {
+	return se.change(ctx, te, func(sn config.Snapshot) (config.Snapshot, error) { return sn.WithService(sv), nil })
+}
+
+// RemoveService removes a plain service that no upstream offers.
+func (se *Service) RemoveService(ctx context.Context, te Terms, id ident.Service) (Changed, error) {
+	return se.change(ctx, te, func(sn config.Snapshot) (config.Snapshot, error) {
+		if _, ok := sn.Service(id); !ok {
+			return sn, fmt.Errorf("%w: service %s", ErrNotFound, id)
+		}
+		for _, up := range sn.Upstreams() {
+			if up.Service == id {
+				return sn, fmt.Errorf("%w: upstream %s offers service %s", ErrInUse, up.ID, id)
+			}
+		}
+		return sn.WithoutService(id), nil
+	})
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -171,7 +171,10 @@
 func (fl *Fleet) add(up config.Upstream) *node {
 	ctx, cancel := context.WithCancel(fl.ctx)
 	no := &node{up: up, cancel: cancel}
-	no.link = fl.dial(up, func(rp peer.Report) { fl.observe(up.ID, rp) })
+	no.link = fl.dial(up, func(rp peer.Report) {
+		no.revision.Store(uint64(rp.Revision))
+		fl.observe(up.ID, rp)
+	})
 	fl.view.Update(func(vi route.View) (route.View, bool) {
 		return vi.With(route.NewCandidate(up.ID, up.Domain, offers(up)...)), true
 	})
@@ -234,6 +237,18 @@
 	return out
 }
 
+// Revisions returns the configuration revisions that the connected sidecars
+// reported.
+func (fl *Fleet) Revisions() map[ident.Upstream]ident.Revision {
+	out := make(map[ident.Upstream]ident.Revision)
+	for id, no := range fl.nodes.Load() {
+		if no.link.Connected() {
+			out[id] = ident.Revision(no.revision.Load())
+		}
+	}
+	return out
+}
+
 // offers returns what the upstream serves. A plain service is listed like a
 // model, under a name that no model has.
 func offers(up config.Upstream) []ident.Model {
--- a/internal/app/fleet/node.go
+++ b/internal/app/fleet/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/balsamwood/balsamwood/internal/core/config"
 )
@@ -13,6 +14,8 @@
 	up     config.Upstream
 	link   Link
 	cancel context.CancelFunc
+	// revision is the one that the sidecar last reported.
+	revision atomic.Uint64
 
 	mu      sync.Mutex
 	uses    int
--- a/internal/role/router/admin.go
+++ b/internal/role/router/admin.go
@@ -1,6 +1,28 @@
 package router
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/admin"
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	use "github.com/balsamwood/balsamwood/internal/app/admin"
+)
 
 // adminHandler returns the handler of the administration API.
-func (ro *Router) adminHandler() http.Handler { return http.NotFoundHandler() }
+func (ro *Router) adminHandler() http.Handler {
+	sv := use.New(ro.acceptor, ro.ledger, ro.claims, ro.nodes(), use.WithMeter(ro.met))
+	return admin.New(sv, ro.set.AdminKeys, admin.WithMeter(ro.met)).Handler()
+}
+
+func (ro *Router) nodes() use.Nodes { return use.NewNodes(ro.table, codec.JSON[use.Node]{}) }
+
+// reporter returns the reporter of what is in force here.
+func (ro *Router) reporter() *use.Reporter {
+	return use.NewReporter(ro.nodes(), func() use.Node {
+		st := ro.follower.InForce()
+		return use.Node{
+			VM: ro.set.VM, Domain: ro.set.Domain, Incarnation: ro.in,
+			Revision: st.Revision, Since: st.Since.UTC(),
+		}.WithSidecars(ro.fleet.Revisions())
+	}, ro.met)
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -144,6 +144,7 @@
 	workers.Go(func() { ro.watcher.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
+	workers.Go(func() { ro.reporter().Run(own) })
 	<-failed.Done()
 	ro.leave()
 	stop()
