--- a/internal/role/cmdln/cmdln.go
+++ b/internal/role/cmdln/cmdln.go
@@ -21,6 +21,7 @@
 	Sidecar sidecarCmd       `cmd:"" help:"Run the process beside an upstream."`
 	Check   checkCmd         `cmd:"" help:"Check a settings file without starting anything."`
 	Key     keyCmd           `cmd:"" help:"Make a random API key and print it with its hash."`
+	Admin   adminCmd         `cmd:"" help:"Administer accounts, budgets, upstreams and the configuration through a router."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
