admin: tests of races, lost answers, access, trials and removal

Cause: the handlers had no tests. TestRemovalInFlight fails: the settled tokens do not equal the reported usage within 20 s.

--- /dev/null
+++ b/internal/adapt/admin/admin_test.go
@@ -0,0 +1,317 @@
+package admin_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/fault"
+)
+
+const engine = `{"id":"e1","vm":"vm-e1","kind":"engine","domain":"d1","sidecar":"127.0.0.1:7443","models":["m1"]}`
+
+// TestRaces guards against an operator whose change overwrites another one, and
+// against a loser who does not learn what won.
+func TestRaces(t *testing.T) {
+	si := newSite(t)
+	for ro := range 10 {
+		keys := []string{"operator", "second"}
+		got := make([]answer, len(keys))
+		var wg sync.WaitGroup
+		for ix, key := range keys {
+			wg.Go(func() {
+				got[ix] = si.call(key, "POST", fmt.Sprintf("/accounts?base=%d", ro), fmt.Sprintf(`{"id":"a-%d-%d"}`, ro, ix))
+			})
+		}
+		wg.Wait()
+		won, lost := 0, 1
+		if got[0].Status != 201 {
+			won, lost = 1, 0
+		}
+		names := []string{"the-operator", "second"}
+		if got[won].Status != 201 || got[lost].Status != 409 || got[lost].Reason != "conflict" ||
+			got[lost].Revision != uint64(ro+1) || got[lost].Author != names[won] || got[lost].Outcome != "notRun" {
+			t.Fatalf("round %d: %+v", ro, got)
+		}
+	}
+	if an := si.must(200, "GET", "/accounts", ""); len(an.Items) != 10 || an.Revision != 10 {
+		t.Errorf("%d accounts at revision %d, want 10 at 10", len(an.Items), an.Revision)
+	}
+	if an := si.must(200, "GET", "/audit?limit=3", ""); len(an.Items) != 3 || !strings.Contains(string(an.Items[2]), `"revision":10`) {
+		t.Errorf("audit: %s", an.Items)
+	}
+}
+
+// TestTopUpRepeated guards against tokens that are added twice when an answer
+// was lost, at the table or on the way to the operator.
+func TestTopUpRepeated(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"a1"}`)
+	si.must(201, "POST", "/accounts/a1/budgets", `{"budget":"b1"}`)
+	const path = "/accounts/a1/budgets/b1"
+	si.cloud.Faults().Set(fault.Setting{}.WithLoseNext(1))
+	first := si.must(201, "POST", path+"/topups", `{"amount":100}`)
+	if first.Op == "" || first.Balance.Prepaid != 100 || si.cloud.Counts().Lost != 1 {
+		t.Fatalf("lost at the table: %+v", first)
+	}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { si.call("operator", "POST", path+"/topups?op="+first.Op, `{"amount":100}`) })
+	}
+	wg.Wait()
+	if an := si.must(200, "GET", path, ""); an.Prepaid != 100 || an.Free != 100 {
+		t.Errorf("after repeats: %+v", an)
+	}
+	if an := si.must(409, "POST", path+"/topups?op="+first.Op, `{"amount":101}`); an.Reason != "opReused" {
+		t.Errorf("other amount: %+v", an)
+	}
+	si.cloud.Faults().Set(fault.Setting{}.WithDown(true))
+	down := si.must(503, "POST", path+"/topups", `{"amount":50}`)
+	si.cloud.Faults().Set(fault.Setting{})
+	if down.Op == "" || down.Outcome != "unknown" {
+		t.Errorf("table down: %+v", down)
+	}
+	si.must(201, "POST", path+"/topups?op="+down.Op, `{"amount":50}`)
+	if an := si.must(200, "GET", path, ""); an.Prepaid != 150 {
+		t.Errorf("after the outage: %+v", an)
+	}
+	for _, body := range []string{`{"amount":0}`, `{"amount":-5}`, `{}`} {
+		si.must(422, "POST", path+"/topups", body)
+	}
+	si.must(404, "POST", "/accounts/a1/budgets/none/topups", `{"amount":5}`)
+}
+
+// TestChangeRepeated guards against a change that is reported as lost or made
+// twice when the operator sends it again after a lost answer.
+func TestChangeRepeated(t *testing.T) {
+	si := newSite(t)
+	si.cloud.Faults().Set(fault.Setting{}.WithLoseNext(1))
+	first := si.must(201, "POST", "/accounts?op=o1&base=0", `{"id":"a1"}`)
+	again := si.must(201, "POST", "/accounts?op=o1&base=0", `{"id":"a1"}`)
+	if first.Repeated || !again.Repeated || again.Revision != 1 {
+		t.Errorf("account: %+v, then %+v", first, again)
+	}
+	for _, want := range []bool{false, true} {
+		if an := si.must(201, "POST", "/accounts/a1/budgets?op=o2&base=1", `{"budget":"b1"}`); an.Repeated != want || an.Revision != 2 {
+			t.Errorf("budget: %+v, want repeated %t", an, want)
+		}
+	}
+	key := si.must(201, "POST", "/accounts/a1/keys?op=o3", "")
+	if an := si.must(201, "POST", "/accounts/a1/keys?op=o3", ""); !an.Repeated || an.Key != "" || key.Key == "" {
+		t.Errorf("key: %+v, then %+v", key, an)
+	}
+	si.must(409, "POST", "/accounts?op=o4", `{"id":"a1"}`)
+}
+
+// TestAccess guards against requests that a key or role does not allow.
+func TestAccess(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"a1"}`)
+	tests := []struct {
+		key, method, path, body string
+		want                    int
+	}{
+		{"", "GET", "/config", "", 401},
+		{"wrong", "GET", "/config", "", 401},
+		{"", "POST", "/accounts", `{"id":"x"}`, 401},
+		{"viewer", "GET", "/config", "", 200},
+		{"viewer", "GET", "/nodes", "", 200},
+		{"viewer", "GET", "/held", "", 200},
+		{"viewer", "GET", "/outcomes/a1/k%2F1", "", 404},
+		{"viewer", "POST", "/accounts", `{"id":"x"}`, 403},
+		{"viewer", "POST", "/accounts?dryRun=true", `{"id":"x"}`, 403},
+		{"viewer", "PATCH", "/accounts/a1", `{"burst":1}`, 403},
+		{"viewer", "DELETE", "/accounts/a1", "", 403},
+		{"viewer", "POST", "/accounts/a1/keys", "", 403},
+		{"viewer", "POST", "/accounts/a1/budgets", `{"budget":"b"}`, 403},
+		{"viewer", "POST", "/accounts/a1/budgets/b/topups", `{"amount":1}`, 403},
+		{"viewer", "PUT", "/config", `{}`, 403},
+		{"operator", "POST", "/held/i1/close", `{"vm":"v"}`, 403},
+		{"operator", "POST", "/held/i1/resolve", `{"account":"a1","budget":"b","used":0}`, 403},
+		{"admin", "POST", "/held/i1/close", `{"vm":"v"}`, 404},
+		{"admin", "POST", "/accounts?dryRun=true", `{"id":"x"}`, 200},
+		{"operator", "POST", "/accounts", `{"id":"x","burts":1}`, 400},
+		{"operator", "POST", "/accounts?base=x", `{"id":"x"}`, 400},
+		{"operator", "POST", "/accounts?op=a%2Fb", `{"id":"x"}`, 400},
+		{"operator", "POST", "/accounts", strings.Repeat(" ", 65<<10), 413},
+		{"operator", "GET", "/nothing", "", 404},
+	}
+	before := si.cloud.Counts().Writes
+	for _, tt := range tests {
+		if an := si.call(tt.key, tt.method, tt.path, tt.body); an.Status != tt.want {
+			t.Errorf("%s %s %s: got %+v, want %d", tt.key, tt.method, tt.path, an, tt.want)
+		}
+	}
+	if after := si.cloud.Counts().Writes; after != before {
+		t.Errorf("%d rows were written", after-before)
+	}
+}
+
+// TestDryRun guards against a trial that writes, that shows another difference
+// than the change, or that reports findings one by one.
+func TestDryRun(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"a1"}`)
+	tests := []struct{ method, path, body string }{
+		{"POST", "/accounts", `{"id":"a2","weight":"overspend"}`},
+		{"PATCH", "/accounts/a1", `{"requestsPerSecond":5,"burst":10}`},
+		{"POST", "/accounts/a1/budgets", `{"budget":"b1"}`},
+		{"POST", "/upstreams", engine},
+		{"PUT", "/services/s1", `{"routes":[{"method":"POST","path":"/vouchers","idempotent":false}]}`},
+		{"DELETE", "/services/s1", ""},
+		{"PATCH", "/upstreams/e1", `{"checksFencing":true}`},
+		{"DELETE", "/upstreams/e1", ""},
+		{"DELETE", "/accounts/a2", ""},
+	}
+	for _, tt := range tests {
+		before := si.cloud.Counts().Writes
+		dry := si.must(200, tt.method, tt.path+"?dryRun=true", tt.body)
+		if after := si.cloud.Counts().Writes; after != before {
+			t.Errorf("%s %s: the dry run wrote %d rows", tt.method, tt.path, after-before)
+		}
+		done := si.call("operator", tt.method, tt.path, tt.body)
+		if diff := cmp.Diff(dry.Changes, done.Changes); diff != "" || len(dry.Changes) == 0 || done.Revision != dry.Revision+1 {
+			t.Errorf("%s %s: %+v\n(-dry +done):\n%s", tt.method, tt.path, done, diff)
+		}
+	}
+	an := si.must(422, "POST", "/upstreams?dryRun=true", `{"id":"e/2","kind":"engine"}`)
+	if len(an.Findings) < 5 || an.Reason != "invalid" {
+		t.Errorf("findings: %+v", an)
+	}
+	si.must(409, "POST", "/accounts?dryRun=true&base=1", `{"id":"a9"}`)
+}
+
+// TestRemoval guards against removals that cost more table writes than the
+// addition, and against a budget that is removed with tokens in it.
+func TestRemoval(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"base"}`)
+	commits := func(method, path, body string) int64 {
+		before := si.cloud.Counts().Commits
+		if an := si.call("operator", method, path, body); an.Status > 201 {
+			t.Fatalf("%s %s: %+v", method, path, an)
+		}
+		return si.cloud.Counts().Commits - before
+	}
+	key := ""
+	tests := []struct {
+		name, add, body string
+		remove          func() string
+	}{
+		{"upstream", "/upstreams", engine, func() string { return "/upstreams/e1" }},
+		{"account", "/accounts", `{"id":"a1"}`, func() string { return "/accounts/a1" }},
+		{"budget", "/accounts/base/budgets", `{"budget":"b1"}`, func() string { return "/accounts/base/budgets/b1" }},
+		{"key", "/accounts/base/keys", "", func() string { return "/accounts/base/keys/" + key[:12] }},
+	}
+	for _, tt := range tests {
+		added := commits("POST", tt.add, tt.body)
+		if tt.name == "key" {
+			key = si.must(201, "POST", tt.add, "").KeyHash
+		}
+		if removed := commits("DELETE", tt.remove(), ""); removed > added {
+			t.Errorf("%s: %d commits to remove, %d to add", tt.name, removed, added)
+		}
+		si.must(404, "DELETE", tt.remove(), "")
+	}
+	si.must(201, "POST", "/accounts/base/budgets", `{"budget":"b2"}`)
+	si.must(201, "POST", "/accounts/base/budgets/b2/topups", `{"amount":10}`)
+	if an := si.must(409, "DELETE", "/accounts/base/budgets/b2", ""); an.Reason != "notEmpty" {
+		t.Errorf("budget with tokens: %+v", an)
+	}
+	si.must(200, "DELETE", "/accounts/base", "")
+	if an := si.must(200, "GET", "/accounts/base/budgets/b2", ""); an.Prepaid != 10 {
+		t.Errorf("the balance of a removed account is lost: %+v", an)
+	}
+}
+
+// TestKeys guards against keys that are kept in clear and against a rotation
+// that leaves the old key valid.
+func TestKeys(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"a1"}`)
+	old := si.must(201, "POST", "/accounts/a1/keys", "")
+	fresh := si.must(201, "POST", "/accounts/a1/keys/"+old.KeyHash[:8]+"/rotate", "")
+	if string(config.HashAPIKey(fresh.Key)) != fresh.KeyHash || fresh.Key == old.Key {
+		t.Errorf("rotated: %+v", fresh)
+	}
+	text := string(si.must(200, "GET", "/accounts", "").Items[0])
+	if strings.Contains(text, old.KeyHash) || !strings.Contains(text, fresh.KeyHash) {
+		t.Errorf("keys after the rotation: %s", text)
+	}
+	hashes := 0
+	for _, ro := range si.cloud.Rows() {
+		if strings.Contains(string(ro.Value), fresh.Key) {
+			t.Errorf("row %s holds the key", ro.Sort)
+		}
+		hashes += strings.Count(string(ro.Value), fresh.KeyHash)
+	}
+	if hashes == 0 {
+		t.Error("no row holds the hash of the key")
+	}
+	si.must(404, "DELETE", "/accounts/a1/keys/"+fresh.KeyHash[:7], "")
+	si.must(200, "DELETE", "/accounts/a1/keys/"+fresh.KeyHash[:8], "")
+}
+
+// TestHeld guards against escrow of a router that is freed while the router
+// may still run, and against an amount above what it drew.
+func TestHeld(t *testing.T) {
+	si := newSite(t)
+	si.must(201, "POST", "/accounts", `{"id":"a1"}`)
+	si.must(201, "POST", "/accounts/a1/budgets", `{"budget":"b1"}`)
+	si.must(201, "POST", "/accounts/a1/budgets/b1/topups", `{"amount":1000}`)
+	ctx := t.Context()
+	hd := budget.NewHolder("inc1", "vm-r1", "d1", si.ledger)
+	if err := hd.Open(ctx); err != nil {
+		t.Fatal(err)
+	}
+	rf := ident.BudgetRef{Account: "a1", Budget: "b1"}
+	if _, err := hd.Reserve(ctx, rf, 100, config.WeighOverspend); err != nil {
+		t.Fatal(err)
+	}
+	an := si.must(200, "GET", "/held", "")
+	if len(an.Items) != 1 || !strings.Contains(string(an.Items[0]), `"vm":"vm-r1"`) {
+		t.Fatalf("held: %s", an.Items)
+	}
+	const at, body = "/held/inc1", `{"account":"a1","budget":"b1","used":60}`
+	steps := []struct {
+		path, body string
+		want       int
+		reason     string
+	}{
+		{"/resolve", body, 409, "stillOpen"},
+		{"/close", `{"vm":"vm-other"}`, 409, "wrongVM"},
+		{"/close", `{"vm":"vm-r1"}`, 200, ""},
+		{"/resolve", `{"account":"a1","budget":"b1","used":5000}`, 422, "amount"},
+		{"/resolve", `{"account":"a1","budget":"b1"}`, 400, "badRequest"},
+		{"/resolve", body, 200, ""},
+		{"/resolve", body, 200, ""},
+	}
+	for _, st := range steps {
+		if an := si.call("admin", "POST", at+st.path, st.body); an.Status != st.want || an.Reason != st.reason {
+			t.Errorf("%s %s: %+v, want %d %s", st.path, st.body, an, st.want, st.reason)
+		}
+	}
+	if an := si.must(200, "GET", "/accounts/a1/budgets/b1", ""); an.Held != 0 || an.Free != 940 {
+		t.Errorf("after the resolution: %+v", an)
+	}
+}
+
+// TestReplace guards against a whole configuration that is applied over a
+// revision that its author did not see.
+func TestReplace(t *testing.T) {
+	si := newSite(t)
+	doc := `{"revision":0,"author":"x","accounts":[],"upstreams":[` + engine + `],"services":[]}`
+	if an := si.must(200, "PUT", "/config", doc); an.Revision != 1 || len(an.Changes) != 1 {
+		t.Errorf("first: %+v", an)
+	}
+	if an := si.must(409, "PUT", "/config", doc); an.Revision != 1 || an.Author != "the-operator" {
+		t.Errorf("stale: %+v", an)
+	}
+	si.must(400, "PUT", "/config", `{"revision":1,"acounts":[]}`)
+}
--- /dev/null
+++ b/internal/role/router/remove_test.go
@@ -0,0 +1,78 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
+	"github.com/balsamwood/balsamwood/internal/app/admin"
+	"github.com/balsamwood/balsamwood/internal/app/relay"
+	"github.com/balsamwood/balsamwood/internal/core/claim"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/model"
+)
+
+// TestRemovalInFlight guards against a request that is cut off or not charged
+// because its account and upstream are removed while it runs, and against
+// removals that do not come into force.
+func TestRemovalInFlight(t *testing.T) {
+	const answer = 40
+	addr, key, st := deploy(t, model.New(model.WithAnswer(answer, answer), model.WithTokenTime(50*time.Millisecond)))
+	ta := dynamo.New(st.Serve(st.Cloud))
+	use := admin.New(st.Acceptor, st.Ledger, relay.NewClaims(ta, codec.JSON[claim.Record]{}),
+		admin.NewNodes(ta, codec.JSON[admin.Node]{}))
+	cl := openai.NewClient(option.WithBaseURL("http://"+addr+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	pa := openai.ChatCompletionNewParams{
+		Model: "m1", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("wording?")},
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+	}
+	sm := cl.Chat.Completions.NewStreaming(t.Context(), pa)
+	if !sm.Next() {
+		t.Fatal(sm.Err())
+	}
+	te := admin.Terms{By: "test"}
+	if _, err := use.RemoveAccount(t.Context(), te, "a1"); err != nil {
+		t.Fatal(err)
+	}
+	ch, err := use.RemoveUpstream(t.Context(), te, "e1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var usage int64
+	for sm.Next() {
+		usage = max(usage, sm.Current().Usage.TotalTokens)
+	}
+	if sm.Err() != nil || usage < answer {
+		t.Fatalf("the answer ended with %d tokens: %v", usage, sm.Err())
+	}
+	until(t, "settled", func() bool {
+		ba, err := use.Balance(t.Context(), ident.BudgetRef{Account: "a1", Budget: "b1"})
+		return err == nil && ba.Settled == ident.Tokens(usage)
+	})
+	until(t, "in force", func() bool {
+		nodes, err := use.Nodes(t.Context())
+		return err == nil && len(nodes) == 1 && nodes[0].Revision == ch.Revision
+	})
+	if _, err := cl.Chat.Completions.New(t.Context(), pa); err == nil {
+		t.Error("a removed account was served")
+	}
+}
+
+// until waits for a condition with an end.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ti := time.NewTicker(20 * time.Millisecond)
+	defer ti.Stop()
+	give := time.After(20 * time.Second)
+	for !holds() {
+		select {
+		case <-ti.C:
+		case <-give:
+			t.Fatalf("not %s within the limit", what)
+		}
+	}
+}
