core/intake, conf, cmdln: generate the configuration from a questionnaire

Cause: the design has the configuration generated from answers in a team's own terms, and no part did so.

Ruled out: separate YAML types in the adapter, because they would repeat every field of the answers; the tags stay data for the adapter. The decoder now cuts options off the key in the tag.

--- a/internal/adapt/conf/names.go
+++ b/internal/adapt/conf/names.go
@@ -12,7 +12,7 @@
 
 func fieldNamed(ty reflect.Type, name string) (reflect.StructField, bool) {
 	for fd := range fields(ty) {
-		if fd.Tag.Get("yaml") == name {
+		if keyOf(fd) == name {
 			return fd, true
 		}
 	}
@@ -22,7 +22,7 @@
 func fieldNames(ty reflect.Type) []string {
 	var names []string
 	for fd := range fields(ty) {
-		names = append(names, fd.Tag.Get("yaml"))
+		names = append(names, keyOf(fd))
 	}
 	return names
 }
@@ -31,13 +31,19 @@
 func fields(ty reflect.Type) func(func(reflect.StructField) bool) {
 	return func(yield func(reflect.StructField) bool) {
 		for _, fd := range reflect.VisibleFields(ty) {
-			if fd.Tag.Get("yaml") != "" && !yield(fd) {
+			if keyOf(fd) != "" && !yield(fd) {
 				return
 			}
 		}
 	}
 }
 
+// keyOf returns the key in the tag `yaml` without its options.
+func keyOf(fd reflect.StructField) string {
+	name, _, _ := strings.Cut(fd.Tag.Get("yaml"), ",")
+	return name
+}
+
 func contains(names []string, name string) bool { return slices.Contains(names, name) }
 
 // suggestion returns the closest of names, or nothing when none is close.
--- a/internal/role/cmdln/cmdln.go
+++ b/internal/role/cmdln/cmdln.go
@@ -20,6 +20,7 @@
 	Router  routerCmd        `cmd:"" help:"Run an entry router."`
 	Sidecar sidecarCmd       `cmd:"" help:"Run the process beside an upstream."`
 	Check   checkCmd         `cmd:"" help:"Check a settings file without starting anything."`
+	Intake  intakeCmd        `cmd:"" help:"Generate the configuration from the answers of the questionnaire."`
 	Key     keyCmd           `cmd:"" help:"Make a random API key and print it with its hash."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
