bench/soak: run real processes under load and a seeded schedule of failures

Cause: faults that need several failures at once were not tested on real processes. Ruled out: the in-process stack (no kill -9 and no SIGSTOP of one process).

--- a/cmd/balsambench/main.go
+++ b/cmd/balsambench/main.go
@@ -17,6 +17,7 @@
 
 type commands struct {
 	Demo demoCmd `cmd:"" help:"Run the main job on real processes and print a closing line of counts."`
+	Soak soakCmd `cmd:"" help:"Run real processes under load and failures, and compare the answers with the records."`
 }
 
 type demoCmd struct {
--- /dev/null
+++ b/cmd/balsambench/soak.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/balsamwood/balsamwood/internal/bench/soak"
+)
+
+type soakCmd struct {
+	Bin      string `type:"path" help:"Directory with the programs (default: that of this program)."`
+	Requests int    `default:"1500" help:"Number of requests without repeats (default ${default})."`
+	Seed     uint64 `default:"1" help:"Seed of the requests and the failures (default ${default})."`
+	Workers  int    `default:"48" help:"Requests in flight (default ${default})."`
+	Verbose  bool   `short:"v" help:"Print the output of all processes."`
+}
+
+// Run runs the soak. A count that must be zero and is not is an error.
+func (sc soakCmd) Run(ctx context.Context) error {
+	if sc.Bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		sc.Bin = filepath.Dir(self)
+	}
+	var log io.Writer
+	if sc.Verbose {
+		log = os.Stderr
+	}
+	re, err := soak.Run(ctx, soak.Options{
+		Bin: sc.Bin, Requests: sc.Requests, Seed: sc.Seed, Workers: sc.Workers, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Print(re)
+	return re.Fault()
+}
--- /dev/null
+++ b/internal/bench/soak/soak_test.go
@@ -0,0 +1,34 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/bench/soak"
+)
+
+// TestSoak guards against wrong or cut answers, false notRun refusals, second
+// runs, overspend and unbalanced books while processes and stand-ins fail.
+func TestSoak(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", bin,
+		"../../../cmd/balsamwood", "../../../cmd/balsamfake")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	defer cancel()
+	re, err := soak.Run(ctx, soak.Options{Bin: bin, Requests: 1500, Seed: 1})
+	t.Logf("\n%s", re)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := re.Fault(); err != nil {
+		t.Error(err)
+	}
+	if re.Served < re.Sent/4 || len(re.Failures) < 5 {
+		t.Errorf("%d of %d served under %d kinds of failure, too little was tested", re.Served, re.Sent, len(re.Failures))
+	}
+}
