--- a/internal/adapt/link/control.go
+++ b/internal/adapt/link/control.go
@@ -55,11 +55,11 @@
 	var seq uint64
 	for unchanged := 0; ; unchanged++ {
 		if rp, ok := sv.si.Report(); ok {
-			now := fromReport(rp, 0)
+			now := fromReport(rp, 0, sv.routers())
 			if last == nil || unchanged >= unchangedPeriods || changed(last, now) {
 				last, unchanged = now, 0
 				seq++
-				out := fromReport(rp, seq)
+				out := fromReport(rp, seq, int(now.GetRouters()))
 				if fc.send(&wire.Frame{Body: &wire.Frame_LoadReport{LoadReport: out}}) != nil {
 					return
 				}
--- a/internal/adapt/link/convert.go
+++ b/internal/adapt/link/convert.go
@@ -205,7 +205,7 @@
 	return engine.Usage{Prompt: ident.Tokens(prompt), Completion: ident.Tokens(completion)}
 }
 
-func fromReport(rp peer.Report, seq uint64) *wire.LoadReport {
+func fromReport(rp peer.Report, seq uint64, routers int) *wire.LoadReport {
 	ld := rp.Load
 	return &wire.LoadReport{
 		Seq:             seq,
@@ -217,6 +217,7 @@
 		TokensPerSecond: ld.TokensPerSecond,
 		Leaving:         rp.Leaving,
 		Revision:        uint64(rp.Revision),
+		Routers:         uint32(max(routers, 0)),
 	}
 }
 
@@ -238,5 +239,6 @@
 		},
 		Received: now,
 		Leaving:  rp.GetLeaving(),
+		Routers:  int(rp.GetRouters()),
 	}
 }
--- a/internal/adapt/link/server.go
+++ b/internal/adapt/link/server.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// routers returns the number of routers with a link. A link that is being
+// replaced counts twice for a moment.
+func (sv *Server) routers() int {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return len(sv.sessions)
+}
+
 func (sv *Server) serveConn(ctx context.Context, nc net.Conn) {
 	se, err := serverSession(nc)
 	if err != nil {
@@ -210,7 +218,7 @@
 	if !ok {
 		return nil
 	}
-	return fromReport(rp, 0)
+	return fromReport(rp, 0, sv.routers())
 }
 
 // readBack handles acknowledgements and cancellation until the stream ends.
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/admit"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/route"
@@ -53,6 +54,7 @@
 	name     route.Name
 	links    int
 	suspect  time.Duration
+	rule     admit.Gate
 	seed     uint64
 	policy   route.Policy[*route.Candidate]
 	tracker  *route.Tracker
@@ -76,10 +78,13 @@
 // WithLinks bounds the links for each model or service. The default is 64.
 func WithLinks(most int) Option { return func(fl *Fleet) { fl.links = most } }
 
-// WithSuspectTime sets how long an upstream is avoided after a failed link.
-// The default is 2 s.
+// WithSuspectTime sets how long an upstream is avoided after a failed link,
+// unless it reports before. The default is 5 s.
 func WithSuspectTime(du time.Duration) Option { return func(fl *Fleet) { fl.suspect = du } }
 
+// WithRule sets the admission rule. The default is admit.NewGate().
+func WithRule(ru admit.Gate) Option { return func(fl *Fleet) { fl.rule = ru } }
+
 // WithSeed sets the seed of the policy's random choices. The default is 1.
 func WithSeed(seed uint64) Option { return func(fl *Fleet) { fl.seed = seed } }
 
@@ -98,7 +103,7 @@
 func New(vm ident.VM, dial Dial, opts ...Option) (*Fleet, error) {
 	fl := &Fleet{
 		vm: vm, dial: dial, clk: clock.System{}, met: meter.Nop{},
-		name: route.ExpectedFinish, links: 64, suspect: 2 * time.Second, seed: 1,
+		name: route.ExpectedFinish, links: 64, suspect: 5 * time.Second, rule: admit.NewGate(), seed: 1,
 		tracker: route.NewTracker(), prefixes: route.NewPrefixes(),
 		view:     snap.NewCell(route.View{}),
 		nodes:    snap.NewCell(map[ident.Upstream]*node{}),
@@ -171,7 +176,7 @@
 func (fl *Fleet) add(up config.Upstream) *node {
 	ctx, cancel := context.WithCancel(fl.ctx)
 	no := &node{up: up, cancel: cancel}
-	no.link = fl.dial(up, func(rp peer.Report) { fl.observe(up.ID, rp) })
+	no.link = fl.dial(up, func(rp peer.Report) { fl.observe(no, rp) })
 	fl.view.Update(func(vi route.View) (route.View, bool) {
 		return vi.With(route.NewCandidate(up.ID, up.Domain, offers(up)...)), true
 	})
@@ -188,23 +193,24 @@
 	fl.met.Log(evRemoved, slog.String("upstream", string(no.up.ID)))
 }
 
-// observe applies a report of a sidecar.
-func (fl *Fleet) observe(id ident.Upstream, rp peer.Report) {
-	ld := rp.Load
-	fl.tracker.Report(id, ld.At, rp.Received)
-	leaving := rp.Leaving || ld.Leaving
-	newly := false
+// observe applies a report of a sidecar. It also ends suspicion, because the
+// upstream answers.
+func (fl *Fleet) observe(no *node, rp peer.Report) {
+	id, ld := no.up.ID, rp.Load
+	leaving, newly := no.leaves(rp), false
 	fl.view.Update(func(vi route.View) (route.View, bool) {
 		ca, ok := vi.Get(id)
 		if !ok {
 			return vi, false
 		}
 		newly = leaving && !ca.Leaving()
-		return vi.With(ca.WithLeaving(leaving).WithLoad(route.Load{
+		return vi.With(ca.WithLeaving(leaving).WithSuspect(time.Time{}).WithLoad(route.Load{
 			At: ld.At, Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots,
 			QueuedTokens: ld.QueuedTokens, TokensPerSecond: ld.TokensPerSecond,
+			Routers: rp.Routers,
 		})), true
 	})
+	fl.tracker.Report(id, ld.At, rp.Received)
 	fl.sum()
 	fl.onChange()
 	if newly {
--- a/internal/app/fleet/node.go
+++ b/internal/app/fleet/node.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
 )
 
 // node is one linked upstream.
@@ -17,6 +19,28 @@
 	mu      sync.Mutex
 	uses    int
 	retired bool
+	// sidecar is the incarnation of the last report, and left the one that is
+	// leaving. A report that was sent before a refusal does not undo it.
+	sidecar ident.Incarnation
+	left    ident.Incarnation
+}
+
+// leaves takes a report into account and returns whether the sidecar leaves.
+func (no *node) leaves(rp peer.Report) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.sidecar = rp.Sidecar
+	if rp.Leaving || rp.Load.Leaving {
+		no.left = rp.Sidecar
+	}
+	return rp.Leaving || rp.Load.Leaving || no.left != "" && no.left == rp.Sidecar
+}
+
+// leave records that the sidecar refused work because it is leaving.
+func (no *node) leave() {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.left = no.sidecar
 }
 
 // same reports whether the link and the candidate can stay as they are.
--- a/internal/app/fleet/pick.go
+++ b/internal/app/fleet/pick.go
@@ -2,69 +2,116 @@
 
 import (
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/app/front"
+	"github.com/balsamwood/balsamwood/internal/app/gate"
+	"github.com/balsamwood/balsamwood/internal/core/admit"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/core/route"
 )
 
-// maxPicks bounds the choices that are dropped because their link is down.
-const maxPicks = 8
+const (
+	// chances is how often candidates are drawn before a request is queued or
+	// refused.
+	chances = 3
+	// maxSkips bounds the draws that are dropped because the link is down.
+	maxSkips = 16
+)
 
-// Pick returns an upstream whose expected finish meets the demand's deadline.
-func (fl *Fleet) Pick(de front.Demand, now time.Time) (front.Target, error) {
+// Pick decides about the demand. It draws again before it queues or refuses,
+// without the upstreams that it drew before: otherwise a full upstream that
+// caches the prefix is chosen each time.
+func (fl *Fleet) Pick(de gate.Demand, now time.Time) (front.Target, admit.Decision) {
 	rd := fl.demand(de, now)
 	nodes := fl.nodes.Load()
-	for range maxPicks {
+	draws, decision := chances, admit.Decision{}
+	if keyed(de) {
+		// Another upstream could run the request a second time.
+		draws = 1
+	}
+	drawn := 0
+	for skipped := 0; drawn < draws && skipped < maxSkips; {
 		ca, ok := fl.choose(de, rd, now)
 		if !ok {
 			break
 		}
 		no := nodes[ca.ID()]
-		if no == nil || !no.link.Connected() || !no.use() {
-			rd.Tried = rd.Tried.With(ca.ID(), ca.Domain())
-			continue
-		}
-		if es := route.EstimateAt(ca.WithOwn(fl.tracker.Own(ca.ID())), rd, now); es.Known && es.Finish.After(de.Deadline) {
+		if no != nil && no.link.Connected() && no.use() {
+			drawn++
+			if decision = fl.decide(ca, de, rd, now); decision.Verdict == admit.Admit {
+				return fl.target(no, de, rd, now), decision
+			}
 			no.release()
-			return front.Target{}, refuse.New(refuse.DeadlineUnmeetable,
-				"the expected finish is %s after the deadline", es.Finish.Sub(de.Deadline).Round(time.Millisecond)).WithRetryAt(es.Start)
+		} else {
+			skipped++
 		}
-		return fl.target(no, de, rd, now), nil
+		rd.Tried = rd.Tried.With(ca.ID(), "")
+	}
+	if drawn == 0 {
+		return front.Target{}, fl.none(de, now)
 	}
-	return front.Target{}, refuse.New(refuse.NoUpstream, "no usable upstream for %s is connected", rd.Model)
+	return front.Target{}, decision
 }
 
-func (fl *Fleet) demand(de front.Demand, now time.Time) route.Demand {
+func (fl *Fleet) decide(ca *route.Candidate, de gate.Demand, rd route.Demand, now time.Time) admit.Decision {
+	ow := fl.tracker.Own(ca.ID())
+	es := route.EstimateAt(ca.WithOwn(ow), rd, now)
+	ld := ca.Load()
+	as := admit.Ask{
+		Class: de.Class, Deadline: de.Deadline, Known: es.Known, FirstToken: es.FirstToken, Finish: es.Finish,
+		Slots: ld.Slots, Running: es.Requests, Sent: ow.SentRequests, Peers: ld.Routers,
+		Queued: de.Queued, QueueLimit: de.QueueLimit,
+	}
+	if keyed(de) {
+		// It waits at the one upstream where its key may be known.
+		as.QueueLimit = 0
+	}
+	decision := fl.rule.Decide(as, now)
+	// Batch work whose upstreams are busy now may still find a slot in time.
+	if decision.Reason == refuse.DeadlineUnmeetable && de.Patient && now.Before(fl.LatestStart(de)) {
+		return admit.Decision{Verdict: admit.Wait}
+	}
+	return decision
+}
+
+// none returns the decision when no upstream is usable: the request waits for
+// one to return while it can still be on time.
+func (fl *Fleet) none(de gate.Demand, now time.Time) admit.Decision {
+	if now.Before(fl.LatestStart(de)) {
+		return admit.Decision{Verdict: admit.Wait}
+	}
+	return admit.Decision{Verdict: admit.Refuse, Reason: refuse.NoUpstream}
+}
+
+func (fl *Fleet) demand(de gate.Demand, now time.Time) route.Demand {
 	rd := route.Demand{
-		Model: de.Model, Class: de.Class, Prompt: promptEstimate(de), Output: de.MaxTokens, Tried: de.Tried,
+		Model: modelOf(de), Class: de.Class, Prompt: promptEstimate(de), Output: de.Output, Tried: de.Tried,
 	}
-	if de.Kind == config.Plain {
-		rd.Model = serviceModel(de.Service)
-		return rd
+	if de.Kind == config.Engine {
+		rd.Hint = fl.prefixes.Lookup(de.Prefixes, now)
 	}
-	rd.Hint = fl.prefixes.Lookup(de.Prefixes, now)
 	return rd
 }
 
 // promptEstimate prefers the estimate that comes with the prefixes to the
 // upper bound that is reserved.
-func promptEstimate(de front.Demand) ident.Tokens {
+func promptEstimate(de gate.Demand) ident.Tokens {
 	if cnt := len(de.Prefixes); cnt > 0 {
 		return de.Prefixes[cnt-1].Tokens
 	}
 	return de.Prompt
 }
 
-// choose sends work with an idempotency key to the same upstream from every
-// router, so that a retry finds the run that its first attempt started.
-func (fl *Fleet) choose(de front.Demand, rd route.Demand, now time.Time) (*route.Candidate, bool) {
+// keyed reports whether the work goes to the same upstream from every router,
+// so that a retry finds the run that its first attempt started.
+func keyed(de gate.Demand) bool { return de.Key != "" && de.Kind == config.Engine }
+
+func (fl *Fleet) choose(de gate.Demand, rd route.Demand, now time.Time) (*route.Candidate, bool) {
 	po := fl.view.Load().Pool(rd)
-	if de.Key == "" || de.Kind != config.Engine {
+	if !keyed(de) {
 		return fl.policy.Choose(po, rd, now)
 	}
 	var members []route.Member
@@ -82,33 +129,33 @@
 	return nil, false
 }
 
-func (fl *Fleet) target(no *node, de front.Demand, rd route.Demand, now time.Time) front.Target {
+func (fl *Fleet) target(no *node, de gate.Demand, rd route.Demand, now time.Time) front.Target {
 	ti := fl.tracker.Sent(no.up.ID, rd)
 	if de.Kind == config.Engine {
 		fl.prefixes.Remember(no.up.ID, de.Prefixes, now)
 	}
-	var once sync.Once
 	return front.Target{
 		Upstream: no.up,
 		Sidecar:  no.link,
 		Done: func(ve front.Verdict) {
-			once.Do(func() {
-				fl.tracker.Done(ti)
-				no.release()
-				fl.judge(no.up.ID, ve)
-			})
+			fl.tracker.Done(ti)
+			no.release()
+			fl.judge(no, ve)
 		},
 	}
 }
 
-// judge avoids an upstream for a while after its link failed.
-func (fl *Fleet) judge(id ident.Upstream, ve front.Verdict) {
+// judge avoids an upstream after its link failed, until it reports again or the
+// suspect time ends.
+func (fl *Fleet) judge(no *node, ve front.Verdict) {
 	if ve.Refusal == nil {
 		return
 	}
+	id := no.up.ID
 	switch ve.Refusal.Reason {
 	case refuse.LinkLost, refuse.Unreachable, refuse.UpstreamFailed, refuse.TimedOut:
 	case refuse.Leaving:
+		no.leave()
 		fl.view.Update(func(vi route.View) (route.View, bool) {
 			ca, ok := vi.Get(id)
 			return vi.With(ca.WithLeaving(true)), ok
@@ -122,5 +169,6 @@
 		ca, ok := vi.Get(id)
 		return vi.With(ca.WithSuspect(until)), ok
 	})
+	fl.prefixes.Forget(id)
 	fl.met.Log(evSuspect, slog.String("upstream", string(id)), slog.String("reason", string(ve.Refusal.Reason)))
 }
--- a/internal/app/front/attempt.go
+++ b/internal/app/front/attempt.go
@@ -5,7 +5,7 @@
 	"log/slog"
 
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
-	"github.com/balsamwood/balsamwood/internal/core/route"
+	"github.com/balsamwood/balsamwood/internal/core/retry"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 	"github.com/balsamwood/balsamwood/internal/port/peer"
 )
@@ -17,9 +17,10 @@
 	ho     Hold
 	emit   func(engine.Chunk) error
 	number int
+	target Target
+	// race is set while another attempt may answer the same request.
+	race *race
 
-	target  Target
-	sent    bool
 	emitted bool
 	// next is the sequence number of the chunk that is expected next.
 	next uint64
@@ -29,17 +30,32 @@
 }
 
 // run returns nil after a complete answer.
-func (at *attempt) run(ctx context.Context, tried route.Tried) *refuse.Refusal {
-	ta, err := at.sv.fleet.Pick(at.rq.demand(tried), at.sv.clk.Now())
-	if err != nil {
-		return refuse.From(err)
-	}
-	at.target, at.sent, at.next = ta, true, 1
+func (at *attempt) run(ctx context.Context) *refuse.Refusal {
+	at.next = 1
+	sent := at.sv.clk.Now()
 	rf := at.stream(ctx)
-	ta.Done(Verdict{Refusal: rf, Used: at.last.Charged})
+	switch {
+	case rf == nil:
+		at.sv.hedges.Observe(at.rq, at.sv.clk.Now().Sub(sent))
+		at.target.Done(Verdict{Output: at.last.Result.Usage.Completion})
+	case ctx.Err() != nil || at.race.lost(at):
+		// The end of a cancelled attempt says nothing about the upstream.
+		at.target.Done(Verdict{})
+	default:
+		at.target.Done(Verdict{Refusal: rf})
+	}
 	return rf
 }
 
+// failure describes the failed attempt to the retry policy.
+func (at *attempt) failure(rf *refuse.Refusal) retry.Failure {
+	return retry.Failure{
+		Reason: rf.Reason, Outcome: rf.Outcome, Idempotent: at.rq.Idempotent,
+		Sent:     rf.Reason != refuse.Unreachable || rf.Outcome != refuse.NotRun,
+		Answered: at.emitted, Attempts: at.number, Deadline: at.rq.Deadline,
+	}
+}
+
 // stream outlives the caller by a grace period, because a cancelled attempt
 // still reports its usage.
 func (at *attempt) stream(ctx context.Context) *refuse.Refusal {
@@ -79,17 +95,14 @@
 	switch ev.Kind {
 	case peer.Data:
 		at.next = ev.Seq + 1
-		if err := at.emit(ev.Chunk); err != nil {
-			// The caller is gone. The attempt is stopped, and its last event
-			// tells what was used.
-			st.Cancel()
-			at.emit = func(engine.Chunk) error { return nil }
-		}
-		at.emitted = true
+		at.pass(st, ev.Chunk)
 		st.Ack(ev.Seq)
 		return false, nil
 	case peer.Final:
 		at.last, at.ended = ev, true
+		if !at.race.claim(at) {
+			return true, refuse.New(refuse.Cancelled, "another attempt answered first")
+		}
 		at.ho.Settle(ev.Charged)
 		return true, nil
 	case peer.Refused:
@@ -103,6 +116,21 @@
 	}
 }
 
+// pass gives the chunk to the caller unless another attempt answers. If the
+// caller is gone, the attempt is stopped, and its last event tells what was
+// used.
+func (at *attempt) pass(st peer.Stream, ch engine.Chunk) {
+	if !at.race.claim(at) {
+		st.Cancel()
+		return
+	}
+	if err := at.emit(ch); err != nil {
+		st.Cancel()
+		at.emit = func(engine.Chunk) error { return nil }
+	}
+	at.emitted = true
+}
+
 func (at *attempt) answer() Answer {
 	return Answer{
 		Result: at.last.Result, Charged: at.last.Charged, Replay: at.last.Replay,
--- a/internal/app/front/defaults.go
+++ b/internal/app/front/defaults.go
@@ -6,16 +6,11 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/retry"
 )
 
 var errNoKeys = errors.New("front: keys cannot be cancelled")
 
-// openGate admits every request.
-type openGate struct{}
-
-// Admit returns at once.
-func (openGate) Admit(context.Context, Request, time.Time) (func(), error) { return func() {}, nil }
-
 // noKeys cancels no key.
 type noKeys struct{}
 
@@ -31,4 +26,16 @@
 func (noRetries) First() {}
 
 // Next reports that no other attempt is allowed.
-func (noRetries) Next(Failure, time.Time) (time.Time, bool) { return time.Time{}, false }
+func (noRetries) Next(retry.Failure, time.Time) retry.Decision { return retry.Decision{} }
+
+// noHedges allows no hedge.
+type noHedges struct{}
+
+// At reports that the attempt is not hedged.
+func (noHedges) At(Request, time.Time) (time.Time, bool) { return time.Time{}, false }
+
+// Take reports that no hedge is allowed.
+func (noHedges) Take(Request, int, time.Time) bool { return false }
+
+// Observe does nothing.
+func (noHedges) Observe(Request, time.Duration) {}
--- a/internal/app/front/request.go
+++ b/internal/app/front/request.go
@@ -41,32 +41,6 @@
 	return ident.BudgetRef{Account: rq.Account.ID, Budget: rq.Budget}
 }
 
-// Demand is what the choice of an upstream depends on.
-type Demand struct {
-	Kind      config.Kind
-	Model     ident.Model
-	Service   ident.Service
-	Class     config.Class
-	Prompt    ident.Tokens
-	MaxTokens ident.Tokens
-	Prefixes  []route.Block
-	Deadline  time.Time
-	// Key, if set, prefers the upstream that an earlier attempt with the same
-	// key was sent to.
-	Account ident.Account
-	Key     ident.Key
-	// Tried are the upstreams that earlier attempts were sent to.
-	Tried route.Tried
-}
-
-func (rq Request) demand(tried route.Tried) Demand {
-	return Demand{
-		Kind: rq.Kind, Model: rq.Model, Service: rq.Service, Class: rq.Class,
-		Prompt: rq.Prompt, MaxTokens: rq.MaxTokens, Prefixes: rq.Prefixes,
-		Deadline: rq.Deadline, Account: rq.Account.ID, Key: rq.Key, Tried: tried,
-	}
-}
-
 // Answer is what remains to be told after all chunks were passed on.
 type Answer struct {
 	Result   engine.Result
--- a/internal/app/front/service.go
+++ b/internal/app/front/service.go
@@ -10,7 +10,6 @@
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
-	"github.com/balsamwood/balsamwood/internal/core/route"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -39,10 +38,10 @@
 type Service struct {
 	router  ident.Incarnation
 	purse   Purse
-	fleet   Fleet
 	gate    Gate
 	keys    Keys
 	retries Retries
+	hedges  Hedges
 	clk     clock.Clock
 	met     meter.Meter
 	resolve time.Duration
@@ -55,15 +54,15 @@
 // Option configures a Service.
 type Option func(*Service)
 
-// WithGate sets the admission gate. The default admits everything.
-func WithGate(ga Gate) Option { return func(sv *Service) { sv.gate = ga } }
-
 // WithKeys sets how idempotency keys are cancelled. The default cancels none.
 func WithKeys(ke Keys) Option { return func(sv *Service) { sv.keys = ke } }
 
 // WithRetries sets the retry decision. The default never retries.
 func WithRetries(re Retries) Option { return func(sv *Service) { sv.retries = re } }
 
+// WithHedges sets the decision about hedges. The default never hedges.
+func WithHedges(he Hedges) Option { return func(sv *Service) { sv.hedges = he } }
+
 // WithClock sets the clock. The default is the system clock.
 func WithClock(ck clock.Clock) Option { return func(sv *Service) { sv.clk = ck } }
 
@@ -75,10 +74,10 @@
 func WithResolveTime(du time.Duration) Option { return func(sv *Service) { sv.resolve = du } }
 
 // New returns a service for the router's incarnation.
-func New(router ident.Incarnation, pu Purse, fl Fleet, opts ...Option) *Service {
+func New(router ident.Incarnation, pu Purse, ga Gate, opts ...Option) *Service {
 	sv := &Service{
-		router: router, purse: pu, fleet: fl,
-		gate: openGate{}, keys: noKeys{}, retries: noRetries{},
+		router: router, purse: pu, gate: ga,
+		keys: noKeys{}, retries: noRetries{}, hedges: noHedges{},
 		clk: clock.System{}, met: meter.Nop{}, resolve: 30 * time.Second,
 	}
 	for _, op := range opts {
@@ -111,47 +110,26 @@
 	if !rq.Idempotent && rq.Key == "" {
 		return Answer{}, refuse.New(refuse.KeyRequired, "a call that is not idempotent needs an Idempotency-Key header")
 	}
+	leave, err := sv.gate.Admit(rq, now)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer leave()
 	admitted, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
-	leave, err := sv.gate.Admit(admitted, rq, now)
+	// Escrow is reserved after the wait for an upstream, so that queued work
+	// holds none.
+	ta, err := sv.gate.Place(admitted, rq, Placing{Turn: First})
 	if err != nil {
 		return Answer{}, err
 	}
-	defer leave()
 	ho, err := sv.purse.Reserve(admitted, rq.Ref(), rq.Worst(), rq.Account.Weight)
 	if err != nil {
+		ta.Done(Verdict{})
 		return Answer{}, err
 	}
-	return sv.attempts(ctx, rq, ho, emit)
-}
-
-// attempts runs attempts until one is answered or no other one is allowed.
-// Only the last attempt is charged, so all share one hold.
-func (sv *Service) attempts(ctx context.Context, rq Request, ho Hold, emit func(engine.Chunk) error) (Answer, error) {
-	sv.retries.First()
-	var tried route.Tried
-	for number := 1; ; number++ {
-		at := &attempt{sv: sv, rq: rq, ho: ho, emit: emit, number: number}
-		rf := at.run(ctx, tried)
-		if rf == nil {
-			return at.answer(), nil
-		}
-		next, ok := sv.retries.Next(Failure{
-			Refusal: rf, Idempotent: rq.Idempotent, Emitted: at.emitted,
-			Attempts: number, Deadline: rq.Deadline,
-		}, sv.clk.Now())
-		if !ok || !at.sent || ctx.Err() != nil {
-			return at.answer(), sv.conclude(ctx, at, rf)
-		}
-		tried = tried.With(at.target.Upstream.ID, at.target.Upstream.Domain)
-		sv.met.Count("retries", "reason", string(rf.Reason), 1)
-		sv.met.Log(evRetried, slog.String("request", string(rq.ID)),
-			slog.String("upstream", string(at.target.Upstream.ID)), slog.String("reason", string(rf.Reason)))
-		if !sv.wait(ctx, next) {
-			ho.Release()
-			return at.answer(), refuse.New(refuse.TimedOut, "the caller's time ended between attempts").WithOutcome(rf.Outcome)
-		}
-	}
+	ru := &run{sv: sv, rq: rq, ho: ho, emit: emit}
+	return ru.attempts(ctx, ta)
 }
 
 // conclude settles after the last attempt failed, and returns the refusal for
--- a/internal/app/gate/gate.go
+++ b/internal/app/gate/gate.go
@@ -1,5 +1,6 @@
-// Package gate admits requests to a router: rates per client account, fair
-// shares, and a bounded queue for each model and service.
+// Package gate admits requests to a router and places them at upstreams: rates
+// per client account, fair shares, and a bounded queue for each model and
+// service.
 package gate
 
 import (
@@ -16,22 +17,34 @@
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
-// Capacity tells what the upstreams of a request can take.
-type Capacity interface {
-	// Slots returns the slots of all usable upstreams that meet the demand,
-	// and how many of them were taken when the upstreams last reported. Zero
-	// slots means that nothing was reported.
-	Slots(de front.Demand) (slots, running int)
+const (
+	defaultQueue = 1024
+	defaultDrain = 100 * time.Millisecond
+	// defaultOutput is the expected answer before any was seen. It lies below
+	// the usual max_tokens, because an estimate that is too long refuses
+	// requests that would be on time.
+	defaultOutput = 256
+)
+
+// claim is a key of fair shares and expected answers. Classes are apart, so
+// that an account's backlog of drafts does not hold back its questions.
+type claim struct {
+	account ident.Account
+	class   config.Class
 }
 
+func claimOf(rq front.Request) claim { return claim{account: rq.Account.ID, class: rq.Class} }
+
 // Gate is the admission of a router. It is safe for concurrent use.
 type Gate struct {
-	rates *admit.Rates[ident.Account]
-	capa  Capacity
-	rule  admit.Gate
-	clk   clock.Clock
-	met   meter.Meter
-	queue int
+	rates   *admit.Rates[ident.Account]
+	outputs *admit.Means[claim]
+	fleet   Fleet
+	clk     clock.Clock
+	met     meter.Meter
+	queue   int
+	drain   time.Duration
+	output  ident.Tokens
 
 	lanes sync.Map // lane by name
 }
@@ -40,11 +53,16 @@
 type Option func(*Gate)
 
 // WithQueue bounds the queue of each model and service. The default is 1024
-// requests.
-func WithQueue(most int) Option { return func(ga *Gate) { ga.queue = most } }
+// requests, the range is 0 or more; at 0 only the upstreams queue.
+func WithQueue(most int) Option { return func(ga *Gate) { ga.queue = max(0, most) } }
 
-// WithRule sets the admission rule. The default is admit.NewGate().
-func WithRule(ru admit.Gate) Option { return func(ga *Gate) { ga.rule = ru } }
+// WithDrainPeriod sets how often queued requests are looked at when no report
+// arrives and no request ends. The default is 100 ms, the range is above 0.
+func WithDrainPeriod(pe time.Duration) Option { return func(ga *Gate) { ga.drain = pe } }
+
+// WithOutput sets the expected completion tokens of an account's first
+// requests of a class. The default is 256, the range is above 0.
+func WithOutput(to ident.Tokens) Option { return func(ga *Gate) { ga.output = to } }
 
 // WithClock sets the clock. The default is the system clock.
 func WithClock(ck clock.Clock) Option { return func(ga *Gate) { ga.clk = ck } }
@@ -53,14 +71,16 @@
 func WithMeter(me meter.Meter) Option { return func(ga *Gate) { ga.met = me } }
 
 // New returns a gate without limits per client account.
-func New(ca Capacity, opts ...Option) *Gate {
+func New(fl Fleet, opts ...Option) *Gate {
 	ga := &Gate{
-		rates: admit.NewRates[ident.Account](), capa: ca, rule: admit.NewGate(),
-		clk: clock.System{}, met: meter.Nop{}, queue: 1024,
+		rates: admit.NewRates[ident.Account](), fleet: fl,
+		clk: clock.System{}, met: meter.Nop{},
+		queue: defaultQueue, drain: defaultDrain, output: defaultOutput,
 	}
 	for _, op := range opts {
 		op(ga)
 	}
+	ga.outputs = admit.NewMeans[claim](float64(ga.output))
 	return ga
 }
 
@@ -75,21 +95,19 @@
 	ga.rates.Set(limits)
 }
 
-// Admit waits until the request may be dispatched. It returns a function that
-// gives its place back.
-func (ga *Gate) Admit(ctx context.Context, rq front.Request, now time.Time) (func(), error) {
+// Admit counts the request against the limits of its client account. It returns
+// a function that ends this.
+func (ga *Gate) Admit(rq front.Request, now time.Time) (func(), error) {
 	if de := ga.rates.Take(rq.Account.ID, now); de.Verdict != admit.Admit {
 		return nil, refuse.New(de.Reason, "the client account exceeds its rate").WithRetryAt(de.RetryAt)
 	}
-	la := ga.lane(rq)
-	if err := la.enter(ctx, rq, now); err != nil {
-		ga.rates.Done(rq.Account.ID)
-		return nil, err
-	}
-	return func() {
-		la.leave(rq)
-		ga.rates.Done(rq.Account.ID)
-	}, nil
+	return func() { ga.rates.Done(rq.Account.ID) }, nil
+}
+
+// Place returns an upstream that can take the request, after a wait in the
+// queue if necessary.
+func (ga *Gate) Place(ctx context.Context, rq front.Request, pl front.Placing) (front.Target, error) {
+	return ga.lane(rq).place(ctx, work{rq: rq, class: rq.Class, tried: pl.Tried}, pl.Turn)
 }
 
 func (ga *Gate) lane(rq front.Request) *lane {
@@ -100,3 +118,42 @@
 	la, _ := ga.lanes.LoadOrStore(key, newLane(ga, key))
 	return la.(*lane)
 }
+
+// expected returns the completion tokens that the request will probably need.
+// Callers often set max_tokens far above that.
+func (ga *Gate) expected(rq front.Request) ident.Tokens {
+	if rq.Kind == config.Plain {
+		return rq.MaxTokens
+	}
+	return min(rq.MaxTokens, ident.Tokens(ga.outputs.Mean(claimOf(rq))))
+}
+
+// learn takes a complete answer into account.
+func (ga *Gate) learn(rq front.Request, ve front.Verdict) {
+	if rq.Kind == config.Engine && ve.Refusal == nil && ve.Output > 0 {
+		ga.outputs.Add(claimOf(rq), float64(ve.Output))
+	}
+}
+
+// Refresh places queued requests after the upstreams' reports have changed.
+func (ga *Gate) Refresh() {
+	ga.lanes.Range(func(_, la any) bool {
+		la.(*lane).advance()
+		return true
+	})
+}
+
+// Run looks at queued requests periodically until ctx ends: upstreams become
+// usable again and batch work gains rank as time passes.
+func (ga *Gate) Run(ctx context.Context) {
+	ti := time.NewTicker(ga.drain)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+			ga.Refresh()
+		}
+	}
+}
--- a/internal/core/route/candidate.go
+++ b/internal/core/route/candidate.go
@@ -21,6 +21,9 @@
 	QueuedTokens ident.Tokens
 	// TokensPerSecond is the generation rate over all slots.
 	TokensPerSecond float64
+	// Routers is the number of routers that use the upstream, or zero if it is
+	// not known.
+	Routers int
 }
 
 // Own is the work of this router at one upstream.
--- a/internal/port/peer/peer.go
+++ b/internal/port/peer/peer.go
@@ -84,6 +84,9 @@
 	// Received is the local time at which the report arrived.
 	Received time.Time
 	Leaving  bool
+	// Routers is the number of routers with a link to the sidecar, or zero if
+	// it is not known.
+	Routers int
 }
 
 // Sidecar runs attempts. A router reaches it over a link; the sidecar's own use
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -120,9 +120,9 @@
 	}
 	ro.fleet = fl
 	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
-	ro.front = front.New(ro.in, purse{ro.holder}, fl,
-		front.WithGate(ro.gate), front.WithKeys(keys{ro.claims}), front.WithMeter(ro.met),
-		front.WithRetries(front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))))
+	retries := front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))
+	ro.front = front.New(ro.in, purse{ro.holder}, ro.gate, front.WithKeys(keys{ro.claims}),
+		front.WithMeter(ro.met), front.WithRetries(retries), front.WithHedges(retries))
 	return nil
 }
 
@@ -144,6 +144,7 @@
 	workers.Go(func() { ro.watcher.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
+	workers.Go(func() { ro.gate.Run(own) })
 	<-failed.Done()
 	ro.leave()
 	stop()
