fleet: test the decision per drawn upstream

Cause: fleet had no unit tests.

Change: tests of the decision about each drawn upstream, of peers, leaving, suspicion, keyed requests and removal, with fakes of links and clock.

Ruled out: tests over real links, which cannot order reports and refusals.

Figures: with 10 free slots a router sends 8 normal requests between two reports, and 2 of them if it knows of 4 routers.

--- /dev/null
+++ b/internal/app/fleet/fleet_test.go
@@ -0,0 +1,248 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/app/fleet"
+	"github.com/balsamwood/balsamwood/internal/app/front"
+	"github.com/balsamwood/balsamwood/internal/app/gate"
+	"github.com/balsamwood/balsamwood/internal/core/admit"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/peer"
+)
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// still is a clock that stands.
+type still struct{}
+
+func (still) Now() time.Time { return start }
+
+// line is a link without a connection behind it.
+type line struct {
+	peer.Sidecar
+	up   bool
+	tell func(peer.Report)
+}
+
+func (*line) Run(ctx context.Context) { <-ctx.Done() }
+func (*line) Tried() bool             { return true }
+func (li *line) Connected() bool      { return li.up }
+func (*line) ConfigChanged()          {}
+
+// town is a fleet with its links.
+type town struct {
+	*fleet.Fleet
+	lines map[ident.Upstream]*line
+	conf  config.Snapshot
+}
+
+func newTown(t testing.TB, vm ident.VM, engines int) *town {
+	t.Helper()
+	to := &town{lines: map[ident.Upstream]*line{}}
+	var err error
+	to.Fleet, err = fleet.New(vm, func(up config.Upstream, tell func(peer.Report)) fleet.Link {
+		to.lines[up.ID] = &line{up: true, tell: tell}
+		return to.lines[up.ID]
+	}, fleet.WithClock(still{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	to.Start(ctx)
+	for no := range engines {
+		id := ident.Upstream(fmt.Sprint("e", no))
+		to.conf = to.conf.WithUpstream(config.Upstream{
+			ID: id, VM: ident.VM(id), Kind: config.Engine, Domain: ident.Domain(fmt.Sprint("d", no%3)), Models: []ident.Model{"m1"},
+		})
+	}
+	to.Sync(to.conf)
+	t.Cleanup(func() { cancel(); to.Wait() })
+	return to
+}
+
+func report(running, slots int) peer.Report {
+	return peer.Report{Sidecar: "s1", Received: start, Routers: 1, Load: engine.Load{
+		At: start, Running: running, Slots: slots, QueuedTokens: ident.Tokens(running * 100), TokensPerSecond: 1000,
+	}}
+}
+
+func demand() gate.Demand {
+	return gate.Demand{
+		Kind: config.Engine, Model: "m1", Class: config.Normal, Prompt: 10, Output: 100,
+		Deadline: start.Add(time.Minute), Account: "a1", QueueLimit: 10,
+	}
+}
+
+func (to *town) picked(de gate.Demand) (front.Target, string) {
+	ta, decision := to.Pick(de, start)
+	switch decision.Verdict {
+	case admit.Admit:
+		return ta, string(ta.Upstream.ID)
+	case admit.Wait:
+		return ta, "wait"
+	default:
+		return ta, string(decision.Reason)
+	}
+}
+
+// TestDecisions guards against work at full, distant or lost upstreams while
+// another one has room, and against refusals of work that can still be on time.
+func TestDecisions(t *testing.T) {
+	late, soon := demand(), demand()
+	late.Deadline = start.Add(time.Second)
+	soon.Deadline = start.Add(500 * time.Millisecond)
+	patient := soon
+	patient.Patient, patient.Deadline = true, start.Add(1200*time.Millisecond)
+	keyedDe := demand()
+	keyedDe.Key = "k1"
+	queued := demand()
+	queued.Queued = 1
+	cases := []struct {
+		name  string
+		setup func(to *town)
+		de    gate.Demand
+		want  string
+	}{
+		{"no report is no reason to refuse", func(*town) {}, soon, "e"},
+		{"one of three has room", func(to *town) { to.say(report(10, 10), "e0", "e1"); to.say(report(0, 10), "e2") }, demand(), "e2"},
+		{"all are full", func(to *town) { to.say(report(10, 10), "e0", "e1", "e2") }, demand(), "wait"},
+		{"others wait already", func(to *town) { to.say(report(0, 10), "e0", "e1", "e2") }, queued, "wait"},
+		{"too late at all", func(to *town) { to.say(report(0, 10), "e0", "e1", "e2") }, soon, string(refuse.DeadlineUnmeetable)},
+		{"batch waits for its latest start", func(to *town) { to.say(report(200, 10), "e0", "e1", "e2") }, patient, "wait"},
+		{"a key stays with its full upstream", func(to *town) { to.say(report(10, 10), "e0", "e1", "e2") }, keyedDe, "e"},
+		{"two links are down", func(to *town) { to.lines["e0"].up, to.lines["e2"].up = false, false }, demand(), "e1"},
+		{"all links are down", func(to *town) { to.down() }, demand(), "wait"},
+		{"all links are down and it is too late", func(to *town) { to.say(report(0, 10), "e0"); to.down() }, soon, string(refuse.NoUpstream)},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			to := newTown(t, "r1", 3)
+			ca.setup(to)
+			if _, got := to.picked(ca.de); got != ca.want && (ca.want != "e" || got[0] != 'e') {
+				t.Errorf("got %s, want %s", got, ca.want)
+			}
+		})
+	}
+}
+
+func (to *town) say(rp peer.Report, ids ...ident.Upstream) {
+	for _, id := range ids {
+		to.lines[id].tell(rp)
+	}
+}
+
+func (to *town) down() {
+	for _, li := range to.lines {
+		li.up = false
+	}
+}
+
+// TestPeers guards against routers that all fill the same free slots between
+// two reports.
+func TestPeers(t *testing.T) {
+	for routers, want := range map[int]int{0: 8, 1: 8, 4: 2} {
+		to := newTown(t, "r1", 1)
+		rp := report(0, 10)
+		rp.Routers = routers
+		to.say(rp, "e0")
+		sent := 0
+		for _, got := to.picked(demand()); got == "e0"; _, got = to.picked(demand()) {
+			sent++
+		}
+		if sent != want {
+			t.Errorf("with %d routers %d requests were sent to 10 slots, want %d", routers, sent, want)
+		}
+	}
+}
+
+// TestLeaving guards against new work at an upstream that said that it leaves,
+// in a report or in a refusal, also if an older report comes afterwards.
+func TestLeaving(t *testing.T) {
+	leaving := report(0, 10)
+	leaving.Leaving = true
+	for name, leave := range map[string]func(to *town){
+		"report": func(to *town) { to.say(leaving, "e0") },
+		"refusal": func(to *town) {
+			ta, _ := to.picked(demand())
+			ta.Done(front.Verdict{Refusal: refuse.New(refuse.Leaving, "leaving")})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := newTown(t, "r1", 1)
+			to.say(report(0, 10), "e0")
+			leave(to)
+			to.say(report(0, 10), "e0")
+			if _, got := to.picked(demand()); got != "wait" {
+				t.Errorf("got %s after it left, want wait", got)
+			}
+			restarted := report(0, 10)
+			restarted.Sidecar = "s2"
+			to.say(restarted, "e0")
+			if _, got := to.picked(demand()); got != "e0" {
+				t.Errorf("got %s after its restart, want e0", got)
+			}
+		})
+	}
+}
+
+// TestSuspect guards against work at an upstream whose link failed, and against
+// one that is avoided although it reports.
+func TestSuspect(t *testing.T) {
+	to := newTown(t, "r1", 2)
+	to.say(report(0, 10), "e0", "e1")
+	ta, first := to.picked(demand())
+	ta.Done(front.Verdict{Refusal: refuse.New(refuse.LinkLost, "cut")})
+	for range 4 {
+		if _, got := to.picked(demand()); got == first {
+			t.Fatalf("%s was chosen again after its link failed", got)
+		}
+	}
+	to.say(report(0, 10), ident.Upstream(first))
+	seen := map[string]bool{}
+	for range 8 {
+		_, got := to.picked(demand())
+		seen[got] = true
+	}
+	if !seen[first] {
+		t.Errorf("%s is avoided after its report", first)
+	}
+}
+
+// TestKeyed guards against two runs of one key: requests with it go to the same
+// sidecar from every router.
+func TestKeyed(t *testing.T) {
+	one, two := newTown(t, "r1", 9), newTown(t, "r2", 9)
+	two.say(report(10, 10), "e0", "e1", "e2", "e3")
+	var got, want []string
+	for no := range 50 {
+		de := demand()
+		de.Key = ident.Key(fmt.Sprint("k", no))
+		_, first := one.picked(de)
+		_, second := two.picked(de)
+		want, got = append(want, first), append(got, second)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("choices differ (-first router +second router):\n%s", diff)
+	}
+}
+
+// TestRemoved guards against work at an upstream that the configuration no
+// longer has, and against its link being closed under running work.
+func TestRemoved(t *testing.T) {
+	to := newTown(t, "r1", 1)
+	ta, _ := to.picked(demand())
+	to.Sync(to.conf.WithoutUpstream("e0"))
+	if _, got := to.picked(demand()); got != "wait" {
+		t.Errorf("got %s, want wait", got)
+	}
+	ta.Done(front.Verdict{})
+}
