--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -125,9 +125,9 @@
 	ro.recov = recov.New(ro.in, ro.ledger, httpsd.New(ro.set.Platform.VMs), sidecars{fl}, newProber(ro.certs),
 		recov.WithMeter(ro.met), recov.WithEvery(ro.set.Recovery))
 	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
-	ro.front = front.New(ro.in, purse{ro.holder}, fl,
-		front.WithGate(ro.gate), front.WithKeys(keys{ro.claims}), front.WithMeter(ro.met),
-		front.WithRetries(front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))))
+	retries := front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))
+	ro.front = front.New(ro.in, purse{ro.holder}, ro.gate, front.WithKeys(keys{ro.claims}),
+		front.WithMeter(ro.met), front.WithRetries(retries), front.WithHedges(retries))
 	return nil
 }
 
@@ -151,6 +151,7 @@
 	workers.Go(func() { ro.hold(own) })
 	workers.Go(func() { ro.recov.Run(own) })
 	workers.Go(func() { ro.reporter().Run(own) })
+	workers.Go(func() { ro.gate.Run(own) })
 	<-failed.Done()
 	ro.leave()
 	stop()
