caller: tell the failure with the outcome of a keyed call

Cause: the demo showed 'done' for a filing whose answer was lost, which reads like a success. Ruled out: a new state in the claim record; the stored outcome has the failure. Change: the outcome document carries failure. Conclusion: a caller can tell a known answer from an unknown effect.

--- a/internal/adapt/caller/server.go
+++ b/internal/adapt/caller/server.go
@@ -44,6 +44,9 @@
 	State  string `json:"state"`
 	Status int    `json:"status,omitempty"`
 	Body   []byte `json:"body,omitempty"`
+	// Failure is the reason if the call ended without an answer, so that its
+	// effect is not known.
+	Failure string `json:"failure,omitempty"`
 }
 
 // Outcomes looks up the outcomes of keyed calls.
--- a/internal/role/router/bridge.go
+++ b/internal/role/router/bridge.go
@@ -55,7 +55,7 @@
 	}
 	out := caller.Outcome{State: string(rc.State)}
 	if rc.Outcome != nil {
-		out.Status, out.Body = rc.Outcome.Status, rc.Outcome.Body
+		out.Status, out.Body, out.Failure = rc.Outcome.Status, rc.Outcome.Body, rc.Outcome.Failure
 	}
 	return out, true, nil
 }
