bench/path: measure processor time and memory of router and sidecar

Cause: the capacity page needs the cost of a token and a stream. Ruled out: in-process profiles, which mix caller, engine and both programs. Change: procs.Usage reads /proc; balsambench path prints both.

--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -14,6 +14,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/bench/call"
 	"github.com/balsamwood/balsamwood/internal/bench/deploy"
+	"github.com/balsamwood/balsamwood/internal/bench/procs"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -43,6 +44,14 @@
 type Line struct {
 	Streams        int
 	Direct, Routed Latency
+	// Router and Sidecar are what the processes used for the routed requests.
+	Router, Sidecar Cost
+}
+
+// Cost is the processor time per token and the memory of one process.
+type Cost struct {
+	PerToken time.Duration
+	Resident int64
 }
 
 // Latency is the distribution of the time to the first token and of the whole
@@ -76,7 +85,7 @@
 		}
 	}()
 	key := config.NewAPIKey()
-	engine, router, err := start(ctx, de, op, key)
+	engine, sidecar, router, err := start(ctx, de, op, key)
 	if err != nil {
 		return nil, err
 	}
@@ -87,24 +96,47 @@
 		measure(ctx, ca, router.URL(), ld)
 		measure(ctx, ca, engine.URL(), ld)
 		ld.requests = op.Requests
-		lines = append(lines, Line{
-			Streams: streams,
-			Direct:  measure(ctx, ca, engine.URL(), ld),
-			Routed:  measure(ctx, ca, router.URL(), ld),
-		})
+		li := Line{Streams: streams, Direct: measure(ctx, ca, engine.URL(), ld)}
+		if err := li.routed(ctx, ca, router, sidecar, ld); err != nil {
+			return lines, err
+		}
+		lines = append(lines, li)
 	}
 	return lines, ctx.Err()
 }
 
-func start(ctx context.Context, de *deploy.Deployment, op Options, key string) (engine, router *deploy.Node, err error) {
+// routed measures the routed requests and what they cost.
+func (li *Line) routed(ctx context.Context, ca *call.Caller, router, sidecar *deploy.Node, ld load) error {
+	nodes, costs := []*deploy.Node{router, sidecar}, []*Cost{&li.Router, &li.Sidecar}
+	var before [2]procs.Usage
+	for ix, no := range nodes {
+		us, err := no.Usage()
+		if err != nil {
+			return err
+		}
+		before[ix] = us
+	}
+	li.Routed = measure(ctx, ca, router.URL(), ld)
+	for ix, no := range nodes {
+		us, err := no.Usage()
+		if err != nil {
+			return err
+		}
+		used := us.Processor - before[ix].Processor
+		*costs[ix] = Cost{PerToken: used / time.Duration(ld.requests*tokens), Resident: us.Resident}
+	}
+	return nil
+}
+
+func start(ctx context.Context, de *deploy.Deployment, op Options, key string) (engine, sidecar, router *deploy.Node, err error) {
 	most := 1
 	for _, streams := range op.Streams {
 		most = max(most, streams)
 	}
-	engines, _, ups, err := de.Engines(1, theModel, "--slots", fmt.Sprint(2*most), "--token-time", op.TokenTime.String(),
+	engines, sidecars, ups, err := de.Engines(1, theModel, "--slots", fmt.Sprint(2*most), "--token-time", op.TokenTime.String(),
 		"--min-answer", fmt.Sprint(tokens), "--max-answer", fmt.Sprint(tokens), "--model", string(theModel))
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	rf := ident.BudgetRef{Account: "a1", Budget: "b1"}
 	_, err = de.Accept(ctx, func(sn config.Snapshot) config.Snapshot {
@@ -114,15 +146,15 @@
 		})
 	})
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	if err := de.Fund(ctx, rf, 1<<40); err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	if router, err = de.Router("entry-1", deploy.Domain(0)); err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	return engines[0], router, router.Ready(ctx)
+	return engines[0], sidecars[0], router, router.Ready(ctx)
 }
 
 // load is a number of requests over a number of streams at once. The streams
@@ -189,5 +221,10 @@
 		median, tail := li.Added()
 		fmt.Fprintf(&sb, "| %d | added | %s | %s | | | |\n", li.Streams, median, tail)
 	}
+	sb.WriteString("\n| streams | process | processor time per token | resident bytes |\n|---|---|---|---|\n")
+	for _, li := range lines {
+		fmt.Fprintf(&sb, "| %d | router | %s | %d |\n| %d | sidecar | %s | %d |\n",
+			li.Streams, li.Router.PerToken, li.Router.Resident, li.Streams, li.Sidecar.PerToken, li.Sidecar.Resident)
+	}
 	return sb.String()
 }
