--- /dev/null
+++ b/internal/bench/walk/doc.go
@@ -0,0 +1,2 @@
+// Package walk holds the test that runs the commands of docs/walkthrough.md.
+package walk
