admin: delete the rows of routers that left; show what a repeated op stands for

A repeated op answered success without showing which change it meant. Ruled out: an expiry by time, which would hide a router that is cut off. Change: a router deletes its row when it stops, and node remove deletes that of a dead one. The answer to a repeated op shows the accepted changes, and an op of another operator is refused.

--- a/internal/adapt/admin/admin_test.go
+++ b/internal/adapt/admin/admin_test.go
@@ -97,6 +97,12 @@
 	if first.Repeated || !again.Repeated || again.Revision != 1 {
 		t.Errorf("account: %+v, then %+v", first, again)
 	}
+	if diff := cmp.Diff(first.Changes, again.Changes); diff != "" || len(first.Changes) != 1 {
+		t.Errorf("changes of the repeat (-first +again):\n%s", diff)
+	}
+	if an := si.call("second", "POST", "/accounts?op=o1", `{"id":"a9"}`); an.Status != 409 || an.Reason != "opReused" {
+		t.Errorf("op of another operator: %+v", an)
+	}
 	for _, want := range []bool{false, true} {
 		if an := si.must(201, "POST", "/accounts/a1/budgets?op=o2&base=1", `{"budget":"b1"}`); an.Repeated != want || an.Revision != 2 {
 			t.Errorf("budget: %+v, want repeated %t", an, want)
@@ -134,6 +140,8 @@
 		{"viewer", "PUT", "/config", `{}`, 403},
 		{"operator", "POST", "/held/i1/close", `{"vm":"v"}`, 403},
 		{"operator", "POST", "/held/i1/resolve", `{"account":"a1","budget":"b","used":0}`, 403},
+		{"viewer", "DELETE", "/nodes/vm-1", "", 403},
+		{"operator", "DELETE", "/nodes/vm-1", "", 404},
 		{"admin", "POST", "/held/i1/close", `{"vm":"v"}`, 404},
 		{"admin", "POST", "/accounts?dryRun=true", `{"id":"x"}`, 200},
 		{"operator", "POST", "/accounts", `{"id":"x","burts":1}`, 400},
--- a/internal/adapt/admin/problem.go
+++ b/internal/adapt/admin/problem.go
@@ -70,6 +70,7 @@
 	{admin.ErrWrongVM, http.StatusConflict, "wrongVM"},
 	{admin.ErrAmbiguous, http.StatusConflict, "ambiguous"},
 	{budget.ErrStillOpen, http.StatusConflict, "stillOpen"},
+	{admin.ErrOpReused, http.StatusConflict, "opReused"},
 	{budget.ErrOpReused, http.StatusConflict, "opReused"},
 	{escrow.ErrAmount, http.StatusUnprocessableEntity, "amount"},
 	{escrow.ErrExcess, http.StatusUnprocessableEntity, "amount"},
--- a/internal/adapt/admin/server.go
+++ b/internal/adapt/admin/server.go
@@ -65,6 +65,7 @@
 	gr.PUT("/config", sv.replace, run)
 	gr.GET("/audit", sv.audit, view)
 	gr.GET("/nodes", sv.nodes, view)
+	gr.DELETE("/nodes/:vm", sv.forgetNode, run)
 	gr.GET("/outcomes/:account/:key", sv.outcome, view)
 
 	gr.GET("/accounts", sv.accounts, view)
--- a/internal/adapt/admin/state.go
+++ b/internal/adapt/admin/state.go
@@ -131,6 +131,13 @@
 	return ec.JSON(http.StatusOK, List[admin.Node]{cur.Revision(), append([]admin.Node{}, all...)})
 }
 
+func (sv *Server) forgetNode(ec echo.Context) error {
+	if err := sv.use.ForgetNode(ec.Request().Context(), ident.VM(ec.Param("vm"))); err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, Done{true})
+}
+
 func (sv *Server) outcome(ec echo.Context) error {
 	key := ec.Param("key")
 	// The parameter is still escaped only if the path could not be matched in
--- a/internal/app/admin/admin.go
+++ b/internal/app/admin/admin.go
@@ -26,6 +26,8 @@
 	ErrInUse = errors.New("admin: still in use")
 	// ErrWrongVM means that the VM is not that of the incarnation.
 	ErrWrongVM = errors.New("admin: the incarnation belongs to another VM")
+	// ErrOpReused means that another operator used the op.
+	ErrOpReused = errors.New("admin: the op belongs to a change of another operator")
 	// ErrAmbiguous means that a key is named by digits that several keys share.
 	ErrAmbiguous = errors.New("admin: several keys start with these digits")
 )
--- a/internal/app/admin/change.go
+++ b/internal/app/admin/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/config"
@@ -36,7 +37,24 @@
 		return next, err
 	})
 	out.Revision = acc.Revision
-	return out, err
+	if err != nil || !out.Repeated {
+		return out, err
+	}
+	return se.accepted(ctx, te, out)
+}
+
+// accepted completes the answer to a repeated op from the audit, so that the
+// operator sees which changes the op stands for.
+func (se *Service) accepted(ctx context.Context, te Terms, out Changed) (Changed, error) {
+	au, ok, err := se.acceptor.Find(ctx, out.Revision)
+	switch {
+	case err != nil:
+		return out, err
+	case !ok || au.Author != te.By:
+		return out, fmt.Errorf("%w: %s", ErrOpReused, te.Op)
+	}
+	out.Changes = au.Changes
+	return out, nil
 }
 
 // try reports what a change would do. It writes nothing.
--- a/internal/app/admin/node.go
+++ b/internal/app/admin/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -33,8 +34,6 @@
 	// Others are the linked sidecars that report another one. Only these are
 	// named, so that the row of a router with many links stays small.
 	Others []SidecarRevision `json:"others,omitempty"`
-	// Left says that the router has shut down.
-	Left bool `json:"left,omitempty"`
 }
 
 // SidecarRevision is the revision that a sidecar reports over a link.
@@ -66,7 +65,7 @@
 func (no Node) Same(other Node) bool {
 	return no.VM == other.VM && no.Domain == other.Domain && no.Incarnation == other.Incarnation &&
 		no.Revision == other.Revision && no.Since.Equal(other.Since) && no.InStep == other.InStep &&
-		no.Left == other.Left && slices.Equal(no.Others, other.Others)
+		slices.Equal(no.Others, other.Others)
 }
 
 // Nodes gives access to the rows of the routers.
@@ -115,9 +114,33 @@
 	return ns.table.Commit(ctx, store.Write{Key: key, Value: data, IfVersion: it.Version})
 }
 
+// remove deletes the row of a router. With an incarnation it leaves the row of
+// another one, which a router that was restarted has written.
+func (ns Nodes) remove(ctx context.Context, vm ident.VM, only ident.Incarnation) error {
+	key := nodePrefix + string(vm)
+	it, ok, err := ns.table.Get(ctx, key)
+	switch {
+	case err != nil:
+		return err
+	case !ok:
+		return fmt.Errorf("%w: node %s", ErrNotFound, vm)
+	}
+	no, err := ns.codec.Decode(it.Value)
+	if err == nil && only != "" && no.Incarnation != only {
+		return nil
+	}
+	return ns.table.Commit(ctx, store.Write{Key: key, IfVersion: it.Version, Mode: store.Delete})
+}
+
 // Nodes lists what is in force where.
 func (se *Service) Nodes(ctx context.Context) ([]Node, error) { return se.nodes.All(ctx) }
 
+// ForgetNode deletes the row of a router that is gone. A router that still runs
+// writes it again at its next change.
+func (se *Service) ForgetNode(ctx context.Context, vm ident.VM) error {
+	return se.nodes.remove(ctx, vm, "")
+}
+
 const (
 	// reportEvery is how often a router compares its state with its row. It
 	// also bounds the writes during a change.
@@ -140,7 +163,8 @@
 	return &Reporter{nodes: ns, state: state, met: me}
 }
 
-// Run reports until ctx ends, and then that the router has left.
+// Run reports until ctx ends, and then deletes the row, so that VMs that are
+// replaced leave none behind.
 func (rp *Reporter) Run(ctx context.Context) {
 	ti := time.NewTicker(reportEvery)
 	defer ti.Stop()
@@ -149,9 +173,7 @@
 		select {
 		case <-ti.C:
 		case <-ctx.Done():
-			no := rp.state()
-			no.Left, no.InStep, no.Others = true, 0, nil
-			rp.report(context.WithoutCancel(ctx), no)
+			rp.leave(context.WithoutCancel(ctx))
 			return
 		}
 	}
@@ -175,3 +197,12 @@
 	}
 	rp.failed = true
 }
+
+func (rp *Reporter) leave(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, reportTime)
+	defer stop()
+	no := rp.state()
+	if err := rp.nodes.remove(ctx, no.VM, no.Incarnation); err != nil && !errors.Is(err, ErrNotFound) {
+		rp.met.Log(evNoNode, slog.String("error", err.Error()))
+	}
+}
--- a/internal/app/admin/node_test.go
+++ b/internal/app/admin/node_test.go
@@ -17,7 +17,8 @@
 )
 
 // TestReporter guards against table writes by routers at which nothing changes,
-// and against a change that is not written after an outage of the table.
+// against a change that is not written after an outage of the table, and
+// against rows of routers that have left.
 func TestReporter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tb := table.New()
@@ -49,17 +50,19 @@
 		writes("table down", base, 0)
 		cl.SetDown(false)
 		writes("table up again", base, 1)
-		stop()
-		<-done
 		got, err := ns.All(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
-		base.Left = true
 		want := []admin.Node{base}
 		if diff := cmp.Diff(want, got, cmp.Comparer(func(le, ri time.Time) bool { return le.Equal(ri) })); diff != "" {
 			t.Errorf("rows (-want +got):\n%s", diff)
 		}
+		stop()
+		<-done
+		if got, err := ns.All(t.Context()); err != nil || len(got) != 0 {
+			t.Errorf("rows after the router left: %v %v", got, err)
+		}
 	})
 }
 
--- a/internal/role/cmdln/admin_test.go
+++ b/internal/role/cmdln/admin_test.go
@@ -99,6 +99,8 @@
 		{"desk", "budget list a1", 0, "500"},
 		{"desk", "config history", 0, "revision 2 by desk"},
 		{"desk", "node", 0, "accepted revision 2"},
+		{"desk", "node list", 0, "accepted revision 2"},
+		{"desk", "node remove vm-1", 7, "notFound"},
 		{"desk", "held list", 0, "INCARNATION"},
 		{"desk", "outcome a1 k/1", 7, "notFound"},
 	}
--- a/internal/role/cmdln/state.go
+++ b/internal/role/cmdln/state.go
@@ -73,22 +73,32 @@
 	})
 }
 
-type nodeCmd struct{}
+type nodeCmd struct {
+	List   nodeList   `cmd:"" default:"1" help:"List the routers; also runs without a name."`
+	Remove nodeRemove `cmd:"" help:"Remove the entry of a router that is gone for good."`
+}
+
+type nodeRemove struct {
+	VM string `arg:"" help:"VM of the router."`
+}
+
+// Run removes the entry.
+func (nr nodeRemove) Run(en *env, ad *adminCmd) error {
+	return do(en, ad, admcli.Request{Method: http.MethodDelete, Path: admcli.Path("nodes", nr.VM)}, printDone)
+}
+
+type nodeList struct{}
 
 // Run lists what is in force where.
-func (nodeCmd) Run(en *env, ad *adminCmd) error {
+func (nodeList) Run(en *env, ad *adminCmd) error {
 	return get(en, ad, "/nodes", func(wr io.Writer, li adapt.List[admin.Node]) {
-		table(wr, "ROUTER\tDOMAIN\tREVISION\tSINCE\tSIDECARS IN STEP\tOTHERS\tSTATE", func(row func(...any)) {
+		table(wr, "ROUTER\tDOMAIN\tREVISION\tSINCE\tSIDECARS IN STEP\tOTHERS", func(row func(...any)) {
 			for _, no := range li.Items {
-				state := "running"
-				if no.Left {
-					state = "left"
-				}
 				others := ""
 				for _, sr := range no.Others {
 					others += fmt.Sprintf("%s:%d ", sr.Upstream, sr.Revision)
 				}
-				row(no.VM, no.Domain, no.Revision, no.Since.Format(time.RFC3339), no.InStep, others, state)
+				row(no.VM, no.Domain, no.Revision, no.Since.Format(time.RFC3339), no.InStep, others)
 			}
 		})
 		_, _ = fmt.Fprintf(wr, "accepted revision %d\n", li.Revision)
