link, router: announce configurations, send each document once

Cause: each router sent the whole document to each of its sidecars. At the planned size about 200 routers have a link to one sidecar, and the document of 110,000 budgets exceeds the frame limit of 1 MiB, so that it never arrived. The router also never ran its archive, so a document that the object store refused once was not stored later.

Ruled out: a random wait before sending (at 3 s, trial arithmetic still gives 67 documents for each sidecar, because reports come once a second); a larger frame.

Change: a ConfigUpdate without a document announces a revision when it comes from a router and asks for it when it comes from a sidecar. A sidecar asks one router, and another after 2 s. Routers repeat the announcement on reports with an older revision. Documents are compressed on links. The router runs its archive.

Seen: TestPlannedDocument fails without the change in link (no event 9205 in 20 s) and passes with it. TestStartFromSidecar passes with and without the change; it guards the path object store, sidecar, router.

Conclusion: the number of documents on the links no longer grows with routers.

--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -57,10 +57,9 @@
 // session is one yamux session with its control stream.
 type session struct {
 	*yamux.Session
-	ctl     *frameConn
-	hello   *wire.Hello
-	lastRx  *atomic.Int64
-	offered atomic.Uint64
+	ctl    *frameConn
+	hello  *wire.Hello
+	lastRx *atomic.Int64
 }
 
 // ClientOption configures a Client.
@@ -255,7 +254,7 @@
 			cl.setReport(se, bo.LoadReport)
 			cl.offerConfig(se, ident.Revision(bo.LoadReport.GetRevision()))
 		case *wire.Frame_ConfigUpdate:
-			cl.onConfig(bo.ConfigUpdate.GetDocument())
+			cl.configUpdate(se, bo.ConfigUpdate)
 		case *wire.Frame_OrderDone:
 			cl.orderDone(bo.OrderDone)
 		case *wire.Frame_ClosedIncarnation:
@@ -270,16 +269,27 @@
 	cl.onReport(rp)
 }
 
-// offerConfig sends the configuration if the sidecar has an older one.
+// offerConfig announces the configuration if the sidecar has an older one.
 func (cl *Client) offerConfig(se *session, has ident.Revision) {
-	re, doc := cl.config()
-	if re <= has || se.offered.Swap(uint64(re)) == uint64(re) {
+	if re, _ := cl.config(); re > has {
+		_ = se.ctl.send(configUpdate(re, nil))
+	}
+}
+
+// configUpdate takes a document, or sends the one that the sidecar asks for.
+func (cl *Client) configUpdate(se *session, cu *wire.ConfigUpdate) {
+	if len(cu.GetDocument()) == 0 {
+		if re, doc := cl.config(); re >= ident.Revision(cu.GetRevision()) {
+			_ = se.ctl.send(configUpdate(re, pack(doc)))
+		}
 		return
 	}
-	_ = se.ctl.send(configUpdate(re, doc))
+	if doc, err := unpack(cu.GetDocument()); err == nil {
+		cl.onConfig(doc)
+	}
 }
 
-// ConfigChanged offers the configuration now in force to the sidecar.
+// ConfigChanged announces the configuration now in force to the sidecar.
 func (cl *Client) ConfigChanged() {
 	if se := cl.cur.Load(); se != nil {
 		cl.offerConfig(se, 0)
--- a/internal/adapt/link/control.go
+++ b/internal/adapt/link/control.go
@@ -29,7 +29,7 @@
 	}
 	// A router that starts while the table is down learns the configuration
 	// from the sidecars that it reaches.
-	if re > ident.Revision(he.GetRevision()) && fc.send(configUpdate(re, doc)) != nil {
+	if re > ident.Revision(he.GetRevision()) && fc.send(configUpdate(re, pack(doc))) != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,6 +73,9 @@
 	}
 }
 
+// configUpdate returns a frame with a document. Without one, it announces the
+// revision when it comes from a router, and asks for it when it comes from a
+// sidecar.
 func configUpdate(re ident.Revision, doc []byte) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_ConfigUpdate{ConfigUpdate: &wire.ConfigUpdate{
 		Revision: uint64(re), Document: doc,
@@ -90,7 +93,7 @@
 	defer cancel()
 	switch bo := fr.GetBody().(type) {
 	case *wire.Frame_ConfigUpdate:
-		sv.ct.OfferConfig(ident.Revision(bo.ConfigUpdate.GetRevision()), bo.ConfigUpdate.GetDocument())
+		sv.offered(fc, bo.ConfigUpdate)
 	case *wire.Frame_CloseIncarnation:
 		in := ident.Incarnation(bo.CloseIncarnation.GetIncarnation())
 		used, err := sv.ct.CloseIncarnation(ctx, in)
@@ -111,6 +114,20 @@
 	}
 }
 
+// offered asks for an announced document, or passes on a document.
+func (sv *Server) offered(fc *frameConn, cu *wire.ConfigUpdate) {
+	re := ident.Revision(cu.GetRevision())
+	if len(cu.GetDocument()) > 0 {
+		if doc, err := unpack(cu.GetDocument()); err == nil {
+			sv.ct.OfferConfig(re, doc)
+		}
+		return
+	}
+	if has, _ := sv.ct.InForce(); re > has && sv.asks.first(re, time.Now()) {
+		_ = fc.send(configUpdate(re, nil))
+	}
+}
+
 func fromUsed(in ident.Incarnation, used []Used) *wire.Frame {
 	ci := &wire.ClosedIncarnation{Incarnation: string(in)}
 	for _, us := range used {
--- a/internal/adapt/link/server.go
+++ b/internal/adapt/link/server.go
@@ -42,6 +42,7 @@
 	ct     Control
 	period time.Duration
 	hello  time.Duration
+	asks   asks
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
--- /dev/null
+++ b/internal/role/router/outage_test.go
@@ -0,0 +1,152 @@
+package router_test
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/bucket"
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/bench/stack"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/cloud"
+	"github.com/balsamwood/balsamwood/internal/fake/model"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+// Events that tell which revision is in force.
+const (
+	inForceRouter  = 4003
+	inForceSidecar = 9205
+)
+
+// waitTime ends a test in which an event does not occur.
+const waitTime = 20 * time.Second
+
+// news passes on the events about configurations in force.
+type news struct {
+	meter.Nop
+	ch chan string
+}
+
+func (ne news) Log(ev meter.Event, attrs ...slog.Attr) {
+	if ev.Number != inForceRouter && ev.Number != inForceSidecar {
+		return
+	}
+	text := fmt.Sprint(ev.Number)
+	for _, at := range attrs {
+		if at.Key == "revision" || at.Key == "source" {
+			text += " " + at.Value.String()
+		}
+	}
+	ne.ch <- text
+}
+
+func (ne news) await(t *testing.T, want string) {
+	t.Helper()
+	var got []string
+	end := time.After(waitTime)
+	for {
+		select {
+		case text := <-ne.ch:
+			if got = append(got, text); text == want {
+				return
+			}
+		case <-end:
+			t.Fatalf("no event %q among %s", want, strings.Join(got, ", "))
+		}
+	}
+}
+
+// cut stops the table, but not the object store.
+func cut(t *testing.T, st *stack.Stack) {
+	t.Helper()
+	st.Cloud.SetLimits(cloud.Limits{ReadsPerSecond: 1e-9, WritesPerSecond: 1e-9})
+	// The limiter leaves one read.
+	for range 5 {
+		if _, err := st.Acceptor.Current(t.Context()); err != nil {
+			return
+		}
+	}
+	t.Fatal("the table still answers")
+}
+
+// TestStartFromSidecar guards against a router that starts while the table is
+// down and stays with the older configuration of the object store, although a
+// sidecar knows a newer one.
+func TestStartFromSidecar(t *testing.T) {
+	ne := news{ch: make(chan string, 1000)}
+	st := stack.New(stack.WithMeter(ne))
+	t.Cleanup(st.Close)
+	up, _, err := st.Sidecar(config.Upstream{
+		ID: "e1", VM: "vm-e1", Kind: config.Engine, Domain: "d1", Models: []ident.Model{"m1"},
+	}, st.Serve(model.New()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.Accept(func(sn config.Snapshot) config.Snapshot { return sn.WithUpstream(up) }); err != nil {
+		t.Fatal(err)
+	}
+	first, err := st.Acceptor.Current(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, _ := codec.Config{}.Encode(first)
+	if err := bucket.New(st.Serve(st.Cloud)).PutIfAbsent(t.Context(), rollout.ObjectName(1), doc); err != nil {
+		t.Fatal(err)
+	}
+	_, stop, err := st.Router("vm-r1", "d1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ne.await(t, "9205 1")
+	err = st.Accept(func(sn config.Snapshot) config.Snapshot {
+		return sn.WithAccount(config.Account{ID: "a1", Weight: config.WeighRefusal})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ne.await(t, "9205 2")
+	stop()
+	cut(t, st)
+	if _, _, err := st.Router("vm-r2", "d1"); err != nil {
+		t.Fatal(err)
+	}
+	ne.await(t, "4003 1 object store")
+	ne.await(t, "4003 2 peer")
+}
+
+// TestPlannedDocument guards against a configuration of the planned size that
+// does not fit into the frames between routers and sidecars.
+func TestPlannedDocument(t *testing.T) {
+	ne := news{ch: make(chan string, 1000)}
+	st := stack.New(stack.WithMeter(ne))
+	t.Cleanup(st.Close)
+	up, _, err := st.Sidecar(config.Upstream{
+		ID: "e1", VM: "vm-e1", Kind: config.Engine, Domain: "d1", Models: []ident.Model{"m1"},
+	}, st.Serve(model.New()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = st.Accept(func(sn config.Snapshot) config.Snapshot {
+		for ix := range 110 {
+			ac := config.Account{ID: ident.Account(fmt.Sprint("account-", ix)), Weight: config.WeighRefusal}
+			for jx := range 1000 {
+				ac.Budgets = append(ac.Budgets, ident.Budget(fmt.Sprintf("budget-%04d", jx)))
+			}
+			sn = sn.WithAccount(ac)
+		}
+		return sn.WithUpstream(up)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := st.Router("vm-r1", "d1"); err != nil {
+		t.Fatal(err)
+	}
+	ne.await(t, "9205 1")
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -57,6 +57,7 @@
 	follower *rollout.Follower
 	acceptor *rollout.Acceptor
 	watcher  *rollout.Watcher
+	archive  *rollout.Archive
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
 	front    *front.Service
@@ -100,7 +101,8 @@
 	cod := rollout.Codecs{
 		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
 	}
-	archive := rollout.WithArchive(rollout.NewArchive(bucket.New(ro.set.Platform.Objects), rollout.WithMeter(ro.met)))
+	ro.archive = rollout.NewArchive(bucket.New(ro.set.Platform.Objects), rollout.WithMeter(ro.met))
+	archive := rollout.WithArchive(ro.archive)
 	ro.follower = rollout.NewFollower(codec.Config{}, rollout.WithMeter(ro.met))
 	ro.watcher = rollout.NewWatcher(ro.table, cod, ro.follower, rollout.WithMeter(ro.met), archive)
 	ro.acceptor = rollout.NewAcceptor(ro.table, cod, rollout.WithMeter(ro.met), rollout.WithFollower(ro.follower), archive)
@@ -142,6 +144,7 @@
 		servers.Go(func() { defer fail(); errCh <- sv.Serve() })
 	}
 	workers.Go(func() { ro.watcher.Run(own) })
+	workers.Go(func() { ro.archive.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
 	<-failed.Done()
