adapt: fuzz tests of the decoders; mend what they and their seeds show

Causes: - encoding/json matches member names without regard to case: with the members model and MODEL the router checked another model than the engine ran, and n and N passed the bound of one completion. - An idempotency key, path or upstream header that is not UTF-8 cannot be encoded; the client then replaced healthy connections until the deadline. - A table whose page ends where it began made a scan endless. Ruled out: a decoder that panics on the seeds. Change: such members are refused, keys and paths are checked, header values and details of events are made valid, a dispatch that cannot be encoded is refused as badRequest, and the scan ends with an error. EncodeEvent, DecodeEvent, EncodeDispatch and DecodeDispatch are exported for the tests. Conclusion: the seeds run as normal tests.

--- a/internal/adapt/caller/chat.go
+++ b/internal/adapt/caller/chat.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
@@ -59,6 +60,9 @@
 	if err := json.Unmarshal(data, &cb); err != nil {
 		return cb, refuse.New(refuse.BadRequest, "the body is not a chat completion request: %v", err)
 	}
+	if err := exactMembers(data); err != nil {
+		return cb, err
+	}
 	switch {
 	case cb.Model == "":
 		return cb, refuse.New(refuse.BadRequest, "model is missing")
@@ -72,6 +76,27 @@
 	return cb, err
 }
 
+// members are the members that the router reads. encoding/json matches names
+// without regard to case, and an engine may not.
+var members = []string{"model", "messages", "stream", "stream_options", "max_tokens", "max_completion_tokens", "n"}
+
+// exactMembers refuses a member whose name differs from a known one in case
+// only. The router would check it in place of the one that the engine reads.
+func exactMembers(data []byte) error {
+	var found map[string]json.RawMessage
+	if err := json.Unmarshal(data, &found); err != nil {
+		return refuse.New(refuse.BadRequest, "the body is not a JSON object: %v", err)
+	}
+	for name := range found {
+		for _, known := range members {
+			if name != known && strings.EqualFold(name, known) {
+				return refuse.New(refuse.BadRequest, "the member %q must be written %q", name, known)
+			}
+		}
+	}
+	return nil
+}
+
 func (ca *Caller) completionBound(cb chatBody) (ident.Tokens, error) {
 	most := ca.tokens
 	if cb.MaxTokens != nil {
@@ -115,13 +140,13 @@
 // boundBody sets the bound of the completion, so that the engine stops within
 // what was reserved.
 func boundBody(data []byte, most ident.Tokens) ([]byte, error) {
-	var members map[string]json.RawMessage
-	if err := json.Unmarshal(data, &members); err != nil {
+	var found map[string]json.RawMessage
+	if err := json.Unmarshal(data, &found); err != nil {
 		return nil, refuse.New(refuse.BadRequest, "the body is not a JSON object: %v", err)
 	}
-	delete(members, "max_completion_tokens")
-	members["max_tokens"] = json.RawMessage(strconv.FormatInt(int64(most), 10))
-	body, err := json.Marshal(members)
+	delete(found, "max_completion_tokens")
+	found["max_tokens"] = json.RawMessage(strconv.FormatInt(int64(most), 10))
+	body, err := json.Marshal(found)
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "the body cannot be encoded: %v", err)
 	}
--- a/internal/adapt/caller/server.go
+++ b/internal/adapt/caller/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -171,6 +172,9 @@
 		return rq, err
 	}
 	rq.Key = ident.Key(hd.Get(headerKey))
+	if !utf8.ValidString(string(rq.Key)) {
+		return rq, refuse.New(refuse.BadRequest, "%s is not valid UTF-8", headerKey)
+	}
 	if len(rq.Key) > maxKey {
 		return rq, refuse.New(refuse.BadRequest, "%s exceeds %d bytes", headerKey, maxKey)
 	}
--- a/internal/adapt/caller/service.go
+++ b/internal/adapt/caller/service.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -80,6 +81,9 @@
 	if err != nil {
 		return rq, err
 	}
+	if !utf8.ValidString(path + hr.URL.RawQuery) {
+		return rq, refuse.New(refuse.BadRequest, "the path is not valid UTF-8")
+	}
 	if query := hr.URL.RawQuery; query != "" {
 		path += "?" + query
 	}
@@ -118,7 +122,7 @@
 func forward(hd http.Header) []engine.Field {
 	var out []engine.Field
 	for _, name := range forwarded {
-		if val := hd.Get(name); val != "" {
+		if val := hd.Get(name); val != "" && utf8.ValidString(val) {
 			out = append(out, engine.Field{Name: name, Value: val})
 		}
 	}
--- a/internal/adapt/dynamo/dynamo.go
+++ b/internal/adapt/dynamo/dynamo.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"reflect"
 	"strings"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
@@ -110,6 +111,10 @@
 		if len(out.LastEvaluatedKey) == 0 || (limit > 0 && len(items) >= limit) {
 			return items, nil
 		}
+		if reflect.DeepEqual(req.ExclusiveStartKey, out.LastEvaluatedKey) {
+			// Without this check, a faulty table would never end the scan.
+			return nil, fmt.Errorf("%w: Query: a page ends where it began", store.ErrUnavailable)
+		}
 		req.ExclusiveStartKey = out.LastEvaluatedKey
 	}
 }
--- a/internal/adapt/link/conn.go
+++ b/internal/adapt/link/conn.go
@@ -23,6 +23,9 @@
 // ErrFrameTooLarge means that a peer announced a frame above MaxFrame.
 var ErrFrameTooLarge = errors.New("link: frame exceeds the limit")
 
+// ErrEncoding means that a frame holds a value that cannot be encoded.
+var ErrEncoding = errors.New("link: frame cannot be encoded")
+
 // frameConn reads and writes length-delimited frames on one yamux stream.
 // Reads must come from one goroutine; writes may come from several.
 type frameConn struct {
@@ -48,7 +51,7 @@
 	fc.out = binary.AppendUvarint(fc.out[:0], uint64(size))
 	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(fc.out, fr)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	fc.out = out
 	_, err = fc.Write(out)
--- a/internal/adapt/link/convert.go
+++ b/internal/adapt/link/convert.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"strings"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
@@ -24,7 +25,8 @@
 	return time.UnixMilli(ms)
 }
 
-func fromDispatch(di peer.Dispatch) *wire.Frame {
+// EncodeDispatch returns the frame of a dispatch.
+func EncodeDispatch(di peer.Dispatch) *wire.Frame {
 	ca := di.Call
 	return &wire.Frame{Body: &wire.Frame_Dispatch{Dispatch: &wire.Dispatch{
 		Request:            string(di.Request),
@@ -47,7 +49,8 @@
 	}}}
 }
 
-func toDispatch(di *wire.Dispatch) peer.Dispatch {
+// DecodeDispatch returns the dispatch in a frame.
+func DecodeDispatch(di *wire.Dispatch) peer.Dispatch {
 	return peer.Dispatch{
 		Request:     ident.Request(di.GetRequest()),
 		Attempt:     di.GetAttempt(),
@@ -72,13 +75,17 @@
 	}
 }
 
+// text replaces bytes that are not UTF-8, which protobuf does not encode. An
+// upstream's header or error text must not make an event impossible to send.
+func text(val string) string { return strings.ToValidUTF8(val, "\uFFFD") }
+
 func fromFields(fields []engine.Field) []*wire.Field {
 	if len(fields) == 0 {
 		return nil
 	}
 	out := make([]*wire.Field, len(fields))
 	for ix, fi := range fields {
-		out[ix] = &wire.Field{Name: fi.Name, Value: fi.Value}
+		out[ix] = &wire.Field{Name: text(fi.Name), Value: text(fi.Value)}
 	}
 	return out
 }
@@ -99,7 +106,7 @@
 		Request:           string(re),
 		Attempt:           attempt,
 		Reason:            string(rf.Reason),
-		Detail:            rf.Detail,
+		Detail:            text(rf.Detail),
 		Unknown:           rf.Outcome != refuse.NotRun,
 		RetryAtUnixMillis: millis(rf.RetryAt),
 	}}}
@@ -113,9 +120,9 @@
 	return rf.WithRetryAt(fromMillis(re.GetRetryAtUnixMillis()))
 }
 
-// fromEvent encodes an event. Only the last frame of an answer carries a load
+// EncodeEvent encodes an event. Only the last frame of an answer carries a load
 // report, which saves control frames on busy links.
-func fromEvent(ev peer.Event, load *wire.LoadReport) *wire.Frame {
+func EncodeEvent(ev peer.Event, load *wire.LoadReport) *wire.Frame {
 	switch ev.Kind {
 	case peer.Accepted:
 		return &wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
@@ -148,15 +155,15 @@
 	}
 	return &wire.Frame{Body: &wire.Frame_Failed{Failed: &wire.Failed{
 		Request: string(ev.Request), Attempt: ev.Attempt,
-		Reason: string(rf.Reason), Detail: rf.Detail,
+		Reason: string(rf.Reason), Detail: text(rf.Detail),
 		PromptTokens:     int64(ev.Result.Usage.Prompt),
 		CompletionTokens: int64(ev.Result.Usage.Completion),
 		ChargedTokens:    int64(ev.Charged),
 	}}}
 }
 
-// toEvent decodes a frame of an answer. It reports false for other frames.
-func toEvent(fr *wire.Frame) (peer.Event, bool) {
+// DecodeEvent decodes a frame of an answer. It reports false for other frames.
+func DecodeEvent(fr *wire.Frame) (peer.Event, bool) {
 	switch bo := fr.GetBody().(type) {
 	case *wire.Frame_Accepted:
 		return peer.Event{
--- a/internal/adapt/link/frames_test.go
+++ b/internal/adapt/link/frames_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// notText guards against a value that cannot be encoded and that replaces the
+// connection again and again, or loses the end of an answer.
+func notText(t *testing.T) {
+	sc := answers(peer.Event{Kind: peer.Accepted}, peer.Event{Kind: peer.Final, Result: engine.Result{
+		Status: 200, Header: []engine.Field{{Name: "Content-Type", Value: "\xff"}}}})
+	wo := newWorld(t, "not text", sc)
+	defer wo.close()
+	var re reading
+	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	di := dispatch("q2", time.Minute)
+	di.Idempotent, di.Call.Key = false, "\xff"
+	_, err := wo.cl.Open(wo.ctx, di)
+	if rf := refuse.From(err); err == nil || rf.Reason != refuse.BadRequest || rf.Outcome != refuse.NotRun {
+		wo.fail("dispatch: %v, want badRequest", err)
+	}
+	if !re.whole(0) || len(wo.nw.all()) != 1 {
+		wo.fail("event %+v, error %v, %d connections, want the whole answer and 1", re.last, re.err, len(wo.nw.all()))
+	}
+}
+
 // slowReader guards against a reader that holds up other streams of its
 // connection, and against output without bound in memory.
 func slowReader(t *testing.T) {
--- a/internal/adapt/link/server.go
+++ b/internal/adapt/link/server.go
@@ -163,7 +163,7 @@
 }
 
 func (sv *Server) serveDispatch(ctx context.Context, fc *frameConn, wd *wire.Dispatch) {
-	di := toDispatch(wd)
+	di := DecodeDispatch(wd)
 	st, err := sv.si.Open(ctx, di)
 	if err != nil {
 		_ = fc.send(fromRefusal(di.Request, di.Attempt, refuse.From(err)))
@@ -200,8 +200,8 @@
 			sendLost(fc, id, err)
 			return
 		}
-		err = fc.send(fromEvent(ev, sv.lastReport(ev)))
-		if errors.Is(err, ErrFrameTooLarge) {
+		err = fc.send(EncodeEvent(ev, sv.lastReport(ev)))
+		if errors.Is(err, ErrFrameTooLarge) || errors.Is(err, ErrEncoding) {
 			// Resumption would fail at the same event again.
 			st.Cancel()
 			sendLost(fc, id, refuse.New(refuse.Truncated, "chunk %d of the answer: %v", ev.Seq, err))
--- a/internal/adapt/link/silent_test.go
+++ b/internal/adapt/link/silent_test.go
@@ -20,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, run := range []func(*testing.T){
 			silent, silentBefore, heldDispatch, slowAccept, callerGone, drained, deadSidecar, restarted,
-			cutOff, wrongFrames, lostCancel, oversized, slowReader, leaving, lateReport, wrongPeers,
+			cutOff, wrongFrames, lostCancel, oversized, notText, slowReader, leaving, lateReport, wrongPeers,
 		} {
 			run(t)
 		}
--- a/internal/adapt/link/stream.go
+++ b/internal/adapt/link/stream.go
@@ -70,10 +70,13 @@
 		return refuse.New(refuse.Unreachable, "open stream: %v", err)
 	}
 	st.sidecar = se.hello.GetIncarnation()
-	if err := st.fc.send(fromDispatch(st.di)); err != nil {
+	if err := st.fc.send(EncodeDispatch(st.di)); err != nil {
 		if errors.Is(err, ErrFrameTooLarge) {
 			return refuse.New(refuse.TooLarge, "%v", err)
 		}
+		if errors.Is(err, ErrEncoding) {
+			return refuse.New(refuse.BadRequest, "%v", err)
+		}
 		return st.move(err)
 	}
 	return nil
@@ -105,7 +108,7 @@
 	}
 	if !st.accepted {
 		st.repeated = true
-		return st.fc.send(fromDispatch(st.di))
+		return st.fc.send(EncodeDispatch(st.di))
 	}
 	return st.fc.send(&wire.Frame{Body: &wire.Frame_Resume{Resume: &wire.Resume{
 		Request: string(st.di.Request), Attempt: st.di.Attempt, NextSeq: st.next, Router: string(st.di.Router),
@@ -216,7 +219,7 @@
 // admit checks that the frame belongs to this attempt and is the next one.
 // Repeated chunks are dropped.
 func (st *stream) admit(fr *wire.Frame) (peer.Event, bool, error) {
-	ev, ok := toEvent(fr)
+	ev, ok := DecodeEvent(fr)
 	if !ok {
 		return peer.Event{}, false, nil
 	}
--- /dev/null
+++ b/internal/adapt/openai/fuzz_test.go
@@ -0,0 +1,65 @@
+package openai_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/openai"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+)
+
+// trip answers every request with the same body.
+type trip struct{ body func() io.Reader }
+
+func (tr trip) RoundTrip(re *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}},
+		Body: io.NopCloser(tr.body()), Request: re,
+	}, nil
+}
+
+// FuzzEvents guards against an engine's answer that makes the reader fail hard,
+// that is taken for whole without its last event, or whose reading depends on
+// how the network divides it.
+func FuzzEvents(f *testing.F) {
+	for _, seed := range []string{
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\ndata: [DONE]\n\n",
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", "data: [DONE]", "data:[DONE]\r\n\r\n",
+		": comment\n\nevent: x\ndata: {\ndata: }\n\ndata: [DONE]\n\n", "data: {\"error\":{\"message\":\"x\"}}\n\n", "\n\n\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		run := func(body func() io.Reader) (out [][]byte, res engine.Result, err error) {
+			en := openai.New("http://engine", openai.WithMaxLine(1<<12), openai.WithMaxAnswer(1<<16),
+				openai.WithClient(&http.Client{Transport: trip{body}}))
+			res, err = en.Run(t.Context(), call("q", ""), func(ch engine.Chunk) error {
+				out = append(out, bytes.Clone(ch.Data))
+				return nil
+			})
+			return out, res, err
+		}
+		whole, res, err := run(func() io.Reader { return bytes.NewReader(data) })
+		if err == nil && !bytes.Contains(data, []byte("[DONE]")) {
+			t.Errorf("%d events without the last one are taken for whole", len(whole))
+		}
+		for _, ev := range whole {
+			if !json.Valid(ev) {
+				t.Errorf("event %q is not JSON", ev)
+			}
+		}
+		if res.Usage.Prompt < 0 || res.Usage.Completion < 0 {
+			t.Errorf("usage %+v is negative", res.Usage)
+		}
+		parts, again, perr := run(func() io.Reader { return iotest.OneByteReader(bytes.NewReader(data)) })
+		if diff := cmp.Diff(whole, parts); diff != "" || res.Usage != again.Usage || (err == nil) != (perr == nil) {
+			t.Errorf("byte by byte: error %v and %v, usage %+v and %+v (-whole +parts):\n%s", err, perr, res.Usage, again.Usage, diff)
+		}
+	})
+}
