front: do not say notRun after an earlier attempt that may have run

Cause: the refusal of the last attempt was given to the caller. When the first attempt of an idempotent call failed at the upstream and the retry was refused before it ran, the caller was told notRun although the call had run. Ruled out: non-idempotent calls (they are retried only after a proof). Change: the refusal of the earlier attempt is returned with the outcome unknown and the detail of the last one; the escrow ends as before.

--- a/internal/app/front/service.go
+++ b/internal/app/front/service.go
@@ -130,6 +130,8 @@
 func (sv *Service) attempts(ctx context.Context, rq Request, ho Hold, emit func(engine.Chunk) error) (Answer, error) {
 	sv.retries.First()
 	var tried route.Tried
+	// lost is why an earlier attempt of an idempotent call may have run.
+	var lost *refuse.Refusal
 	for number := 1; ; number++ {
 		at := &attempt{sv: sv, rq: rq, ho: ho, emit: emit, number: number}
 		rf := at.run(ctx, tried)
@@ -141,7 +143,10 @@
 			Attempts: number, Deadline: rq.Deadline,
 		}, sv.clk.Now())
 		if !ok || !at.sent || ctx.Err() != nil {
-			return at.answer(), sv.conclude(ctx, at, rf)
+			return at.answer(), afterLost(lost, sv.conclude(ctx, at, rf))
+		}
+		if lost == nil && rf.Outcome == refuse.Unknown {
+			lost = rf
 		}
 		tried = tried.With(at.target.Upstream.ID, at.target.Upstream.Domain)
 		sv.met.Count("retries", "reason", string(rf.Reason), 1)
@@ -149,11 +154,21 @@
 			slog.String("upstream", string(at.target.Upstream.ID)), slog.String("reason", string(rf.Reason)))
 		if !sv.wait(ctx, next) {
 			ho.Release()
-			return at.answer(), refuse.New(refuse.TimedOut, "the caller's time ended between attempts").WithOutcome(rf.Outcome)
+			return at.answer(), refuse.New(refuse.TimedOut, "the caller's time ended between attempts").WithOutcome(afterLost(lost, rf).Outcome)
 		}
 	}
 }
 
+// afterLost returns the refusal for the caller. That the last attempt did not
+// run proves nothing about an earlier one that may have run.
+func afterLost(lost, last *refuse.Refusal) *refuse.Refusal {
+	if lost == nil || last.Outcome != refuse.NotRun {
+		return last
+	}
+	return refuse.New(lost.Reason, "%s; the last attempt was refused: %s: %s", lost.Detail, last.Reason, last.Detail).
+		WithOutcome(refuse.Unknown).WithRetryAt(last.RetryAt)
+}
+
 // conclude settles after the last attempt failed, and returns the refusal for
 // the caller.
 func (sv *Service) conclude(ctx context.Context, at *attempt, rf *refuse.Refusal) *refuse.Refusal {
