--- a/internal/bench/soak/audit.go
+++ b/internal/bench/soak/audit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -14,11 +15,17 @@
 // and the ledger.
 func (so *soak) audit(ctx context.Context) error {
 	ended := time.Now()
+	var stops sync.WaitGroup
 	for ix := range so.routers {
-		if err := so.routers[ix].Load().Stop(); err != nil {
-			so.res.note("router %d: %v", ix+1, err)
-		}
+		stops.Go(func() {
+			if err := so.routers[ix].Load().Stop(); err != nil {
+				so.mu.Lock()
+				defer so.mu.Unlock()
+				so.res.note("router %d: %v", ix+1, err)
+			}
+		})
 	}
+	stops.Wait()
 	// A request that is still on its way to a stand-in ends at its deadline.
 	ti := time.NewTimer(time.Until(ended.Add(giveUpTime)))
 	defer ti.Stop()
--- a/internal/bench/soak/load.go
+++ b/internal/bench/soak/load.go
@@ -22,7 +22,7 @@
 	// giveUpTime is when a caller gives a router up that does not answer.
 	giveUpTime = requestTime + 3*time.Second
 	// refusedPause is how long a caller waits after no router answered.
-	refusedPause = 250 * time.Millisecond
+	refusedPause = time.Second
 	// repeats bounds how often a caller sends a key again.
 	repeats = 2
 )
