bench/soak: pace the load, end failures with it; caller: mend a fuzz test

The fuzz test of the caller decoded all numbers of a body as float64 and failed on 1e700, which the router passes on and does not read. Change: at most 120 requests a second, no failure begins after the load, and the fuzz test reads numbers as text, with the same checks.

--- a/cmd/balsambench/soak.go
+++ b/cmd/balsambench/soak.go
@@ -11,11 +11,12 @@
 )
 
 type soakCmd struct {
-	Bin      string `type:"path" help:"Directory with the programs (default: that of this program)."`
-	Requests int    `default:"1500" help:"Number of requests without repeats (default ${default})."`
-	Seed     uint64 `default:"1" help:"Seed of the requests and the failures (default ${default})."`
-	Workers  int    `default:"48" help:"Requests in flight (default ${default})."`
-	Verbose  bool   `short:"v" help:"Print the output of all processes."`
+	Bin      string  `type:"path" help:"Directory with the programs (default: that of this program)."`
+	Requests int     `default:"1500" help:"Number of requests without repeats (default ${default})."`
+	Seed     uint64  `default:"1" help:"Seed of the requests and the failures (default ${default})."`
+	Workers  int     `default:"48" help:"Requests in flight (default ${default})."`
+	Rate     float64 `default:"120" help:"Requests a second at most (default ${default})."`
+	Verbose  bool    `short:"v" help:"Print the output of all processes."`
 }
 
 // Run runs the soak. A count that must be zero and is not is an error.
@@ -32,7 +33,7 @@
 		log = os.Stderr
 	}
 	re, err := soak.Run(ctx, soak.Options{
-		Bin: sc.Bin, Requests: sc.Requests, Seed: sc.Seed, Workers: sc.Workers, Log: log,
+		Bin: sc.Bin, Requests: sc.Requests, Seed: sc.Seed, Workers: sc.Workers, Rate: sc.Rate, Log: log,
 	})
 	if err != nil {
 		return err
--- a/internal/adapt/caller/fuzz_test.go
+++ b/internal/adapt/caller/fuzz_test.go
@@ -74,15 +74,19 @@
 		if se.rq == nil {
 			return
 		}
+		// Numbers that no member of interest holds may be out of range.
+		dec := json.NewDecoder(bytes.NewReader(se.rq.Call.Body))
+		dec.UseNumber()
 		var body map[string]any
-		if err := json.Unmarshal(se.rq.Call.Body, &body); err != nil {
+		if err := dec.Decode(&body); err != nil {
 			t.Fatalf("the body for the engine: %v", err)
 		}
-		num, _ := body["max_tokens"].(float64)
+		num, _ := body["max_tokens"].(json.Number)
+		most, err := num.Int64()
 		_, second := body["max_completion_tokens"]
 		count, many := body["n"]
-		if body["model"] != "m" || ident.Tokens(num) != se.rq.MaxTokens || second ||
-			many && count != nil && count != 1.0 || int(se.rq.Prompt) < len(data) {
+		if body["model"] != "m" || err != nil || ident.Tokens(most) != se.rq.MaxTokens || second ||
+			many && count != nil && count != json.Number("1") || int(se.rq.Prompt) < len(data) {
 			t.Errorf("body %s with bound %d and prompt %d", se.rq.Call.Body, se.rq.MaxTokens, se.rq.Prompt)
 		}
 	})
--- a/internal/bench/soak/chaos.go
+++ b/internal/bench/soak/chaos.go
@@ -54,9 +54,9 @@
 // inject applies failures until ctx ends.
 func (so *soak) inject(ctx context.Context, ch chain) {
 	rng := rand.New(rand.NewPCG(so.op.Seed, uint64(len(ch.failures))))
-	for number := 1; ; number++ {
+	for number := 1; ctx.Err() == nil; number++ {
 		due := func() bool { return so.done.Load() >= int64(number*requestsPerFailure) }
-		if deploy.Until(ctx, due) != nil {
+		if deploy.Until(ctx, due) != nil || ctx.Err() != nil {
 			return
 		}
 		fa := ch.failures[rng.IntN(len(ch.failures))]
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/balsamwood/balsamwood/internal/bench/call"
 	"github.com/balsamwood/balsamwood/internal/bench/deploy"
 	"github.com/balsamwood/balsamwood/internal/core/config"
@@ -42,6 +44,9 @@
 	Seed uint64
 	// Workers is the number of requests in flight. Zero means 48.
 	Workers int
+	// Rate is the number of requests a second that callers begin at most. Zero
+	// means 120, so that most of the load meets a failure.
+	Rate float64
 	// Log receives the output of all processes, if it is not nil.
 	Log io.Writer
 }
@@ -93,6 +98,9 @@
 	if op.Workers <= 0 {
 		op.Workers = 48
 	}
+	if op.Rate <= 0 {
+		op.Rate = 120
+	}
 	dir, err := os.MkdirTemp("", "balsamwood-soak-")
 	if err != nil {
 		return res, err
@@ -194,9 +202,10 @@
 		chaos.Go(func() { so.inject(ctx, ch) })
 	}
 	var next atomic.Int64
+	pace := rate.NewLimiter(rate.Limit(so.op.Rate), 1)
 	for range so.op.Workers {
 		load.Go(func() {
-			for ctx.Err() == nil {
+			for pace.Wait(ctx) == nil {
 				number := next.Add(1)
 				if number > int64(so.op.Requests) {
 					return
