--- a/internal/app/front/race.go
+++ b/internal/app/front/race.go
@@ -50,7 +50,7 @@
 		case en := <-ends:
 			running--
 			if en.rf != nil {
-				ru.mayHaveRun = ru.mayHaveRun || en.rf.Outcome == refuse.Unknown
+				ru.note(en.rf)
 			}
 			// An attempt that failed in the middle of its answer ends the race.
 			if en.rf == nil || en.at.emitted || running == 0 {
--- a/internal/app/front/run.go
+++ b/internal/app/front/run.go
@@ -25,8 +25,8 @@
 
 	number int
 	tried  route.Tried
-	// mayHaveRun says that the outcome of some attempt is unknown.
-	mayHaveRun bool
+	// lost is why an earlier attempt may have run, or nil.
+	lost *refuse.Refusal
 }
 
 // attempts goes on until one attempt is answered or no other one is allowed.
@@ -38,21 +38,25 @@
 		if rf == nil {
 			return at.answer(), nil
 		}
-		ru.mayHaveRun = ru.mayHaveRun || rf.Outcome == refuse.Unknown
 		next, ok := Target{}, false
 		if ctx.Err() == nil {
 			next, ok = ru.next(ctx, at, rf)
 		}
 		if !ok {
-			if ru.mayHaveRun {
-				rf = rf.WithOutcome(refuse.Unknown)
-			}
-			return at.answer(), sv.conclude(ctx, at, rf)
+			return at.answer(), afterLost(ru.lost, sv.conclude(ctx, at, rf))
 		}
+		ru.note(rf)
 		ta = next
 	}
 }
 
+// note remembers the first failure after which the call may have run.
+func (ru *run) note(rf *refuse.Refusal) {
+	if ru.lost == nil && rf.Outcome == refuse.Unknown {
+		ru.lost = rf
+	}
+}
+
 // next places the attempt that follows a failed one. When the retries are used
 // up, a request that did not run waits for an upstream that takes it.
 func (ru *run) next(ctx context.Context, at *attempt, rf *refuse.Refusal) (Target, bool) {
--- a/internal/app/front/service.go
+++ b/internal/app/front/service.go
@@ -132,6 +132,16 @@
 	return ru.attempts(ctx, ta)
 }
 
+// afterLost returns the refusal for the caller. That the last attempt did not
+// run proves nothing about an earlier one that may have run.
+func afterLost(lost, last *refuse.Refusal) *refuse.Refusal {
+	if lost == nil || last.Outcome != refuse.NotRun {
+		return last
+	}
+	return refuse.New(lost.Reason, "%s; the last attempt was refused: %s: %s", lost.Detail, last.Reason, last.Detail).
+		WithOutcome(refuse.Unknown).WithRetryAt(last.RetryAt)
+}
+
 // conclude settles after the last attempt failed, and returns the refusal for
 // the caller.
 func (sv *Service) conclude(ctx context.Context, at *attempt, rf *refuse.Refusal) *refuse.Refusal {
