bench/faults: process failures on real processes; recov: know unlisted VMs

Cause: a router that started after a VM had left the platform's list never saw the VM listed, so it could not declare its incarnation dead. The recoverer also forgot the VM of a gone sidecar at once and reported its evidence as awaited instead of lost.

Change: the incarnation row carries the router's address; a recoverer learns VMs from the rows and probes that address.

Ruled out: declaring a VM dead that is not on the list without a probe, because the list names new VMs late.

--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -82,7 +82,7 @@
 			hd.row.Store(ro.version)
 			return true, nil
 		}
-		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open}
+		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open, Address: hd.opts.address()}
 		wr, err := put(hd.ledger.codecs.Incarnation, ro, ir)
 		if err != nil {
 			return false, err
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -12,6 +12,7 @@
 type options struct {
 	clock       clock.Clock
 	meter       meter.Meter
+	address     func() string
 	slicer      escrow.Slicer[escrow.Demand]
 	newOp       func() ident.Op
 	tick        time.Duration
@@ -28,6 +29,7 @@
 	op := options{
 		clock:       clock.System{},
 		meter:       meter.Nop{},
+		address:     func() string { return "" },
 		slicer:      escrow.Bounded[escrow.Adaptive]{},
 		newOp:       ident.NewOp,
 		tick:        time.Second,
@@ -48,6 +50,12 @@
 // WithMeter sets the meter. By default nothing is recorded.
 func WithMeter(me meter.Meter) Option { return func(op *options) { op.meter = me } }
 
+// WithAddress sets the source of the address at which the router answers. The
+// default is empty: then only the platform's list tells its address.
+func WithAddress(address func() string) Option {
+	return func(op *options) { op.address = address }
+}
+
 // WithSlicer sets the grant size policy, which is always bounded by what is
 // free. The default is escrow.Adaptive.
 func WithSlicer[S escrow.Slicer[escrow.Demand]](sl S) Option {
--- a/internal/app/recov/recov.go
+++ b/internal/app/recov/recov.go
@@ -98,6 +98,7 @@
 		return err
 	}
 	re.forget(incs)
+	re.register(incs)
 	re.probe(ctx, incs)
 	var all []error
 	for _, in := range incs {
@@ -123,6 +124,10 @@
 // whose evidence is incomplete. Each look costs two reads of the table.
 const maxPause = 15
 
+// maxAbsent is the number of lists without a VM after which it is forgotten,
+// which is about a day. Until then it is known that a sidecar there is gone.
+const maxAbsent = 17_000
+
 // forget drops what is known about incarnations that were closed.
 func (re *Recoverer) forget(incs []budget.Incarnation) {
 	next := make(map[ident.Incarnation]*dossier, len(incs))
@@ -136,9 +141,9 @@
 		next[in.ID] = do
 	}
 	re.cases = next
-	for _, id := range re.view.In(member.Gone) {
-		if !vms[id] {
-			re.view = re.view.Without(id)
+	for _, vm := range re.view.All() {
+		if vm.Absent() > maxAbsent && !vms[vm.ID()] {
+			re.view = re.view.Without(vm.ID())
 		}
 	}
 }
--- a/internal/app/recov/recov_test.go
+++ b/internal/app/recov/recov_test.go
@@ -105,7 +105,8 @@
 
 func (wo *world) holder(inc ident.Incarnation, vm ident.VM) *budget.Holder {
 	wo.t.Helper()
-	hd := budget.NewHolder(inc, vm, "fd1", wo.ledger, budget.WithClock(wo), budget.WithRefuseFor(0))
+	hd := budget.NewHolder(inc, vm, "fd1", wo.ledger, budget.WithClock(wo), budget.WithRefuseFor(0),
+		budget.WithAddress(func() string { return "a" + string(vm[1:]) }))
 	wo.must(hd.Open(wo.t.Context()))
 	return hd
 }
@@ -159,6 +160,13 @@
 	wo.alive["a1"] = false
 }
 
+// restart replaces the recoverers, which know nothing yet.
+func (wo *world) restart() {
+	for ix, id := range []ident.Incarnation{"r2", "r3"} {
+		wo.recs[ix] = recov.New(id, wo.ledger, wo, wo, wo, recov.WithClock(wo))
+	}
+}
+
 // want compares settled, held and free, and the books with what was produced.
 func (wo *world) want(settled, held, free ident.Tokens) {
 	wo.t.Helper()
@@ -185,6 +193,8 @@
 		{"gone from one list", func(wo *world) { wo.kill(); wo.passes(1) }, 0, 900, 100},
 		{"gone from two lists", func(wo *world) { wo.kill(); wo.passes(2) }, 300, 0, 700},
 		{"gone but answering", func(wo *world) { wo.unlist("v1"); wo.passes(9) }, 0, 900, 100},
+		{"gone before the others started", func(wo *world) { wo.kill(); wo.restart(); wo.passes(3) }, 300, 0, 700},
+		{"new and not listed yet", func(wo *world) { wo.unlist("v1"); wo.restart(); wo.passes(9) }, 0, 900, 100},
 		{"listed but silent", func(wo *world) { wo.alive["a1"] = false; wo.passes(9) }, 0, 900, 100},
 		{"the list cannot be read", func(wo *world) { wo.kill(); wo.listErr = store.ErrUnavailable; wo.passes(9) }, 0, 900, 100},
 		{"its address was given to another VM", func(wo *world) {
--- a/internal/app/recov/watch.go
+++ b/internal/app/recov/watch.go
@@ -25,6 +25,17 @@
 	return nil
 }
 
+// register learns VMs from the rows of their routers. The list may not name a
+// new VM yet, and may have dropped an old one before this router started. Where
+// the address is not known, only the list tells.
+func (re *Recoverer) register(incs []budget.Incarnation) {
+	for _, in := range incs {
+		if in.Row.Address != "" {
+			re.view = re.view.WithKnown(member.Listed{ID: in.Row.VM, Domain: in.Row.Domain, Address: in.Row.Address})
+		}
+	}
+}
+
 // probe asks the routers that are missing from the list for a sign of life. An
 // address that the list gives to another VM proves nothing about the old one.
 func (re *Recoverer) probe(ctx context.Context, incs []budget.Incarnation) {
--- /dev/null
+++ b/internal/bench/faults/town.go
@@ -0,0 +1,198 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/bench/call"
+	"github.com/balsamwood/balsamwood/internal/bench/deploy"
+	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/fake/cloud"
+)
+
+const (
+	theModel = ident.Model("desk-model")
+	// recovery is the mean time between two looks for dead routers, short so
+	// that a run takes seconds.
+	recovery = 100 * time.Millisecond
+	// Patience bounds the wait for a condition, far above what it takes.
+	Patience = 45 * time.Second
+)
+
+// Plan describes a deployment.
+type Plan struct {
+	Engines, Routers int
+	Prepaid          ident.Tokens
+	// Answer is the length of each answer in tokens, and TokenTime the time to
+	// generate one token.
+	Answer    int
+	TokenTime time.Duration
+}
+
+// Town is a deployment with one client account.
+type Town struct {
+	*deploy.Deployment
+	Plan
+	EngineNodes, SidecarNodes, RouterNodes []*deploy.Node
+	Ref                                    ident.BudgetRef
+
+	caller *call.Caller
+	mu     sync.Mutex
+	ended  []call.Result
+}
+
+// New starts the deployment from the programs in bin. Settings are written to
+// dir, and the output of all processes to log.
+func New(ctx context.Context, bin, dir string, log io.Writer, pl Plan) (*Town, error) {
+	de, err := deploy.New(bin, dir, deploy.WithLog(log), deploy.WithRecovery(recovery))
+	if err != nil {
+		return nil, err
+	}
+	key := config.NewAPIKey()
+	to := &Town{
+		Deployment: de, Plan: pl, caller: call.New(key),
+		Ref: ident.BudgetRef{Account: "sejin-desk", Budget: "breakfast"},
+	}
+	return to, to.start(ctx, key)
+}
+
+func (to *Town) start(ctx context.Context, key string) error {
+	answer := fmt.Sprint(to.Answer)
+	var ups []config.Upstream
+	var err error
+	to.EngineNodes, to.SidecarNodes, ups, err = to.Deployment.Engines(to.Plan.Engines, theModel, "--slots", "32",
+		"--min-answer", answer, "--max-answer", answer, "--token-time", to.TokenTime.String(), "--model", string(theModel))
+	if err != nil {
+		return err
+	}
+	if _, err = to.Accept(ctx, func(sn config.Snapshot) config.Snapshot {
+		for _, up := range ups {
+			sn = sn.WithUpstream(up)
+		}
+		return sn.WithAccount(config.Account{
+			ID: to.Ref.Account, Keys: []config.KeyHash{config.HashAPIKey(key)},
+			Budgets: []ident.Budget{to.Ref.Budget}, Weight: config.WeighRefusal,
+		})
+	}); err != nil {
+		return err
+	}
+	if err := to.Fund(ctx, to.Ref, to.Prepaid); err != nil {
+		return err
+	}
+	for ix := range to.Routers {
+		ro, err := to.Router(VM(ix), deploy.Domain(ix))
+		if err != nil {
+			return err
+		}
+		if err := ro.Ready(ctx); err != nil {
+			return err
+		}
+		to.RouterNodes = append(to.RouterNodes, ro)
+	}
+	return nil
+}
+
+// VM returns the VM of the router with the given number.
+func VM(router int) ident.VM { return ident.VM(fmt.Sprintf("entry-%d", router+1)) }
+
+// Ask sends a streamed request to the router and waits for its end.
+func (to *Town) Ask(ctx context.Context, router int, prompt string, key ident.Key) call.Result {
+	re := to.caller.Stream(ctx, to.RouterNodes[router].URL(), call.Chat{
+		Model: theModel, Prompt: prompt, MaxTokens: to.Answer, Class: config.Urgent, Key: key, Timeout: Patience,
+	})
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	to.ended = append(to.ended, re)
+	return re
+}
+
+// Begin sends requests to the router and returns a function that waits for
+// their results. It returns when each has produced some tokens at an engine.
+func (to *Town) Begin(ctx context.Context, router, count int, prompt string, key ident.Key) (func() []call.Result, error) {
+	before, err := to.running(ctx)
+	if err != nil {
+		return nil, err
+	}
+	results := make([]call.Result, count)
+	var wg sync.WaitGroup
+	for ix := range count {
+		wg.Go(func() { results[ix] = to.Ask(ctx, router, fmt.Sprintf("%s %d", prompt, ix), key) })
+	}
+	err = to.Until(ctx, func() bool {
+		now, err := to.running(ctx)
+		return err == nil && now >= before+count
+	})
+	return func() []call.Result { wg.Wait(); return results }, err
+}
+
+// running counts the calls that produce tokens now.
+func (to *Town) running(ctx context.Context) (int, error) {
+	count := 0
+	runs, err := to.Runs(ctx)
+	for _, ru := range runs {
+		if ru.State == "running" && ru.Produced > 4 {
+			count++
+		}
+	}
+	return count, err
+}
+
+// Until waits for the condition.
+func (to *Town) Until(ctx context.Context, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, Patience)
+	defer cancel()
+	return deploy.Until(ctx, holds)
+}
+
+// Incarnation returns the incarnation of the router's VM as the table has it.
+func (to *Town) Incarnation(ctx context.Context, router int) (budget.Incarnation, error) {
+	incs, err := to.Ledger().Incarnations(ctx)
+	if err != nil {
+		return budget.Incarnation{}, err
+	}
+	for _, in := range incs {
+		if in.Row.VM == VM(router) {
+			return in, nil
+		}
+	}
+	return budget.Incarnation{}, fmt.Errorf("faults: no open incarnation of %s", VM(router))
+}
+
+// Closed waits until the incarnation is closed, and returns how long it took.
+func (to *Town) Closed(ctx context.Context, id ident.Incarnation) (time.Duration, error) {
+	began := time.Now()
+	err := to.Until(ctx, func() bool {
+		st, err := to.Ledger().State(ctx, id)
+		return err == nil && st == escrow.Closed
+	})
+	return time.Since(began), err
+}
+
+// Granted returns the tokens that all routers hold, read beside the table's
+// protocol, so that it works during an outage.
+func (to *Town) Granted(ctx context.Context) (ident.Tokens, error) {
+	var rows []cloud.Row
+	if err := to.Platform.Get(ctx, "/control/rows", &rows); err != nil {
+		return 0, err
+	}
+	for _, ro := range rows {
+		if strings.HasSuffix(ro.Partition+"/"+ro.Sort, "budget/"+to.Ref.String()) {
+			bu, err := codec.Ledger().Budget.Decode(ro.Value)
+			return bu.Granted, err
+		}
+	}
+	return 0, fmt.Errorf("faults: no row of %s", to.Ref)
+}
+
+// Outage starts or ends an outage of the platform.
+func (to *Town) Outage(ctx context.Context, down bool) error {
+	return to.Platform.Control(ctx, "faults", map[string]bool{"down": down})
+}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -76,6 +76,15 @@
 	return next
 }
 
+// WithKnown returns a copy that knows the VM from its own registration, if it
+// is not known yet. It counts as listed until the next list.
+func (vi View) WithKnown(li Listed) View {
+	if _, ok := vi.vms[li.ID]; ok {
+		return vi
+	}
+	return vi.with(VM{id: li.ID, domain: li.Domain, address: li.Address, listed: li, onList: true, wasListed: true})
+}
+
 // WithStatement returns a copy that follows the statement. A statement that is
 // older than the last one of the VM is ignored, and an incarnation that said it
 // is leaving does not return.
--- a/internal/role/router/recover.go
+++ b/internal/role/router/recover.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"net/netip"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/certs"
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
@@ -87,3 +88,13 @@
 	var ce *tls.CertificateVerificationError
 	return errors.As(err, &ce)
 }
+
+// reachable returns the address at which other routers find this one, or empty
+// if it listens on every address of the VM.
+func (ro *Router) reachable() string {
+	ap, err := netip.ParseAddrPort(ro.CallerAddr())
+	if err != nil || ap.Addr().IsUnspecified() {
+		return ""
+	}
+	return ap.String()
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -111,7 +111,8 @@
 
 func (ro *Router) composeBudgets() {
 	ro.ledger = budget.NewLedger(ro.table, codec.Ledger())
-	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, budget.WithMeter(ro.met))
+	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger,
+		budget.WithMeter(ro.met), budget.WithAddress(ro.reachable))
 	ro.claims = relay.NewClaims(ro.table, codec.JSON[claim.Record]{})
 }
 
