budget: ask other holders to release unused escrow (in work)

Cause: near the end of a budget a router refused with overBudget although another one held enough unused escrow.

Ruled out: direct transfers between routers, whose safety would rest on the link.

--- a/internal/adapt/conf/router.go
+++ b/internal/adapt/conf/router.go
@@ -14,10 +14,13 @@
 	Listen        string       `yaml:"listen" rule:"required,addr"`
 	AdminListen   string       `yaml:"adminListen" rule:"required,addr"`
 	MetricsListen string       `yaml:"metricsListen" rule:"required,addr"`
-	Platform      Platform     `yaml:"platform" rule:"required"`
-	TLS           TLS          `yaml:"tls" rule:"required"`
-	Log           Log          `yaml:"log"`
-	Limits        RouterLimits `yaml:"limits"`
+	// PeerListen is where other routers ask for unused escrow, by IP number.
+	// Default: no listener, and other routers are not asked.
+	PeerListen string       `yaml:"peerListen" rule:"addr"`
+	Platform   Platform     `yaml:"platform" rule:"required"`
+	TLS        TLS          `yaml:"tls" rule:"required"`
+	Log        Log          `yaml:"log"`
+	Limits     RouterLimits `yaml:"limits"`
 	// Drain is the time allowed for a graceful shutdown. Default: 30s.
 	Drain time.Duration `yaml:"drain" rule:"min=0s,max=10m"`
 	// AdminKeys and the keys in AdminKeysFile are used together.
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -82,7 +82,7 @@
 			hd.row.Store(ro.version)
 			return true, nil
 		}
-		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open}
+		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open, Address: hd.opts.address}
 		wr, err := put(hd.ledger.codecs.Incarnation, ro, ir)
 		if err != nil {
 			return false, err
@@ -148,14 +148,19 @@
 		return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn in time")
 	}
 	defer hg.unlock()
-	for {
+	for asked := false; ; {
 		if hg.pool.Reserve(tokens) {
 			return nil
 		}
 		if re := hg.standing(now, tokens); re != nil {
 			return re
 		}
-		if err := hd.draw(ctx, hg, tokens); err != nil {
+		err := hd.draw(ctx, hg, tokens)
+		if errors.Is(err, escrow.ErrShort) && !asked && hd.ask(ctx, hg, tokens) {
+			asked = true
+			continue
+		}
+		if err != nil {
 			return hd.refuseDraw(hg, tokens, err)
 		}
 	}
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -35,6 +35,11 @@
 	// seen is the budget row as last read or written.
 	seen  escrow.BudgetRow
 	usage usage
+	// lastAsked is when other holders were last asked for escrow.
+	lastAsked time.Time
+	// asking is set while they are asked. A holder that is short itself has
+	// nothing to release, and two that ask each other must not wait.
+	asking atomic.Bool
 }
 
 // verdict is a refusal that stands for a short time.
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -19,6 +19,8 @@
 	refuseFor   time.Duration
 	idleAfter   time.Duration
 	batch       int64
+	peers       Peers
+	address     string
 }
 
 // Option configures a Holder.
@@ -84,6 +86,14 @@
 	return func(op *options) { op.idleAfter = min(max(d, time.Second), time.Hour) }
 }
 
+// WithPeers sets how other holders are asked to return unused escrow. By
+// default they are not asked.
+func WithPeers(pe Peers) Option { return func(op *options) { op.peers = pe } }
+
+// WithAddress sets the address at which other holders reach this one. It is
+// written to the row of the incarnation. The default is none.
+func WithAddress(addr string) Option { return func(op *options) { op.address = addr } }
+
 // WithBatch sets the number of requests of a budget that are settled together
 // when nothing presses. The default is 64, and the range is 1 to 10,000.
 func WithBatch(requests int64) Option {
--- a/internal/bench/budget/sim.go
+++ b/internal/bench/budget/sim.go
@@ -97,7 +97,9 @@
 	// those during the failure, and Steady the rest.
 	End, Failure, Steady Outcome
 	// Writes and Hops belong to the second half of the run.
-	Late        int
+	Late int
+	// EndWrites counts the table writes of the requests and passes of End.
+	EndWrites   int64
 	Writes      int64
 	Hops        int
 	Overspend   ident.Tokens
@@ -120,7 +122,9 @@
 	// real counts what the holders did, ideal what the allocator did that sees
 	// all tokens at once.
 	real, ideal account
-	res         Result
+	// ending means that the last 5 % have begun.
+	ending bool
+	res    Result
 }
 
 func newSim(ctx context.Context, way Way, sc Scenario) (*sim, error) {
@@ -137,8 +141,11 @@
 	}
 	for no := range sc.Holders {
 		cl := si.tb.Client()
-		hd := budget.NewHolder(ident.Incarnation(fmt.Sprint("r", no)), "vm", "fd", budget.NewLedger(cl, codecs()),
-			way.options(budget.WithClock(si.clock))...)
+		opts := way.options(budget.WithClock(si.clock))
+		if way.asks {
+			opts = append(opts, budget.WithPeers(neighbours{si}), budget.WithAddress(fmt.Sprint(no)))
+		}
+		hd := budget.NewHolder(ident.Incarnation(fmt.Sprint("r", no)), "vm", "fd", budget.NewLedger(cl, codecs()), opts...)
 		if err := hd.Open(ctx); err != nil {
 			return nil, err
 		}
@@ -178,6 +185,9 @@
 		si.request(ctx, failing, half)
 	}
 	si.res.Writes += si.tb.Writes()
+	if si.ending {
+		si.res.EndWrites += si.tb.Writes()
+	}
 	return si.res, si.finish(ctx)
 }
 
@@ -233,6 +243,10 @@
 		part = &si.res.Failure
 	case si.ideal.free(si.prepaid) < si.prepaid/20:
 		part = &si.res.End
+		if !si.ending {
+			si.ending = true
+			si.res.EndWrites = -si.tb.Writes()
+		}
 	}
 	if reachable {
 		ho, err := si.holders[at].Reserve(ctx, ref, it.worst, si.sc.Weight)
--- a/internal/bench/budget/table.go
+++ b/internal/bench/budget/table.go
@@ -19,6 +19,8 @@
 type Way struct {
 	Name string
 	home bool
+	// asks means that a holder which is short asks others to release escrow.
+	asks bool
 	with budget.Option
 }
 
@@ -31,6 +33,7 @@
 func Ways() []Way {
 	return []Way{
 		{Name: "adaptive", with: budget.WithSlicer(escrow.Adaptive{})},
+		{Name: "adaptive with release requests", asks: true, with: budget.WithSlicer(escrow.Adaptive{})},
 		{Name: "fixed", with: budget.WithSlicer(escrow.Fixed{Size: fixedSlice})},
 		{Name: "home", home: true, with: budget.WithSlicer(escrow.Home{})},
 	}
@@ -42,6 +45,8 @@
 	Holders int
 	// End is the last 5 % of a budget.
 	End Outcome
+	// EndWrites counts the table writes per request there.
+	EndWrites float64
 	// Outage is a minute without the table for an account that weighs refusals,
 	// and Careful for one that weighs overspend.
 	Outage, Careful Outcome
@@ -103,7 +108,10 @@
 		sc   Scenario
 		take func(re Result)
 	}{
-		{end, func(re Result) { li.End = re.End }},
+		{end, func(re Result) {
+			li.End = re.End
+			li.EndWrites = float64(re.EndWrites) / float64(max(1, re.End.Requests))
+		}},
 		{down, func(re Result) { li.Outage = re.Failure }},
 		{careful, func(re Result) { li.Careful = re.Failure }},
 		{cut, func(re Result) { li.Cut = re.Failure }},
@@ -128,11 +136,11 @@
 func Render(lines []Line) string {
 	var sb strings.Builder
 	tw := tabwriter.NewWriter(&sb, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(tw, "| way\t| holders\t| false, last 5 %\t| stranded, last 5 %\t| false, outage\t| false, outage, careful\t| false, cut off\t| writes/request\t| at twice the rate\t| hops/request\t| overspend\t|")
-	fmt.Fprintln(tw, "|---\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|")
+	fmt.Fprintln(tw, "| way\t| holders\t| false, last 5 %\t| stranded, last 5 %\t| writes/request, last 5 %\t| false, outage\t| false, outage, careful\t| false, cut off\t| writes/request\t| at twice the rate\t| hops/request\t| overspend\t|")
+	fmt.Fprintln(tw, "|---\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|---:\t|")
 	for _, li := range lines {
-		fmt.Fprintf(tw, "| %s\t| %d\t| %s\t| %s\t| %s\t| %s\t| %s\t| %.4f\t| %.4f\t| %.2f\t| %d\t|\n", li.Way, li.Holders,
-			percent(li.End), stranded(li.End), percent(li.Outage), percent(li.Careful), percent(li.Cut),
+		fmt.Fprintf(tw, "| %s\t| %d\t| %s\t| %s\t| %.4f\t| %s\t| %s\t| %s\t| %.4f\t| %.4f\t| %.2f\t| %d\t|\n", li.Way, li.Holders,
+			percent(li.End), stranded(li.End), li.EndWrites, percent(li.Outage), percent(li.Careful), percent(li.Cut),
 			li.WritesPerRequest, li.Doubled, li.HopsPerRequest, li.Overspend)
 	}
 	_ = tw.Flush()
--- a/internal/bench/deploy/deploy.go
+++ b/internal/bench/deploy/deploy.go
@@ -128,6 +128,7 @@
 listen: 127.0.0.1:0
 adminListen: 127.0.0.1:0
 metricsListen: 127.0.0.1:0
+peerListen: 127.0.0.1:0
 platform: {table: %[3]s, objects: %[3]s, vms: %[3]s/vms}
 tls: {disabled: true}
 `, vm, domain, de.Platform.URL())
--- a/internal/core/escrow/evidence.go
+++ b/internal/core/escrow/evidence.go
@@ -26,6 +26,8 @@
 	// Opened is the time of the start in Unix milliseconds.
 	Opened int64 `json:"opened"`
 	State  State `json:"state"`
+	// Address is where other routers reach the router, or empty.
+	Address string `json:"address,omitempty"`
 }
 
 // WithState returns a copy in the given state.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 	claims   relay.Claims
 	certs    *certs.Fleet
 
+	// peers listens for other routers, or is nil.
+	peers  net.Listener
 	caller *serve.Server
 	admin  *serve.Server
 	ops    *serve.Server
@@ -85,6 +88,9 @@
 		}
 		ro.certs = fl
 	}
+	if err := ro.listenPeers(); err != nil {
+		return nil, err
+	}
 	ro.composeConfig()
 	ro.composeBudgets()
 	if err := ro.composePath(); err != nil {
@@ -108,7 +114,7 @@
 
 func (ro *Router) composeBudgets() {
 	ro.ledger = budget.NewLedger(ro.table, codec.Ledger())
-	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, budget.WithMeter(ro.met))
+	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, ro.holderOptions()...)
 	ro.claims = relay.NewClaims(ro.table, codec.JSON[claim.Record]{})
 }
 
@@ -144,6 +150,7 @@
 	workers.Go(func() { ro.watcher.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
+	workers.Go(func() { ro.servePeers(own) })
 	workers.Go(func() { ro.gate.Run(own) })
 	<-failed.Done()
 	ro.leave()
