--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -20,6 +20,8 @@
 	refuseFor   time.Duration
 	idleAfter   time.Duration
 	batch       int64
+	peers       Peers
+	peerAddress string
 }
 
 // Option configures a Holder.
@@ -80,8 +82,9 @@
 }
 
 // WithRefuseFor sets how long a refusal stands at most before the table is
-// asked again; it is less while a budget has few holders. It bounds the reads of an exhausted budget and delays the effect of a
-// top-up. The default is 500 ms, and the range is 0 to 10 s.
+// asked again; it is less while a budget has few holders. It bounds the reads of
+// an exhausted budget and delays the effect of a top-up. The default is 500 ms,
+// and the range is 0 to 10 s.
 func WithRefuseFor(d time.Duration) Option {
 	return func(op *options) { op.refuseFor = min(max(d, 0), 10*time.Second) }
 }
@@ -92,6 +95,14 @@
 	return func(op *options) { op.idleAfter = min(max(d, time.Second), time.Hour) }
 }
 
+// WithPeers sets how other holders are asked to return unused escrow. By
+// default they are not asked.
+func WithPeers(pe Peers) Option { return func(op *options) { op.peers = pe } }
+
+// WithPeerAddress sets the address at which other holders reach this one. It is
+// written to the row of the incarnation. The default is none.
+func WithPeerAddress(addr string) Option { return func(op *options) { op.peerAddress = addr } }
+
 // WithBatch sets the number of requests of a budget that are settled together
 // when nothing presses. The default is 64, and the range is 1 to 10,000.
 func WithBatch(requests int64) Option {
--- a/internal/core/escrow/evidence.go
+++ b/internal/core/escrow/evidence.go
@@ -28,6 +28,8 @@
 	State  State `json:"state"`
 	// Address is where the router answers, or empty if that is not known.
 	Address string `json:"address,omitempty"`
+	// PeerAddress is where other routers ask for unused escrow, or empty.
+	PeerAddress string `json:"peerAddress,omitempty"`
 }
 
 // WithState returns a copy in the given state.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -67,6 +68,8 @@
 	certs    *certs.Fleet
 	recov    *recov.Recoverer
 
+	// peers listens for other routers, or is nil.
+	peers  net.Listener
 	caller *serve.Server
 	admin  *serve.Server
 	ops    *serve.Server
@@ -89,6 +92,9 @@
 		}
 		ro.certs = fl
 	}
+	if err := ro.listenPeers(); err != nil {
+		return nil, err
+	}
 	ro.composeConfig()
 	ro.composeBudgets()
 	if err := ro.composePath(); err != nil {
@@ -113,8 +119,7 @@
 
 func (ro *Router) composeBudgets() {
 	ro.ledger = budget.NewLedger(ro.table, codec.Ledger())
-	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger,
-		budget.WithMeter(ro.met), budget.WithAddress(ro.reachable))
+	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, ro.holderOptions()...)
 	ro.claims = relay.NewClaims(ro.table, codec.JSON[claim.Record]{})
 }
 
@@ -155,6 +160,7 @@
 	workers.Go(func() { ro.hold(own) })
 	workers.Go(func() { ro.recov.Run(own) })
 	workers.Go(func() { ro.reporter().Run(own) })
+	workers.Go(func() { ro.servePeers(own) })
 	workers.Go(func() { ro.gate.Run(own) })
 	<-failed.Done()
 	ro.leave()
