link: keep pooled timers of one test out of the bubbles of others

Cause: TestBoundDocuments left yamux's pooled timers of its bubble behind, and the next test outside a bubble ended with 'reset of synctest timer from outside bubble'. Ruled out: a fault in the release requests, which pass alone. Change: the test empties the pools before and after, as TestFaults does. Conclusion: every bubble with yamux in it needs this.

--- a/internal/adapt/link/document_test.go
+++ b/internal/adapt/link/document_test.go
@@ -96,6 +96,8 @@
 func TestBoundDocuments(t *testing.T) {
 	const routers = 60
 	document := bytes.Repeat([]byte("budget"), 300_000)
+	emptyPools()
+	defer emptyPools()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
