--- a/internal/bench/soak/load.go
+++ b/internal/bench/soak/load.go
@@ -23,6 +23,8 @@
 	giveUpTime = requestTime + 3*time.Second
 	// refusedPause is how long a caller waits after no router answered.
 	refusedPause = time.Second
+	// avoidTime is how long a router that gave no answer is passed over.
+	avoidTime = time.Second
 	// repeats bounds how often a caller sends a key again.
 	repeats = 2
 )
@@ -69,8 +71,8 @@
 		ch.Key = ident.Key(fmt.Sprintf("chat-%d-%d", so.op.Seed, number))
 	}
 	for try := range repeats + 1 {
-		re := so.send(ctx, func(ctx context.Context) call.Result {
-			return bu.caller.Stream(ctx, so.router(ro+try), ch)
+		re := so.send(ctx, ro+try, func(ctx context.Context, url string) call.Result {
+			return bu.caller.Stream(ctx, url, ch)
 		})
 		so.add(entry{Result: re, bu: bu, key: ch.Key, kind: chat})
 		if re.Served || !keyed || re.Reason == refuse.OverBudget {
@@ -85,8 +87,8 @@
 		Body: fmt.Sprintf(`{"child":"%d"}`, number), Key: ident.Key(fmt.Sprintf("voucher-%d-%d", so.op.Seed, number)),
 	}
 	for try := range repeats + 1 {
-		re := so.send(ctx, func(ctx context.Context) call.Result {
-			return so.large.caller.Service(ctx, so.router(ro+try), cl)
+		re := so.send(ctx, ro+try, func(ctx context.Context, url string) call.Result {
+			return so.large.caller.Service(ctx, url, cl)
 		})
 		re.Body = []byte(cl.Body)
 		so.add(entry{Result: re, bu: so.large, key: cl.Key, kind: act})
@@ -98,18 +100,20 @@
 
 func (so *soak) lookup(ctx context.Context, ro, id int) {
 	cl := call.Call{Service: desk, Method: "GET", Path: fmt.Sprintf("/vouchers/%d", id), Timeout: requestTime}
-	re := so.send(ctx, func(ctx context.Context) call.Result {
-		return so.large.caller.Service(ctx, so.router(ro), cl)
+	re := so.send(ctx, ro, func(ctx context.Context, url string) call.Result {
+		return so.large.caller.Service(ctx, url, cl)
 	})
 	re.Body = []byte(fmt.Sprint(id))
 	so.add(entry{Result: re, bu: so.large, kind: lookup})
 }
 
-func (so *soak) send(ctx context.Context, send func(context.Context) call.Result) call.Result {
+func (so *soak) send(ctx context.Context, number int, send func(ctx context.Context, url string) call.Result) call.Result {
 	own, cancel := context.WithTimeout(ctx, giveUpTime)
 	defer cancel()
-	re := send(own)
+	pick := so.choose(number)
+	re := send(own, so.routers[pick].Load().URL())
 	if re.Status == 0 {
+		so.failed[pick].Store(time.Now().UnixNano())
 		// Without the pause, a router that is down would use up the requests.
 		ti := time.NewTimer(refusedPause)
 		defer ti.Stop()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -83,9 +83,11 @@
 	services []*deploy.Node
 	sides    []*side
 	routers  []atomic.Pointer[deploy.Node]
-	large    *budget
-	small    *budget
-	done     atomic.Int64
+	// failed is when a router last gave no answer, in nanoseconds.
+	failed [routerCount]atomic.Int64
+	large  *budget
+	small  *budget
+	done   atomic.Int64
 
 	mu  sync.Mutex
 	log []entry
@@ -190,7 +192,18 @@
 	return ro.Ready(ctx)
 }
 
-func (so *soak) router(number int) string { return so.routers[number%routerCount].Load().URL() }
+// choose returns the router for a request as a balancer with health checks
+// does: one that recently gave no answer is passed over.
+func (so *soak) choose(number int) int {
+	now := time.Now()
+	for ix := range routerCount {
+		pick := (number + ix) % routerCount
+		if now.Sub(time.Unix(0, so.failed[pick].Load())) > avoidTime {
+			return pick
+		}
+	}
+	return number % routerCount
+}
 
 func (so *soak) budgets() []*budget { return []*budget{so.large, so.small} }
 
