--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -75,7 +75,8 @@
 // WithPolicy sets the policy by name. The default is expectedFinish.
 func WithPolicy(na route.Name) Option { return func(fl *Fleet) { fl.name = na } }
 
-// WithLinks bounds the links for each model or service. The default is 64.
+// WithLinks bounds the links of the router. The default is 64; three to each
+// model and service are kept in any case.
 func WithLinks(most int) Option { return func(fl *Fleet) { fl.links = most } }
 
 // WithSuspectTime sets how long an upstream is avoided after a failed link,
@@ -154,8 +155,12 @@
 	fl.nodes.Store(have)
 }
 
-// subset returns the upstreams that this router keeps links to. The limit
-// applies to each model and service, so that each stays covered.
+// leastLinks is the number of links to each model and service that the limit
+// leaves in any case, so that each stays covered when two failure domains fail.
+const leastLinks = 3
+
+// subset returns the upstreams that this router keeps links to. The models and
+// services share the limit evenly.
 func (fl *Fleet) subset(sn config.Snapshot) map[ident.Upstream]config.Upstream {
 	groups := make(map[ident.Model][]route.Member)
 	for _, up := range sn.Upstreams() {
@@ -164,8 +169,9 @@
 		}
 	}
 	want := make(map[ident.Upstream]config.Upstream)
+	most := max(leastLinks, fl.links/max(1, len(groups)))
 	for _, members := range groups {
-		for _, id := range route.Subset(fl.vm, members, fl.links) {
+		for _, id := range route.Subset(fl.vm, members, most) {
 			up, _ := sn.Upstream(id)
 			want[id] = up
 		}
