--- a/internal/app/recov/close.go
+++ b/internal/app/recov/close.go
@@ -36,6 +36,10 @@
 	if err != nil {
 		return fmt.Errorf("witnesses of %s: %w", in.ID, err)
 	}
+	for _, wi := range witnesses {
+		// The VM may have left the list before this router started.
+		re.view = re.view.WithKnown(member.Listed{ID: wi.VM})
+	}
 	sides := re.bySidecar()
 	re.ask(ctx, in.ID, witnesses, sides)
 	cl, ev := re.closure(in.ID, witnesses, sides)
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -45,6 +45,9 @@
 		{"absent once", listed(view{}, 1, false).WithList(nil, at(2)), member.Suspect},
 		{"absent twice", listed(view{}, 1, false).WithList(nil, at(2)).WithList(nil, at(3)), member.Gone},
 		{"absent but answering", said(listed(view{}, 1, false).WithList(nil, at(2)).WithList(nil, at(3)), 4, "i1", false), member.Live},
+		{"known from its row, not listed yet", view{}.WithKnown(member.Listed{ID: "v"}).WithList(nil, at(1)), member.Suspect},
+		{"known from its row, absent twice", view{}.WithKnown(member.Listed{ID: "v"}).WithList(nil, at(1)).WithList(nil, at(2)), member.Gone},
+		{"known from its row does not undo the list", listed(view{}, 1, true).WithKnown(member.Listed{ID: "v"}), member.Leaving},
 		{"never listed, silent", said(view{}, 1, "i1", false).WithLost("v", at(2)).WithList(nil, at(3)).WithList(nil, at(4)), member.Suspect},
 	}
 	for _, ca := range cases {
