rollout: find the newest document whatever revisions are missing

Cause: the search for the newest document took 8 missing revisions in a row as the end. Documents are missing when the object store is down and the routers that accepted them are replaced. A router that started during an outage of the table then followed a much older configuration. TestArchive with the revisions 60 to 140 missing found 59 in place of 199.

Ruled out: a larger window, which only moves the limit and adds reads.

Change: each document is followed by marks of the ranges it lies in, from the smallest to the largest; the search descends through 33 of them. Accesses to the object store are bounded one by one, so that a slow one delays a start but does not prevent it.

Seen: TestArchive with four gaps passes and needs less than 3 s of virtual time at 50 ms a read; TestStartDuringOutage passes with 300 ms a read; the package and the outage tests of role/router pass under -race.

Conclusion: a start finds the newest stored document with 34 reads.

--- a/internal/app/rollout/archive.go
+++ b/internal/app/rollout/archive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -16,10 +17,9 @@
 	retryEvery = 5 * time.Second
 	// maxPending bounds the documents that wait for the object store.
 	maxPending = 16
-	// searchWindow is how many consecutive revisions must be missing before the
-	// search takes them as not yet accepted. A revision is missing when the
-	// process that accepted it ended before the object store took it.
-	searchWindow = 8
+	// indexLevels is the number of halvings in which a search finds the newest
+	// revision. It covers 2^32 revisions.
+	indexLevels = 32
 )
 
 // pending is a document that is not yet in the object store.
@@ -34,6 +34,8 @@
 	objects store.Objects
 	mu      sync.Mutex
 	queue   []pending
+	// last is the highest revision whose marks were stored by this process.
+	last ident.Revision
 }
 
 // NewArchive returns an archive.
@@ -44,8 +46,6 @@
 // Keep stores the document of an accepted revision. A document that cannot be
 // stored now is kept in memory and stored by Run.
 func (ar *Archive) Keep(ctx context.Context, re ident.Revision, document []byte) {
-	ctx, stop := context.WithTimeout(ctx, ar.timeout)
-	defer stop()
 	if err := ar.put(ctx, pending{re, document}); err != nil {
 		ar.meter.Log(evNoArchive, slog.Uint64("revision", uint64(re)), slog.String("error", err.Error()))
 		ar.mu.Lock()
@@ -70,52 +70,73 @@
 }
 
 // Newest returns the document with the highest revision in the object store.
-// It doubles the revision until nothing is found and then halves the interval.
+// It descends through the marks, which name the ranges of revisions that have a
+// document. Revisions may be missing, because a process that accepted some can
+// end before the object store took them.
 func (ar *Archive) Newest(ctx context.Context) ([]byte, bool, error) {
-	var low, high ident.Revision = 0, 1
-	for {
-		ok, err := ar.some(ctx, high)
-		if err != nil {
-			return nil, false, err
-		}
-		if !ok {
-			break
-		}
-		low, high = high, high*2
+	_, ok, err := ar.get(ctx, markName(indexLevels, 0))
+	if err != nil || !ok {
+		return nil, false, err
 	}
-	for high-low > 1 {
-		mid := low + (high-low)/2
-		ok, err := ar.some(ctx, mid)
+	var re ident.Revision
+	for level := indexLevels - 1; level >= 0; level-- {
+		// The lower half has a document when the upper one has none.
+		re = re<<1 | 1
+		_, ok, err := ar.get(ctx, markName(level, re))
 		if err != nil {
 			return nil, false, err
 		}
-		if ok {
-			low = mid
-		} else {
-			high = mid
+		if !ok {
+			re--
 		}
 	}
-	if low == 0 {
-		return nil, false, nil
-	}
-	return ar.objects.Get(ctx, ObjectName(low))
+	return ar.get(ctx, ObjectName(re))
 }
 
-// some reports whether a revision from re to re+searchWindow-1 is stored.
-func (ar *Archive) some(ctx context.Context, re ident.Revision) (bool, error) {
-	for ix := range ident.Revision(searchWindow) {
-		_, ok, err := ar.objects.Get(ctx, ObjectName(re+ix))
-		if err != nil || ok {
-			return ok, err
+// get bounds each read on its own, so that a slow object store delays a start
+// but does not prevent it.
+func (ar *Archive) get(ctx context.Context, name string) ([]byte, bool, error) {
+	ctx, stop := context.WithTimeout(ctx, ar.timeout)
+	defer stop()
+	return ar.objects.Get(ctx, name)
+}
+
+// markName returns the name of the mark of the revisions from part<<level to
+// (part+1)<<level - 1.
+func markName(level int, part ident.Revision) string {
+	return fmt.Sprintf("config/index/%02d/%020d", level, part)
+}
+
+// put stores the document and then its marks from the smallest range to the
+// largest, so that a search never meets a range without a document.
+func (ar *Archive) put(ctx context.Context, pe pending) error {
+	if err := ar.putOnce(ctx, ObjectName(pe.revision), pe.document); err != nil {
+		return err
+	}
+	ar.mu.Lock()
+	last := ar.last
+	ar.mu.Unlock()
+	for level := range indexLevels + 1 {
+		if last > 0 && pe.revision>>level == last>>level {
+			break
+		}
+		if err := ar.putOnce(ctx, markName(level, pe.revision>>level), []byte{'1'}); err != nil {
+			return err
 		}
 	}
-	return false, nil
+	ar.mu.Lock()
+	ar.last = max(ar.last, pe.revision)
+	ar.mu.Unlock()
+	return nil
 }
 
-func (ar *Archive) put(ctx context.Context, pe pending) error {
-	err := ar.objects.PutIfAbsent(ctx, ObjectName(pe.revision), pe.document)
+// putOnce takes an object that is already stored as a success: the same name
+// always has the same content.
+func (ar *Archive) putOnce(ctx context.Context, name string, data []byte) error {
+	ctx, stop := context.WithTimeout(ctx, ar.timeout)
+	defer stop()
+	err := ar.objects.PutIfAbsent(ctx, name, data)
 	if errors.Is(err, store.ErrConflict) {
-		// The same revision has the same document.
 		return nil
 	}
 	return err
--- a/internal/app/rollout/option.go
+++ b/internal/app/rollout/option.go
@@ -52,8 +52,8 @@
 // above 0.
 func WithInterval(du time.Duration) Option { return func(op *options) { op.interval = du } }
 
-// WithTimeout bounds one read of a Watcher at the table, the peers or the
-// object store. Default: 3s, which leaves several tries within the 18 s in
+// WithTimeout bounds one round of a Watcher at the table or the peers, and each
+// access to the object store. Default: 3s, which leaves several tries within the 18 s in
 // which a configuration is to be in force everywhere. Range: above 0.
 func WithTimeout(du time.Duration) Option { return func(op *options) { op.timeout = du } }
 
--- a/internal/app/rollout/watch.go
+++ b/internal/app/rollout/watch.go
@@ -65,7 +65,7 @@
 		wa.counted("peers", wa.limited(ctx, wa.askPeers))
 	}
 	if err != nil && wa.archive != nil && !wa.follower.Ready() {
-		wa.counted("object store", wa.limited(ctx, wa.readArchive))
+		wa.counted("object store", wa.readArchive(ctx))
 	}
 }
 
--- a/internal/app/rollout/watch_test.go
+++ b/internal/app/rollout/watch_test.go
@@ -166,14 +166,16 @@
 		table   bool
 		peer    ident.Revision
 		objects int
+		slow    time.Duration
 		want    ident.Revision
 		source  string
 	}{
-		{"nothing answers", false, 0, 0, 0, ""},
-		{"peer before object store", false, 5, 3, 5, "peer"},
-		{"object store only", false, 0, 3, 3, "object store"},
-		{"table older than the peers", true, 5, 0, 5, "peer"},
-		{"table only", true, 0, 0, 2, "table"},
+		{"nothing answers", false, 0, 0, 0, 0, ""},
+		{"peer before object store", false, 5, 3, 0, 5, "peer"},
+		{"object store only", false, 0, 3, 0, 3, "object store"},
+		{"slow object store only", false, 0, 3, 300 * time.Millisecond, 3, "object store"},
+		{"table older than the peers", true, 5, 0, 0, 5, "peer"},
+		{"table only", true, 0, 0, 0, 2, "table"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -194,15 +196,15 @@
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
 				fo := rollout.NewFollower(codecs.Config)
-				ar := rollout.NewArchive(bucket{&port{memory: other}})
+				ar := rollout.NewArchive(bucket{&port{memory: other, slow: tc.slow}})
 				began := time.Now()
 				go rollout.NewWatcher(po, codecs, fo, rollout.WithArchive(ar), rollout.WithPeers(ask{peer})).Run(ctx)
-				time.Sleep(2 * time.Second)
+				time.Sleep(2*time.Second + 40*tc.slow)
 				st := fo.InForce()
 				if st.Revision != tc.want || st.Source != tc.source || fo.Ready() != (tc.want > 0) {
 					t.Errorf("revision %d from %q, ready %v", st.Revision, st.Source, fo.Ready())
 				}
-				if tc.want > 0 && !st.Since.Equal(began) {
+				if tc.want > 0 && tc.slow == 0 && !st.Since.Equal(began) {
 					t.Errorf("in force since %v, want %v", st.Since, began)
 				}
 			})
@@ -254,28 +256,36 @@
 }
 
 // TestArchive guards against documents that are lost to the object store after
-// an outage, and against a search that stops at a missing revision.
+// an outage, against a search that stops at missing revisions, and against one
+// that needs more reads than fit into the time for a start.
 func TestArchive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		po := &port{memory: newMemory()}
-		ar := rollout.NewArchive(bucket{po})
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		go ar.Run(ctx)
-		for re := range ident.Revision(200) {
-			// Revisions 60 to 66 are missing for good.
-			if re > 0 && (re < 60 || re > 66) {
-				po.set(func(po *port) { po.down = re > 190 })
-				ar.Keep(ctx, re, []byte{byte(re)})
+	for _, gap := range [][2]ident.Revision{{60, 66}, {60, 140}, {1, 198}, {128, 128}} {
+		synctest.Test(t, func(t *testing.T) {
+			po := &port{memory: newMemory()}
+			ar := rollout.NewArchive(bucket{po})
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go ar.Run(ctx)
+			for re := range ident.Revision(200) {
+				// The revisions of the gap are missing for good.
+				if re > 0 && (re < gap[0] || re > gap[1]) {
+					po.set(func(po *port) { po.down = re > 190 })
+					ar.Keep(ctx, re, []byte{byte(re)})
+				}
 			}
-		}
-		po.set(func(po *port) { po.down = false })
-		time.Sleep(6 * time.Second)
-		doc, ok, err := ar.Newest(ctx)
-		if !ok || err != nil || doc[0] != 199 {
-			t.Errorf("newest is %v, %v, %v, want 199", doc, ok, err)
-		}
-	})
+			po.set(func(po *port) { po.down = false })
+			time.Sleep(6 * time.Second)
+			po.set(func(po *port) { po.slow = 50 * time.Millisecond })
+			began := time.Now()
+			doc, ok, err := rollout.NewArchive(bucket{po}).Newest(ctx)
+			if !ok || err != nil || doc[0] != 199 {
+				t.Errorf("gap %v: newest is %v, %v, %v, want 199", gap, doc, ok, err)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("gap %v: the search took %s", gap, took)
+			}
+		})
+	}
 }
 
 // TestChanged guards against a link that does not learn of a new revision.
--- a/internal/role/router/outage_test.go
+++ b/internal/role/router/outage_test.go
@@ -96,9 +96,7 @@
 		t.Fatal(err)
 	}
 	doc, _ := codec.Config{}.Encode(first)
-	if err := bucket.New(st.Serve(st.Cloud)).PutIfAbsent(t.Context(), rollout.ObjectName(1), doc); err != nil {
-		t.Fatal(err)
-	}
+	rollout.NewArchive(bucket.New(st.Serve(st.Cloud))).Keep(t.Context(), 1, doc)
 	_, stop, err := st.Router("vm-r1", "d1")
 	if err != nil {
 		t.Fatal(err)
