--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -188,8 +188,10 @@
 	if err != nil {
 		return err
 	}
+	// A balancer passes no requests to a router that is not ready.
+	err = ro.Ready(ctx)
 	so.routers[number].Store(ro)
-	return ro.Ready(ctx)
+	return err
 }
 
 // choose returns the router for a request as a balancer with health checks
