--- a/internal/adapt/caller/server.go
+++ b/internal/adapt/caller/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -44,6 +45,9 @@
 	State  string `json:"state"`
 	Status int    `json:"status,omitempty"`
 	Body   []byte `json:"body,omitempty"`
+	// Failure is the reason if the call ended without an answer, so that its
+	// effect is not known.
+	Failure string `json:"failure,omitempty"`
 }
 
 // Outcomes looks up the outcomes of keyed calls.
@@ -171,6 +175,9 @@
 		return rq, err
 	}
 	rq.Key = ident.Key(hd.Get(headerKey))
+	if !utf8.ValidString(string(rq.Key)) {
+		return rq, refuse.New(refuse.BadRequest, "%s is not valid UTF-8", headerKey)
+	}
 	if len(rq.Key) > maxKey {
 		return rq, refuse.New(refuse.BadRequest, "%s exceeds %d bytes", headerKey, maxKey)
 	}
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -18,10 +18,10 @@
 
 // Events of this package.
 var (
-	eventFenced    = meter.Event{Number: 301, Level: slog.LevelError, Text: "incarnation was closed by a recovery, no more work is accepted"}
-	eventUncharged = meter.Event{Number: 302, Level: slog.LevelError, Text: "use above the reservation could not be charged"}
-	eventFlush     = meter.Event{Number: 303, Level: slog.LevelWarn, Text: "settlements could not be written and are kept for the next pass"}
-	eventHeld      = meter.Event{Number: 304, Level: slog.LevelWarn, Text: "escrow stays held at the end of the incarnation"}
+	eventFenced    = meter.Event{Number: 3001, Level: slog.LevelError, Text: "incarnation was closed by a recovery, no more work is accepted"}
+	eventUncharged = meter.Event{Number: 3002, Level: slog.LevelError, Text: "use above the reservation could not be charged"}
+	eventFlush     = meter.Event{Number: 3003, Level: slog.LevelWarn, Text: "settlements could not be written and are kept for the next pass"}
+	eventHeld      = meter.Event{Number: 3004, Level: slog.LevelWarn, Text: "escrow stays held at the end of the incarnation"}
 )
 
 // refusePerHolder scales how long a refusal stands with the holders of the
@@ -82,7 +82,10 @@
 			hd.row.Store(ro.version)
 			return true, nil
 		}
-		ir := escrow.IncarnationRow{VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open}
+		ir := escrow.IncarnationRow{
+			VM: hd.vm, Domain: hd.domain, Opened: opened, State: escrow.Open,
+			Address: hd.opts.address(), PeerAddress: hd.opts.peerAddress,
+		}
 		wr, err := put(hd.ledger.codecs.Incarnation, ro, ir)
 		if err != nil {
 			return false, err
@@ -148,14 +151,19 @@
 		return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn in time")
 	}
 	defer hg.unlock()
-	for {
+	for asked := false; ; {
 		if hg.pool.Reserve(tokens) {
 			return nil
 		}
 		if re := hg.standing(now, tokens); re != nil {
 			return re
 		}
-		if err := hd.draw(ctx, hg, tokens); err != nil {
+		err := hd.draw(ctx, hg, tokens)
+		if errors.Is(err, escrow.ErrShort) && !asked && hd.ask(ctx, hg, tokens) {
+			asked = true
+			continue
+		}
+		if err != nil {
 			return hd.refuseDraw(hg, tokens, err)
 		}
 	}
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -12,6 +12,7 @@
 type options struct {
 	clock       clock.Clock
 	meter       meter.Meter
+	address     func() string
 	slicer      escrow.Slicer[escrow.Demand]
 	newOp       func() ident.Op
 	tick        time.Duration
@@ -19,6 +20,8 @@
 	refuseFor   time.Duration
 	idleAfter   time.Duration
 	batch       int64
+	peers       Peers
+	peerAddress string
 }
 
 // Option configures a Holder.
@@ -28,6 +31,7 @@
 	op := options{
 		clock:       clock.System{},
 		meter:       meter.Nop{},
+		address:     func() string { return "" },
 		slicer:      escrow.Bounded[escrow.Adaptive]{},
 		newOp:       ident.NewOp,
 		tick:        time.Second,
@@ -48,6 +52,12 @@
 // WithMeter sets the meter. By default nothing is recorded.
 func WithMeter(me meter.Meter) Option { return func(op *options) { op.meter = me } }
 
+// WithAddress sets the source of the address at which the router answers. The
+// default is empty: then only the platform's list tells its address.
+func WithAddress(address func() string) Option {
+	return func(op *options) { op.address = address }
+}
+
 // WithSlicer sets the grant size policy, which is always bounded by what is
 // free. The default is escrow.Adaptive.
 func WithSlicer[S escrow.Slicer[escrow.Demand]](sl S) Option {
@@ -72,8 +82,9 @@
 }
 
 // WithRefuseFor sets how long a refusal stands at most before the table is
-// asked again; it is less while a budget has few holders. It bounds the reads of an exhausted budget and delays the effect of a
-// top-up. The default is 500 ms, and the range is 0 to 10 s.
+// asked again; it is less while a budget has few holders. It bounds the reads of
+// an exhausted budget and delays the effect of a top-up. The default is 500 ms,
+// and the range is 0 to 10 s.
 func WithRefuseFor(d time.Duration) Option {
 	return func(op *options) { op.refuseFor = min(max(d, 0), 10*time.Second) }
 }
@@ -84,6 +95,14 @@
 	return func(op *options) { op.idleAfter = min(max(d, time.Second), time.Hour) }
 }
 
+// WithPeers sets how other holders are asked to return unused escrow. By
+// default they are not asked.
+func WithPeers(pe Peers) Option { return func(op *options) { op.peers = pe } }
+
+// WithPeerAddress sets the address at which other holders reach this one. It is
+// written to the row of the incarnation. The default is none.
+func WithPeerAddress(addr string) Option { return func(op *options) { op.peerAddress = addr } }
+
 // WithBatch sets the number of requests of a budget that are settled together
 // when nothing presses. The default is 64, and the range is 1 to 10,000.
 func WithBatch(requests int64) Option {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -14,11 +15,13 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
+	"github.com/balsamwood/balsamwood/internal/adapt/httpsd"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/fleet"
 	"github.com/balsamwood/balsamwood/internal/app/front"
 	"github.com/balsamwood/balsamwood/internal/app/gate"
+	"github.com/balsamwood/balsamwood/internal/app/recov"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
@@ -63,7 +66,10 @@
 	front    *front.Service
 	claims   relay.Claims
 	certs    *certs.Fleet
+	recov    *recov.Recoverer
 
+	// peers listens for other routers, or is nil.
+	peers  net.Listener
 	caller *serve.Server
 	admin  *serve.Server
 	ops    *serve.Server
@@ -86,6 +92,9 @@
 		}
 		ro.certs = fl
 	}
+	if err := ro.listenPeers(); err != nil {
+		return nil, err
+	}
 	ro.composeConfig()
 	ro.composeBudgets()
 	if err := ro.composePath(); err != nil {
@@ -110,7 +119,7 @@
 
 func (ro *Router) composeBudgets() {
 	ro.ledger = budget.NewLedger(ro.table, codec.Ledger())
-	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, budget.WithMeter(ro.met))
+	ro.holder = budget.NewHolder(ro.in, ro.set.VM, ro.set.Domain, ro.ledger, ro.holderOptions()...)
 	ro.claims = relay.NewClaims(ro.table, codec.JSON[claim.Record]{})
 }
 
@@ -121,10 +130,12 @@
 		return errs.Internal.Wrap(err, "compose")
 	}
 	ro.fleet = fl
+	ro.recov = recov.New(ro.in, ro.ledger, httpsd.New(ro.set.Platform.VMs), sidecars{fl}, newProber(ro.certs),
+		recov.WithMeter(ro.met), recov.WithEvery(ro.set.Recovery))
 	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
-	ro.front = front.New(ro.in, purse{ro.holder}, fl,
-		front.WithGate(ro.gate), front.WithKeys(keys{ro.claims}), front.WithMeter(ro.met),
-		front.WithRetries(front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))))
+	retries := front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))
+	ro.front = front.New(ro.in, purse{ro.holder}, ro.gate, front.WithKeys(keys{ro.claims}),
+		front.WithMeter(ro.met), front.WithRetries(retries), front.WithHedges(retries))
 	return nil
 }
 
@@ -147,6 +158,10 @@
 	workers.Go(func() { ro.archive.Run(own) })
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
+	workers.Go(func() { ro.recov.Run(own) })
+	workers.Go(func() { ro.reporter().Run(own) })
+	workers.Go(func() { ro.servePeers(own) })
+	workers.Go(func() { ro.gate.Run(own) })
 	<-failed.Done()
 	ro.leave()
 	stop()
