--- a/internal/role/cmdln/intake_test.go
+++ b/internal/role/cmdln/intake_test.go
@@ -117,3 +117,25 @@
 		t.Error("incomplete answers were kept")
 	}
 }
+
+// TestIntakeApplied guards against a generated configuration that the
+// administration API does not take, or that it takes over a newer revision.
+func TestIntakeApplied(t *testing.T) {
+	si := newSite(t)
+	dir := t.TempDir()
+	present, next := filepath.Join(dir, "present.json"), filepath.Join(dir, "next.json")
+	_, doc, _ := si.run("desk", "config", "show")
+	if err := os.WriteFile(present, []byte(doc), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	code, doc, msg := run(t, "", "intake", "--json", "--present", present, sejin)
+	if err := os.WriteFile(next, []byte(doc), 0o600); code != errs.ExitOK || err != nil {
+		t.Fatal(code, msg, err)
+	}
+	if code, out, msg := si.run("desk", "config", "apply", next); code != errs.ExitOK {
+		t.Errorf("exit code %d, %s%s", code, out, msg)
+	}
+	if code, _, msg := si.run("desk", "config", "apply", next); code != errs.ExitConflict {
+		t.Errorf("exit code %d for the same base again, want %d, %s", code, errs.ExitConflict, msg)
+	}
+}
