--- a/internal/bench/slopes/config.go
+++ b/internal/bench/slopes/config.go
@@ -1,6 +1,8 @@
 package slopes
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"runtime"
 	"time"
@@ -17,6 +19,7 @@
 // its size, the time to decode it and the memory that it takes.
 func Configs(sizes []int) ([]Line, error) {
 	size := Line{Name: "configuration document", Unit: "bytes", Sizes: sizes}
+	sent := Line{Name: "configuration document, compressed on links", Unit: "bytes", Sizes: sizes}
 	cpu := Line{Name: "configuration decode", Unit: "ms", Sizes: sizes}
 	mem := Line{Name: "configuration memory", Unit: "bytes", Sizes: sizes}
 	for _, accounts := range sizes {
@@ -31,14 +34,33 @@
 		}
 		spent := time.Since(began)
 		held := memory() - before
+		packed, err := compressed(doc)
+		if err != nil {
+			return nil, err
+		}
 		size.Vals = append(size.Vals, float64(len(doc)))
+		sent.Vals = append(sent.Vals, packed)
 		cpu.Vals = append(cpu.Vals, float64(spent.Microseconds())/1000)
 		mem.Vals = append(mem.Vals, held)
 		// Both must be alive at both readings of the memory.
 		runtime.KeepAlive(doc)
 		runtime.KeepAlive(sn)
 	}
-	return []Line{size, cpu, mem}, nil
+	return []Line{size, sent, cpu, mem}, nil
+}
+
+// compressed returns the size of the document on a link. The names of the sample
+// are more regular than real ones, so it is a lower bound.
+func compressed(doc []byte) (float64, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if _, err := zw.Write(doc); err != nil {
+		return 0, err
+	}
+	if err := zw.Close(); err != nil {
+		return 0, err
+	}
+	return float64(buf.Len()), nil
 }
 
 // sample returns a configuration with as many upstreams per account as at the
