bench/faults: ask the thawed router before it learns of its closure

Cause: the late questions came after the broken streams had ended, when the router may know its closure already, so the sidecars were not asked.

Change: ask directly after the thaw.

--- a/internal/bench/faults/faults_test.go
+++ b/internal/bench/faults/faults_test.go
@@ -164,12 +164,16 @@
 	}
 	spent, _ := tw.used()
 	tw.must(tw.RouterNodes[0].Thaw())
-	wait()
+	// At first the thawed router still believes in its escrow, and the sidecars
+	// refuse; later it learns of its closure.
 	for ix := range 8 {
-		if re := tw.Ask(t.Context(), 0, fmt.Sprintf("late question %d", ix), ""); re.Served || re.Outcome != refuse.NotRun {
+		re := tw.Ask(t.Context(), 0, fmt.Sprintf("late question %d", ix), "")
+		if re.Served || re.Outcome != refuse.NotRun {
 			t.Errorf("the thawed router answered: served %v, %s (%s)", re.Served, re.Reason, re.Outcome)
 		}
+		t.Logf("late question: %s, %s", re.Reason, re.Detail)
 	}
+	wait()
 	if now, _ := tw.used(); now != spent {
 		t.Errorf("the thawed router used %d tokens", now-spent)
 	}
