admin, side, router: issue orders through the sidecar

Cause: the use case had no way in, and a sidecar reported an unknown outcome of an order as a refusal. Ruled out: a further member of OrderDone, because the text of a refusal already has reason and outcome. Change: routes, commands and composition for orders and slots; the sidecar checks one number for each upstream with the floor from the table; the link parses the refusal, and an order may take 10 min in place of 30 s.

--- a/internal/adapt/admcli/problem.go
+++ b/internal/adapt/admcli/problem.go
@@ -21,6 +21,7 @@
 	Reason   string           `json:"reason"`
 	Revision ident.Revision   `json:"revision"`
 	Author   ident.Operator   `json:"author"`
+	Fence    ident.Fence      `json:"fence"`
 	Op       ident.Op         `json:"op"`
 	Findings []config.Finding `json:"findings"`
 }
--- /dev/null
+++ b/internal/adapt/admin/orders.go
@@ -0,0 +1,83 @@
+package admin
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/balsamwood/balsamwood/internal/app/admin"
+	"github.com/balsamwood/balsamwood/internal/app/orders"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Order is the body that orders something of a model engine. Supersede is the
+// number of an order in progress that this one replaces.
+type Order struct {
+	Kind      engine.OrderKind `json:"kind"`
+	Subject   string           `json:"subject"`
+	Supersede ident.Fence      `json:"supersede,omitempty"`
+}
+
+func (sv *Server) order(ec echo.Context) error {
+	return changeBody(sv, ec, http.StatusOK, func(te admin.Terms, or Order) (orders.Result, error) {
+		if te.Base != nil {
+			return orders.Result{}, badRequest("an order has no base")
+		}
+		return sv.use.Order(ec.Request().Context(), te, orders.Request{
+			Upstream: ident.Upstream(ec.Param("upstream")), Kind: or.Kind, Subject: or.Subject, Supersede: or.Supersede,
+		})
+	})
+}
+
+func (sv *Server) orders(ec echo.Context) error {
+	all, err := sv.use.Orders(ec.Request().Context(), ident.Upstream(ec.Param("upstream")))
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, List[orders.Entry]{Items: append([]orders.Entry{}, all...)})
+}
+
+func (sv *Server) slots(ec echo.Context) error {
+	all, err := sv.use.Slots(ec.Request().Context())
+	if err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, List[orders.Slot]{Items: all})
+}
+
+func (sv *Server) freeSlot(ec echo.Context) error {
+	num, err := strconv.Atoi(ec.Param("slot"))
+	if err != nil {
+		return badRequest("slot is not a number: %q", ec.Param("slot"))
+	}
+	if err := sv.use.FreeSlot(ec.Request().Context(), num, ident.Upstream(ec.Param("upstream"))); err != nil {
+		return err
+	}
+	return ec.JSON(http.StatusOK, Done{true})
+}
+
+// describeOrder returns the problem of an order, or nil for another error.
+func describeOrder(err error) *problem {
+	var conflict *orders.Conflict
+	var noSlot *orders.NoSlot
+	var failed *orders.Failed
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		return nil
+	case errors.As(err, &conflict):
+		return &problem{Status: http.StatusConflict, Reason: "conflict", Author: conflict.Winner.By, Fence: conflict.Winner.Fence}
+	case errors.As(err, &noSlot):
+		return &problem{Status: http.StatusConflict, Reason: "noSlot"}
+	case errors.As(err, &failed) && failed.Refusal.Outcome == refuse.NotRun:
+		return &problem{Status: http.StatusConflict, Reason: "orderRefused", Fence: failed.Entry.Fence}
+	case errors.As(err, &failed):
+		return &problem{Status: http.StatusServiceUnavailable, Reason: "orderUnknown", Outcome: refuse.Unknown,
+			Fence: failed.Entry.Fence, Op: failed.Entry.Op}
+	}
+	return nil
+}
--- a/internal/adapt/admin/problem.go
+++ b/internal/adapt/admin/problem.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/app/admin"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
@@ -31,6 +32,7 @@
 	Reason   string           `json:"reason"`
 	Revision *ident.Revision  `json:"revision,omitempty"`
 	Author   ident.Operator   `json:"author,omitempty"`
+	Fence    ident.Fence      `json:"fence,omitempty"`
 	Op       ident.Op         `json:"op,omitempty"`
 	Findings []config.Finding `json:"findings,omitempty"`
 }
@@ -64,6 +66,11 @@
 	{budget.ErrUnknownBudget, http.StatusNotFound, "notFound"},
 	{budget.ErrUnknownIncarnation, http.StatusNotFound, "notFound"},
 	{budget.ErrUnknownGrant, http.StatusNotFound, "notFound"},
+	{orders.ErrKind, http.StatusBadRequest, "badRequest"},
+	{orders.ErrNoLink, http.StatusConflict, "noLink"},
+	{orders.ErrOpReused, http.StatusConflict, "opReused"},
+	{orders.ErrNotHeld, http.StatusConflict, "notHeld"},
+	{admin.ErrNoOrders, http.StatusConflict, "noOrders"},
 	{admin.ErrExists, http.StatusConflict, "exists"},
 	{admin.ErrNotEmpty, http.StatusConflict, "notEmpty"},
 	{admin.ErrInUse, http.StatusConflict, "inUse"},
@@ -105,6 +112,9 @@
 	var unsettled *rollout.Unsettled
 	var behind *rollout.Behind
 	var he *echo.HTTPError
+	if pr := describeOrder(err); pr != nil {
+		return pr
+	}
 	switch {
 	case errors.As(err, &pr):
 		cp := *pr
--- a/internal/adapt/link/control.go
+++ b/internal/adapt/link/control.go
@@ -9,12 +9,17 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 )
 
 // controlTimeout bounds the handling of one control message.
 const controlTimeout = 30 * time.Second
 
+// orderTimeout bounds an order in place of controlTimeout, because an engine
+// may answer only when it has loaded.
+const orderTimeout = 10 * time.Minute
+
 // unchangedPeriods is after how many periods an unchanged report is repeated,
 // so that a router can tell a quiet sidecar from a silent one.
 const unchangedPeriods = 5
@@ -89,7 +94,11 @@
 }
 
 func (sv *Server) control(ctx context.Context, fc *frameConn, fr *wire.Frame) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	limit := controlTimeout
+	if fr.GetOrder() != nil {
+		limit = orderTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	switch bo := fr.GetBody().(type) {
 	case *wire.Frame_ConfigUpdate:
@@ -108,7 +117,7 @@
 		})
 		do := &wire.OrderDone{Id: or.GetId()}
 		if err != nil {
-			do.Error = err.Error()
+			do.Error = refuse.From(err).Error()
 		}
 		_ = fc.send(&wire.Frame{Body: &wire.Frame_OrderDone{OrderDone: do}})
 	}
--- a/internal/adapt/link/order.go
+++ b/internal/adapt/link/order.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -40,12 +42,24 @@
 		return errors.New("link: connection lost before the order was answered")
 	case do := <-ch:
 		if do.GetError() != "" {
-			return refuse.New(refuse.Rejected, "%s", do.GetError())
+			return parseRefusal(do.GetError())
 		}
 		return nil
 	}
 }
 
+// parseRefusal is the reverse of Refusal.Error. Any other text proves nothing
+// about the order.
+func parseRefusal(text string) *refuse.Refusal {
+	head, detail, _ := strings.Cut(text, ": ")
+	reason, rest, _ := strings.Cut(head, " (")
+	ou := refuse.Outcome(strings.TrimSuffix(rest, ")"))
+	if !slices.Contains(refuse.All(), refuse.Reason(reason)) || ou != refuse.NotRun && ou != refuse.Unknown {
+		return refuse.New(refuse.Internal, "%s", text)
+	}
+	return refuse.New(refuse.Reason(reason), "%s", detail).WithOutcome(ou)
+}
+
 func (cl *Client) orderDone(do *wire.OrderDone) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/internal/app/admin/admin.go
+++ b/internal/app/admin/admin.go
@@ -8,6 +8,7 @@
 	"log/slog"
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -45,6 +46,7 @@
 	ledger   *budget.Ledger
 	claims   relay.Claims
 	nodes    Nodes
+	orders   *orders.Issuer
 	met      meter.Meter
 }
 
@@ -54,6 +56,10 @@
 // WithMeter sets the meter. The default discards everything.
 func WithMeter(me meter.Meter) Option { return func(se *Service) { se.met = me } }
 
+// WithOrders sets the use case that issues orders. By default orders are
+// refused.
+func WithOrders(is *orders.Issuer) Option { return func(se *Service) { se.orders = is } }
+
 // New returns the use cases.
 func New(ac *rollout.Acceptor, le *budget.Ledger, cl relay.Claims, no Nodes, opts ...Option) *Service {
 	se := &Service{acceptor: ac, ledger: le, claims: cl, nodes: no, met: meter.Nop{}}
--- a/internal/app/orders/issue.go
+++ b/internal/app/orders/issue.go
@@ -91,6 +91,15 @@
 	return ErrKind
 }
 
+// against returns a conflict with the latest order: one in progress that the
+// operator does not name, or another one than named.
+func (rq Request) against(la Entry) error {
+	if la.State == Issued && rq.Supersede == 0 || rq.Supersede != 0 && rq.Supersede != la.Fence {
+		return &Conflict{rq.Upstream, la}
+	}
+	return nil
+}
+
 // Result is an order and how it was answered.
 type Result struct {
 	Entry
@@ -126,6 +135,9 @@
 		return nil
 	case Refused:
 		return &Failed{en, refuse.New(refuse.Rejected, "%s", en.Detail)}
+	case Issued:
+		en.Detail = "no result was written yet"
+		return &Failed{en, refuse.New(refuse.InProgress, "%s", en.Detail)}
 	default:
 		return &Failed{en, refuse.New(refuse.InProgress, "%s", en.Detail)}
 	}
@@ -136,24 +148,24 @@
 // the op is found in the row or the same commit can be tried again.
 func (is *Issuer) take(ctx context.Context, rq Request) (Result, error) {
 	var base ident.Fence
-	lost := false
+	lost, call := false, ident.NewOp()
 	for try := range tries {
 		ro, version, err := is.rows.Read(ctx, rq.Upstream)
 		if err != nil {
 			return Result{}, settle(lost, err)
 		}
 		if en, ok := ro.Find(rq.Op); ok {
-			return found(rq, en, !lost)
+			return found(rq, en, en.Call != call)
 		}
 		if try > 0 && ro.Fence() != base {
 			return Result{}, &Conflict{rq.Upstream, ro.last()}
 		}
 		base = ro.Fence()
-		if la := ro.last(); la.State == Issued && la.Fence != rq.Supersede {
-			return Result{}, &Conflict{rq.Upstream, la}
+		if err := rq.against(ro.last()); err != nil {
+			return Result{}, err
 		}
 		en := Entry{
-			Fence: base + 1, Op: rq.Op, By: rq.By, At: is.clk.Now().UTC(),
+			Fence: base + 1, Op: rq.Op, Call: call, By: rq.By, At: is.clk.Now().UTC(),
 			Kind: rq.Kind, Subject: rq.Subject, State: Issued,
 		}
 		writes, err := is.writes(ctx, rq, ro.WithOrder(en), version, en)
@@ -248,7 +260,7 @@
 	}
 	writes := []store.Write{wr}
 	if en.State != Unknown {
-		slot, err := is.slots.release(ctx, up, en.Fence)
+		slot, err := is.slots.release(ctx, up, en)
 		if err != nil {
 			return err
 		}
--- a/internal/app/orders/row.go
+++ b/internal/app/orders/row.go
@@ -30,8 +30,11 @@
 
 // Entry is one order in the row of its upstream.
 type Entry struct {
-	Fence   ident.Fence      `json:"fence"`
-	Op      ident.Op         `json:"op"`
+	Fence ident.Fence `json:"fence"`
+	Op    ident.Op    `json:"op"`
+	// Call tells calls with one op apart, so that only the call that took the
+	// number passes the order on.
+	Call    ident.Op         `json:"call"`
 	By      ident.Operator   `json:"by"`
 	At      time.Time        `json:"at"`
 	Kind    engine.OrderKind `json:"kind"`
--- a/internal/app/orders/slot.go
+++ b/internal/app/orders/slot.go
@@ -18,8 +18,14 @@
 	Upstream ident.Upstream `json:"upstream"`
 	Fence    ident.Fence    `json:"fence"`
 	By       ident.Operator `json:"by"`
+	// Since is the order that first claimed the slot. It is lower than Fence
+	// if a later load of the upstream uses the slot.
+	Since ident.Fence `json:"since"`
 }
 
+// DefaultSlots is the number of loads that may be in progress over the fleet.
+const DefaultSlots = 4
+
 const slotPrefix = "weights/"
 
 // maxSlots bounds the slots, so that one scan reads all.
@@ -82,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	num, version := ss.pick(all, up)
+	num, since, version := ss.pick(all, up, en.Fence)
 	if num < 0 {
 		ns := &NoSlot{}
 		for _, he := range all {
@@ -90,15 +96,15 @@
 		}
 		return nil, ns
 	}
-	data, err := ss.codec.Encode(Slot{num, up, en.Fence, en.By})
+	data, err := ss.codec.Encode(Slot{num, up, en.Fence, en.By, since})
 	return []store.Write{{Key: slotKey(num), Value: data, IfVersion: version}}, err
 }
 
-func (ss Slots) pick(all []held, up ident.Upstream) (int, uint64) {
+func (ss Slots) pick(all []held, up ident.Upstream, fe ident.Fence) (int, ident.Fence, uint64) {
 	taken := make([]bool, maxSlots)
 	for _, he := range all {
 		if he.Upstream == up {
-			return he.Number, he.version
+			return he.Number, he.Since, he.version
 		}
 		if he.Number >= 0 && he.Number < maxSlots {
 			taken[he.Number] = true
@@ -106,20 +112,22 @@
 	}
 	for num := range ss.most {
 		if !taken[num] {
-			return num, store.Absent
+			return num, fe, store.Absent
 		}
 	}
-	return -1, store.Absent
+	return -1, fe, store.Absent
 }
 
-// release returns the write that frees the slot of the order, if it holds one.
-func (ss Slots) release(ctx context.Context, up ident.Upstream, fe ident.Fence) ([]store.Write, error) {
+// release returns the write that frees the slot of an order with a result, if
+// it holds one. A refused order does not free a slot that an earlier one
+// claimed, because nothing is known about that load.
+func (ss Slots) release(ctx context.Context, up ident.Upstream, en Entry) ([]store.Write, error) {
 	all, err := ss.scan(ctx)
 	if err != nil {
 		return nil, err
 	}
 	for _, he := range all {
-		if he.Upstream == up && he.Fence == fe {
+		if he.Upstream == up && he.Fence == en.Fence && (en.State == Done || he.Since == en.Fence) {
 			return []store.Write{{Key: slotKey(he.Number), IfVersion: he.version, Mode: store.Delete}}, nil
 		}
 	}
--- a/internal/role/cmdln/admin.go
+++ b/internal/role/cmdln/admin.go
@@ -31,6 +31,7 @@
 	APIKey   adminKeyCmd `cmd:"" name:"key" help:"API keys of client accounts."`
 	Budget   budgetCmd   `cmd:"" help:"Prepaid budgets, their balance and top-ups."`
 	Upstream upstreamCmd `cmd:"" help:"Model engines and processes of plain services."`
+	Slot     slotCmd     `cmd:"" help:"Slots for loads from the weight store."`
 	Service  serviceCmd  `cmd:"" help:"Plain services and their routes."`
 	Config   configCmd   `cmd:"" help:"The whole configuration and its history."`
 	Node     nodeCmd     `cmd:"" help:"List which revision is in force at each router and its sidecars."`
--- a/internal/role/cmdln/upstream.go
+++ b/internal/role/cmdln/upstream.go
@@ -18,6 +18,8 @@
 	List    upstreamList    `cmd:"" help:"List upstreams."`
 	Add     upstreamAdd     `cmd:"" help:"Add an upstream."`
 	Fencing upstreamFencing `cmd:"" help:"Say whether an upstream itself refuses orders with a superseded fencing number."`
+	Order   upstreamOrder   `cmd:"" help:"Order a model engine to load a model or an adapter, or to change its role."`
+	Orders  upstreamOrders  `cmd:"" help:"List the latest orders of an upstream."`
 	Remove  upstreamRemove  `cmd:"" help:"Remove an upstream. It gets no new work; requests in flight finish."`
 }
 
--- a/internal/role/router/admin.go
+++ b/internal/role/router/admin.go
@@ -10,7 +10,7 @@
 
 // adminHandler returns the handler of the administration API.
 func (ro *Router) adminHandler() http.Handler {
-	sv := use.New(ro.acceptor, ro.ledger, ro.claims, ro.nodes(), use.WithMeter(ro.met))
+	sv := use.New(ro.acceptor, ro.ledger, ro.claims, ro.nodes(), use.WithMeter(ro.met), use.WithOrders(ro.orders()))
 	return admin.New(sv, ro.set.AdminKeys, admin.WithMeter(ro.met)).Handler()
 }
 
--- a/internal/role/side/control.go
+++ b/internal/role/side/control.go
@@ -64,5 +64,5 @@
 
 // Order passes the order on.
 func (ct control) Order(ctx context.Context, or engine.Order) error {
-	return ct.si.order(ctx, or)
+	return ct.si.gate.Order(ctx, or)
 }
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -20,6 +20,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/plain"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/config"
@@ -55,7 +56,7 @@
 	doc   *snap.Cell[document]
 	ready *snap.Cell[error]
 
-	fences   fences
+	gate     *orders.Gate
 	registry registry
 }
 
@@ -67,6 +68,7 @@
 		doc:   snap.NewCell(document{}),
 		ready: snap.NewCell[error](nil),
 	}
+	si.gate = newGate(set, si.up)
 	in := ident.NewIncarnation()
 	si.registry = registry{ledger: budget.NewLedger(dynamo.New(set.Platform.Table), codec.Ledger()), self: in, vm: set.VM}
 	up := config.Upstream{ID: set.Upstream, VM: set.VM, Kind: set.Kind, Domain: set.Domain}
