role/router, cmdln, admin: test orders from end to end

Cause: the reported outcome, roles, exit codes and the floor that a sidecar reads were not shown with the composed programs. Ruled out: errors.As on the client's error, because errorx does not unwrap its cause; the test reads the cause. Change: tests only.

--- a/internal/role/cmdln/admin_test.go
+++ b/internal/role/cmdln/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -18,12 +19,17 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
 	use "github.com/balsamwood/balsamwood/internal/app/admin"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/config"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/cloud"
 	"github.com/balsamwood/balsamwood/internal/fake/fault"
+	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/store"
 	"github.com/balsamwood/balsamwood/internal/role/cmdln"
 )
 
@@ -46,7 +52,7 @@
 		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
 	})
 	sv := use.New(ac, budget.NewLedger(ta, codec.Ledger()), relay.NewClaims(ta, codec.JSON[claim.Record]{}),
-		use.NewNodes(ta, codec.JSON[use.Node]{}))
+		use.NewNodes(ta, codec.JSON[use.Node]{}), use.WithOrders(issuer(ta)))
 	ha := admin.New(sv, []conf.AdminKey{
 		{Operator: "desk", Role: "operator", KeyHash: string(config.HashAPIKey("desk"))},
 	}).Handler()
@@ -62,6 +68,21 @@
 	return si
 }
 
+// engineLink refuses one subject.
+type engineLink struct{}
+
+func (engineLink) Order(_ context.Context, or engine.Order) error {
+	if or.Subject == "refused" {
+		return refuse.New(refuse.Rejected, "no")
+	}
+	return nil
+}
+
+func issuer(ta store.Table) *orders.Issuer {
+	return orders.New(ta, orders.NewRows(ta, codec.JSON[orders.Row]{}), orders.NewSlots(ta, codec.JSON[orders.Slot]{}, 1),
+		func(ident.Upstream) (orders.Link, bool) { return engineLink{}, true })
+}
+
 // run runs a command and returns its exit code and output.
 func (si *site) run(key string, args ...string) (int, string, string) {
 	var out, errOut bytes.Buffer
@@ -103,6 +124,18 @@
 		{"desk", "node remove vm-1", 7, "notFound"},
 		{"desk", "held list", 0, "INCARNATION"},
 		{"desk", "outcome a1 k/1", 7, "notFound"},
+		{"desk", "upstream add e1 --vm v --domain d --sidecar 127.0.0.1:1 --model m", 0, "accepted as revision 3"},
+		{"desk", "upstream order e1 --kind loadModel --subject m2 --dry-run", 0, "fencing number 1"},
+		{"desk", "upstream order e1 --kind loadModel --subject m2 --op o1", 0, "order 1: done"},
+		{"desk", "upstream order e1 --kind loadModel --subject m2 --op o1", 0, "order 1 was issued before: done"},
+		{"desk", "upstream order e1 --kind loadModel --subject m3 --op o1", 7, "opReused (notRun)"},
+		{"desk", "upstream order e1 --kind changeRole --subject x --supersede 9", 5, "order 1 (loadModel m2, done) of desk"},
+		{"desk", "upstream order e1 --kind changeRole --subject refused", 7, "order 2 is refused"},
+		{"desk", "upstream order e1 --kind other --subject x", 2, "--kind"},
+		{"desk", "upstream order e2 --kind loadModel --subject m", 7, "notFound"},
+		{"desk", "upstream orders e1", 0, "m2"},
+		{"desk", "slot list", 0, "SLOT"},
+		{"desk", "slot free 0 e1", 7, "notHeld"},
 	}
 	for _, tt := range tests {
 		code, out, errOut := si.run(tt.key, strings.Fields(tt.line)...)
--- a/internal/role/router/order_test.go
+++ b/internal/role/router/order_test.go
@@ -1,23 +1,32 @@
 package router_test
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/joomcode/errorx"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/admcli"
 	"github.com/balsamwood/balsamwood/internal/adapt/admin"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
+	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
+	"github.com/balsamwood/balsamwood/internal/adapt/link"
 	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/bench/stack"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/model"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
 // TestOrders guards against an order whose outcome is reported wrong on the way
@@ -97,17 +106,53 @@
 	}
 }
 
+// TestRestartedSidecar guards against a sidecar that was restarted and accepts
+// a number below the one in the table.
+func TestRestartedSidecar(t *testing.T) {
+	st := stack.New()
+	t.Cleanup(st.Close)
+	platform := httptest.NewServer(st.Cloud)
+	defer platform.Close()
+	data, err := codec.JSON[orders.Row]{}.Encode(orders.Row{}.WithOrder(orders.Entry{Fence: 4}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := dynamo.New(platform.URL).Commit(t.Context(), store.Write{Key: "order/e1", Value: data}); err != nil {
+		t.Fatal(err)
+	}
+	en := model.New()
+	up, _, err := st.Sidecar(config.Upstream{ID: "e1", VM: "vm-e1", Kind: config.Engine, Domain: "d1"}, st.Serve(en))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cl := link.NewClient(link.Identity{VM: "vm-r1", Incarnation: "r1"}, func(ctx context.Context) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", up.Sidecar)
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { cl.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+	until(t, "connected", cl.Connected)
+	or := engine.Order{Fence: 3, Kind: engine.LoadModel, Subject: "m1"}
+	if rf := refuse.From(cl.Order(ctx, or)); rf.Reason != refuse.Rejected || rf.Outcome != refuse.NotRun {
+		t.Errorf("number 3: %v", rf)
+	}
+	or.Fence = 4
+	if err := cl.Order(ctx, or); err != nil {
+		t.Errorf("number 4: %v", err)
+	}
+	if got := en.Orders(); len(got) != 1 || got[0].Fence != 4 {
+		t.Errorf("accepted by the engine: %v", got)
+	}
+}
+
 // problemOf returns the problem that the router answered with.
 func problemOf(err error) admcli.Problem {
-	for err != nil {
-		if pr, ok := err.(*admcli.Problem); ok {
+	if ex := errorx.Cast(err); ex != nil {
+		if pr, ok := ex.Cause().(*admcli.Problem); ok {
 			return *pr
 		}
-		un, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			break
-		}
-		err = un.Unwrap()
 	}
 	return admcli.Problem{}
 }
