roster, fleet, side: leave by the platform's list

Cause: a router stopped sending to an upstream only when its sidecar said that it was leaving. A VM that only the platform's list showed as leaving kept getting new work.

Change: httpsd.List reads conditionally by entity tag and paces whole lists at 12 KiB/s after a burst; the stand-in answers 304. app/roster reads the list about once a second. The router marks the upstreams of leaving VMs, the sidecar leaves as at SIGTERM. Recovery shares the router's reader.

Figures: 20 reads of a list that changed once transferred it twice (TestUnchanged); a change is seen within 2 s in 200 random trials on virtual time (TestBound in app/roster).

Conclusion: the list alone makes routers and sidecars stop, within 2 s while the list changes rarely. Under a list that changes all the time the lag grows to the time of one list at the pace.

--- a/internal/adapt/httpsd/httpsd.go
+++ b/internal/adapt/httpsd/httpsd.go
@@ -7,17 +7,31 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
-// List is a store.VMs.
+// List is a store.VMs. It reads the list again only after it has changed, by the
+// entity tag of the answer. It is safe for concurrent use.
 type List struct {
 	url   string
 	limit int64
 	hc    *http.Client
+	pace  *rate.Limiter
+	last  *snap.Cell[answer]
+}
+
+// answer is the last whole list. No request is sent before next.
+type answer struct {
+	tag  string
+	vms  []store.VM
+	next time.Time
 }
 
 var _ store.VMs = (*List)(nil)
@@ -32,9 +46,20 @@
 // WithClient sets the HTTP client. The default is client.New().
 func WithClient(hc *http.Client) Option { return func(li *List) { li.hc = hc } }
 
+// WithRate bounds the bytes of whole lists: List waits while more than burst
+// bytes were read above the rate. The default is 12 KiB/s, half of a node's
+// control budget, with a burst of 512 KiB, four lists of 980 VMs. Both are
+// above 0.
+func WithRate(bytesPerSecond float64, burst int) Option {
+	return func(li *List) { li.pace = rate.NewLimiter(rate.Limit(bytesPerSecond), burst) }
+}
+
 // New returns the VM list at the URL.
 func New(url string, opts ...Option) *List {
-	li := &List{url: url, limit: 4 << 20}
+	li := &List{
+		url: url, limit: 4 << 20, pace: rate.NewLimiter(12<<10, 512<<10),
+		last: snap.NewCell(answer{}),
+	}
 	for _, opt := range opts {
 		opt(li)
 	}
@@ -49,13 +74,20 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// List returns the live and leaving VMs. Every target of a group becomes one
-// entry; a group without the label vm is an error.
+// List returns the live and leaving VMs, which the caller must not change. Every
+// target of a group becomes one entry; a group without the label vm is an error.
 func (li *List) List(ctx context.Context) ([]store.VM, error) {
+	last := li.last.Load()
+	if err := wait(ctx, last.next); err != nil {
+		return nil, fmt.Errorf("%w: VM list: %w", store.ErrUnavailable, err)
+	}
 	re, err := http.NewRequestWithContext(ctx, http.MethodGet, li.url, nil)
 	if err != nil {
 		return nil, err
 	}
+	if last.tag != "" {
+		re.Header.Set("If-None-Match", last.tag)
+	}
 	resp, _, err := client.Do(li.hc, re)
 	if err != nil {
 		return nil, fmt.Errorf("%w: VM list: %w", store.ErrUnavailable, err)
@@ -64,14 +96,48 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: VM list: %w", store.ErrUnavailable, err)
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode == http.StatusNotModified && last.tag != "":
+		return last.vms, nil
+	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%w: VM list: status %d", store.ErrUnavailable, resp.StatusCode)
 	}
+	return li.whole(data, resp.Header.Get("ETag"))
+}
+
+// whole decodes a list and keeps it. A list that cannot be decoded is paid for
+// too, and is asked for again without a tag.
+func (li *List) whole(data []byte, tag string) ([]store.VM, error) {
+	now := time.Now()
+	an := answer{next: now.Add(li.pace.ReserveN(now, min(len(data), li.pace.Burst())).DelayFrom(now))}
 	var groups []group
-	if err := json.Unmarshal(data, &groups); err != nil {
+	err := json.Unmarshal(data, &groups)
+	if err == nil {
+		an.vms, err = vms(groups)
+	}
+	if err != nil {
+		li.last.Store(answer{next: an.next})
 		return nil, fmt.Errorf("VM list: %w", err)
 	}
-	return vms(groups)
+	an.tag = tag
+	li.last.Store(an)
+	return an.vms, nil
+}
+
+// wait returns at the time or when ctx ends.
+func wait(ctx context.Context, until time.Time) error {
+	left := time.Until(until)
+	if left <= 0 {
+		return nil
+	}
+	tm := time.NewTimer(left)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func vms(groups []group) ([]store.VM, error) {
@@ -79,7 +145,7 @@
 	for _, gr := range groups {
 		la := gr.Labels
 		if la["vm"] == "" || (la["state"] != "live" && la["state"] != "leaving") {
-			return nil, fmt.Errorf("VM list: entry %v has vm %q and state %q", gr.Targets, la["vm"], la["state"])
+			return nil, fmt.Errorf("entry %v has vm %q and state %q", gr.Targets, la["vm"], la["state"])
 		}
 		for _, addr := range gr.Targets {
 			out = append(out, store.VM{
--- a/internal/adapt/httpsd/httpsd_test.go
+++ b/internal/adapt/httpsd/httpsd_test.go
@@ -1,10 +1,15 @@
 package httpsd_test
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -52,3 +57,55 @@
 		srv.Close()
 	}
 }
+
+// TestUnchanged guards against a list that is transferred again although it did
+// not change, and against a change that is missed.
+func TestUnchanged(t *testing.T) {
+	cl := cloud.New()
+	vm := cloud.VM{ID: "v1", Address: "127.0.0.1:1", Domain: "d1", Role: "engine"}
+	cl.SetVMs(vm)
+	srv := httptest.NewServer(cl)
+	defer srv.Close()
+	li := httpsd.New(srv.URL + "/vms")
+	for step := range 20 {
+		if step == 10 {
+			vm.Leaving = true
+			cl.SetVMs(vm)
+		}
+		got, err := li.List(t.Context())
+		if err != nil || len(got) != 1 || got[0].Leaving != (step >= 10) {
+			t.Fatalf("step %d: list %v, error %v", step, got, err)
+		}
+	}
+	if co := cl.Counts(); co.VMReads != 20 || co.VMLists != 2 {
+		t.Errorf("%d reads with %d whole lists, want 20 with 2", co.VMReads, co.VMLists)
+	}
+}
+
+// changing is a platform whose list of 128 KiB changes all the time.
+type changing struct{ reads int }
+
+func (ch *changing) RoundTrip(*http.Request) (*http.Response, error) {
+	ch.reads++
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Etag": {fmt.Sprintf("%q", fmt.Sprint(ch.reads))}},
+		Body: io.NopCloser(strings.NewReader("[" + strings.Repeat(" ", 128<<10-2) + "]")),
+	}, nil
+}
+
+// TestPace guards against a list that changes all the time and takes the node's
+// control budget of 24 KB/s.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ch := &changing{}
+		li := httpsd.New("http://127.0.0.1/vms", httpsd.WithClient(&http.Client{Transport: ch}))
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer cancel()
+		for ctx.Err() == nil {
+			_, _ = li.List(ctx)
+		}
+		if rate := ch.reads * 128 << 10 / 600; ch.reads < 40 || rate > 14_000 {
+			t.Errorf("%d lists in 10 minutes, %d B/s, want at least 40 and at most 14,000 B/s", ch.reads, rate)
+		}
+	})
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -62,6 +62,7 @@
 	view     *snap.Cell[route.View]
 	nodes    *snap.Cell[map[ident.Upstream]*node]
 	totals   *snap.Cell[map[ident.Model]total]
+	listed   *snap.Cell[map[ident.VM]bool]
 	onChange func()
 
 	mu  sync.Mutex
@@ -109,6 +110,7 @@
 		view:     snap.NewCell(route.View{}),
 		nodes:    snap.NewCell(map[ident.Upstream]*node{}),
 		totals:   snap.NewCell(map[ident.Model]total{}),
+		listed:   snap.NewCell(map[ident.VM]bool{}),
 		onChange: func() {},
 	}
 	for _, op := range opts {
@@ -187,7 +189,8 @@
 		fl.observe(no, rp)
 	})
 	fl.view.Update(func(vi route.View) (route.View, bool) {
-		return vi.With(route.NewCandidate(up.ID, up.Domain, offers(up)...)), true
+		ca := route.NewCandidate(up.ID, up.Domain, offers(up)...)
+		return vi.With(ca.WithLeaving(fl.listed.Load()[up.VM])), true
 	})
 	fl.wg.Go(func() { no.link.Run(ctx) })
 	fl.met.Log(evAdded, slog.String("upstream", string(up.ID)))
@@ -206,12 +209,13 @@
 // upstream answers.
 func (fl *Fleet) observe(no *node, rp peer.Report) {
 	id, ld := no.up.ID, rp.Load
-	leaving, newly := no.leaves(rp), false
+	left, newly := no.leaves(rp), false
 	fl.view.Update(func(vi route.View) (route.View, bool) {
 		ca, ok := vi.Get(id)
 		if !ok {
 			return vi, false
 		}
+		leaving := left || fl.listed.Load()[no.up.VM]
 		newly = leaving && !ca.Leaving()
 		return vi.With(ca.WithLeaving(leaving).WithSuspect(time.Time{}).WithLoad(route.Load{
 			At: ld.At, Running: ld.Running, Waiting: ld.Waiting, Slots: ld.Slots,
--- /dev/null
+++ b/internal/app/fleet/listed_test.go
@@ -0,0 +1,60 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// TestListed guards against new work at an upstream whose VM only the platform's
+// list shows as leaving, against a report that undoes the list, and against a
+// list that undoes the sidecar's own word.
+func TestListed(t *testing.T) {
+	off := func(ids ...ident.VM) map[ident.VM]bool {
+		le := make(map[ident.VM]bool)
+		for _, id := range ids {
+			le[id] = true
+		}
+		return le
+	}
+	leaves := report(0, 100)
+	leaves.Leaving = true
+	cases := []struct {
+		name  string
+		setup func(to *town)
+		want  string
+	}{
+		{"listed", func(to *town) { to.Listed(off("e0", "e1")) }, "e2"},
+		{"reports do not undo it", func(to *town) {
+			to.Listed(off("e0", "e2"))
+			to.say(report(0, 100), "e0", "e1", "e2")
+		}, "e1"},
+		{"every upstream", func(to *town) { to.Listed(off("e0", "e1", "e2")) }, "wait"},
+		{"shown as live again", func(to *town) {
+			to.Listed(off("e0", "e1", "e2"))
+			to.Listed(off("e0", "e2"))
+		}, "e1"},
+		{"the list does not undo the sidecar", func(to *town) {
+			to.Listed(off("e0", "e2"))
+			to.say(leaves, "e0")
+			to.Listed(off("e2"))
+		}, "e1"},
+		{"linked after the list", func(to *town) {
+			conf := to.conf
+			to.Sync(conf.WithoutUpstream("e0").WithoutUpstream("e1"))
+			to.Listed(off("e0", "e2"))
+			to.Sync(conf)
+		}, "e1"},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			to := newTown(t, "r1", 3)
+			ca.setup(to)
+			for range 20 {
+				if _, got := to.picked(demand()); got != ca.want {
+					t.Fatalf("got %s, want %s", got, ca.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/app/fleet/node.go
+++ b/internal/app/fleet/node.go
@@ -39,6 +39,13 @@
 	return rp.Leaving || rp.Load.Leaving || no.left != "" && no.left == rp.Sidecar
 }
 
+// departed reports whether the sidecar said that it leaves.
+func (no *node) departed() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.left != "" && no.left == no.sidecar
+}
+
 // leave records that the sidecar refused work because it is leaving.
 func (no *node) leave() {
 	no.mu.Lock()
--- /dev/null
+++ b/internal/app/roster/roster_test.go
@@ -0,0 +1,51 @@
+package roster_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/app/roster"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// list shows a VM as leaving from a time on and is down between two others.
+type list struct{ leaving, down, up time.Time }
+
+func (li list) List(context.Context) ([]store.VM, error) {
+	now := time.Now()
+	if now.After(li.down) && now.Before(li.up) {
+		return nil, errors.New("down")
+	}
+	return []store.VM{{ID: "v1", Leaving: !now.Before(li.leaving)}, {ID: "v2"}}, nil
+}
+
+// TestBound guards against a leaving VM that is noticed more than two seconds
+// after the list shows it, and against an outage that makes a VM live again.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 200 {
+			at := time.Now().Add(10 * time.Second)
+			li := list{leaving: at, down: at.Add(3 * time.Second), up: at.Add(30 * time.Second)}
+			var seen time.Time
+			var last map[ident.VM]bool
+			wa := roster.New(li, func(le roster.Leaving) {
+				if last = le; le["v1"] && seen.IsZero() {
+					seen = time.Now()
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			wa.Run(ctx)
+			cancel()
+			if late := seen.Sub(at); late < 0 || late > 2*time.Second {
+				t.Fatalf("seen %v after the list showed it", late)
+			}
+			if !last["v1"] || last["v2"] {
+				t.Fatalf("last list %v, want v1 leaving", last)
+			}
+		}
+	})
+}
--- a/internal/fake/cloud/cloud.go
+++ b/internal/fake/cloud/cloud.go
@@ -126,7 +126,7 @@
 	case re.Header.Get("X-Amz-Target") != "":
 		cl.serveTable(wr, re)
 	case re.URL.Path == "/vms":
-		cl.serveVMs(wr)
+		cl.serveVMs(wr, re)
 	default:
 		cl.serveObject(wr, re)
 	}
--- a/internal/fake/cloud/counts.go
+++ b/internal/fake/cloud/counts.go
@@ -17,11 +17,13 @@
 	ObjectReads  int64 `json:"objectReads"`
 	ObjectWrites int64 `json:"objectWrites"`
 	VMReads      int64 `json:"vmReads"`
+	// VMLists counts the reads that were answered with the whole list.
+	VMLists int64 `json:"vmLists"`
 }
 
 type counters struct {
 	reads, commits, writes, conflicts, throttled, lost atomic.Int64
-	objectReads, objectWrites, vmReads                 atomic.Int64
+	objectReads, objectWrites, vmReads, vmLists        atomic.Int64
 }
 
 func (co *counters) load() Counts {
@@ -29,6 +31,6 @@
 		Reads: co.reads.Load(), Commits: co.commits.Load(), Writes: co.writes.Load(),
 		Conflicts: co.conflicts.Load(), Throttled: co.throttled.Load(), Lost: co.lost.Load(),
 		ObjectReads: co.objectReads.Load(), ObjectWrites: co.objectWrites.Load(),
-		VMReads: co.vmReads.Load(),
+		VMReads: co.vmReads.Load(), VMLists: co.vmLists.Load(),
 	}
 }
--- a/internal/fake/cloud/vmlist.go
+++ b/internal/fake/cloud/vmlist.go
@@ -1,11 +1,15 @@
 package cloud
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamwood/balsamwood/internal/fake/fault"
 )
 
@@ -65,7 +69,9 @@
 	return vl.states[shown].vms
 }
 
-func (cl *Cloud) serveVMs(wr http.ResponseWriter) {
+// serveVMs shows the list as it was the lag before. It answers 304 to a reader
+// that has this list already.
+func (cl *Cloud) serveVMs(wr http.ResponseWriter, re *http.Request) {
 	cl.count.vmReads.Add(1)
 	out := []target{}
 	for _, vm := range cl.vms.at(cl.clk.Now()) {
@@ -78,7 +84,21 @@
 			Labels:  map[string]string{"vm": vm.ID, "domain": vm.Domain, "role": vm.Role, "state": state},
 		})
 	}
-	fault.WriteJSON(wr, http.StatusOK, out)
+	data, err := json.Marshal(out)
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%016x\"", xxhash.Sum64(data))
+	wr.Header().Set("ETag", tag)
+	if re.Header.Get("If-None-Match") == tag {
+		wr.WriteHeader(http.StatusNotModified)
+		return
+	}
+	cl.count.vmLists.Add(1)
+	wr.Header().Set("Content-Type", "application/json")
+	// An error here means that the client went away; there is nobody to tell.
+	_, _ = wr.Write(data)
 }
 
 // controlVMs shows the true list on GET and replaces it on POST. The members
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/recov"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
 	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/roster"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/retry"
@@ -67,6 +68,7 @@
 	claims   relay.Claims
 	certs    *certs.Fleet
 	recov    *recov.Recoverer
+	roster   *roster.Watcher
 
 	// peers listens for other routers, or is nil.
 	peers  net.Listener
@@ -130,7 +132,9 @@
 		return errs.Internal.Wrap(err, "compose")
 	}
 	ro.fleet = fl
-	ro.recov = recov.New(ro.in, ro.ledger, httpsd.New(ro.set.Platform.VMs), sidecars{fl}, newProber(ro.certs),
+	vms := httpsd.New(ro.set.Platform.VMs)
+	ro.roster = roster.New(vms, func(le roster.Leaving) { fl.Listed(le) }, roster.WithMeter(ro.met))
+	ro.recov = recov.New(ro.in, ro.ledger, vms, sidecars{fl}, newProber(ro.certs),
 		recov.WithMeter(ro.met), recov.WithEvery(ro.set.Recovery))
 	ro.gate = gate.New(fl, gate.WithMeter(ro.met), gate.WithQueue(ro.set.Limits.Queue))
 	retries := front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))
@@ -159,6 +163,7 @@
 	workers.Go(func() { ro.follow(own) })
 	workers.Go(func() { ro.hold(own) })
 	workers.Go(func() { ro.recov.Run(own) })
+	workers.Go(func() { ro.roster.Run(own) })
 	workers.Go(func() { ro.reporter().Run(own) })
 	workers.Go(func() { ro.servePeers(own) })
 	workers.Go(func() { ro.gate.Run(own) })
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -36,6 +36,7 @@
 	evStopped  = meter.Event{Number: 9203, Level: slog.LevelInfo, Text: "sidecar stopped"}
 	evDrained  = meter.Event{Number: 9204, Level: slog.LevelWarn, Text: "requests were still in flight when the drain time ended"}
 	evFollowed = meter.Event{Number: 9205, Level: slog.LevelInfo, Text: "configuration in force"}
+	evListed   = meter.Event{Number: 9206, Level: slog.LevelInfo, Text: "the platform shows the VM as leaving"}
 )
 
 // announceTime is how long a leaving sidecar stays reachable at least, so that
@@ -128,7 +129,7 @@
 
 func (si *Sidecar) readiness() error { return si.ready.Load() }
 
-// Run serves until ctx ends, then lets requests in flight finish.
+// Run serves until ctx ends or the platform shows the VM as leaving, then lets requests in flight finish.
 func (si *Sidecar) Run(ctx context.Context) error {
 	si.met.Log(evStarted, slog.String("upstream", string(si.set.Upstream)), slog.String("address", si.Addr()),
 		slog.String("ops", si.ops.Addr()))
@@ -140,6 +141,7 @@
 	defer fail()
 	wg.Go(func() { defer fail(); serveErr = si.ln.Serve(own, si.ls) })
 	wg.Go(func() { defer fail(); opsErr = si.ops.Serve() })
+	wg.Go(func() { si.watch(failed, fail) })
 	<-failed.Done()
 	si.leave()
 	stop()
