--- a/internal/adapt/caller/chat.go
+++ b/internal/adapt/caller/chat.go
@@ -194,7 +194,7 @@
 // writeErrorEvent ends a stream that has begun. Without the closing [DONE], a
 // client does not take the answer for whole.
 func writeErrorEvent(rs *echo.Response, id ident.Request, rf *refuse.Refusal) error {
-	data, err := json.Marshal(newProblem(id, rf))
+	data, err := json.Marshal(newProblem(id, statusOf(rf.Reason), rf))
 	if err != nil {
 		return err
 	}
--- a/internal/adapt/caller/problem.go
+++ b/internal/adapt/caller/problem.go
@@ -35,8 +35,7 @@
 	Code    refuse.Reason `json:"code"`
 }
 
-func newProblem(id ident.Request, rf *refuse.Refusal) problem {
-	status := statusOf(rf.Reason)
+func newProblem(id ident.Request, status int, rf *refuse.Refusal) problem {
 	return problem{
 		Type: "about:blank", Title: http.StatusText(status), Status: status,
 		Detail: rf.Detail, Outcome: rf.Outcome, Reason: rf.Reason,
@@ -47,8 +46,7 @@
 	}
 }
 
-func writeProblem(ec echo.Context, id ident.Request, rf *refuse.Refusal, now time.Time) error {
-	pr := newProblem(id, rf)
+func writeProblem(ec echo.Context, pr problem, rf *refuse.Refusal, now time.Time) error {
 	hd := ec.Response().Header()
 	if wait := rf.RetryAt.Sub(now); !rf.RetryAt.IsZero() && wait > 0 {
 		hd.Set(echo.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(wait.Seconds()))))
--- a/internal/adapt/caller/server.go
+++ b/internal/adapt/caller/server.go
@@ -146,12 +146,13 @@
 		return
 	}
 	rf := refuse.From(err)
+	status := statusOf(rf.Reason)
 	var he *echo.HTTPError
 	if errors.As(err, &he) {
-		rf = refuse.New(refuse.BadRequest, "%v", he.Message)
+		rf, status = refuse.New(refuse.BadRequest, "%v", he.Message), he.Code
 	}
 	id, _ := ec.Get(headerRequest).(ident.Request)
-	_ = writeProblem(ec, id, rf, ca.clk.Now())
+	_ = writeProblem(ec, newProblem(id, status, rf), rf, ca.clk.Now())
 }
 
 // begin identifies the caller and reads what all requests have in common.
