admin: name the op when the number of an order is uncertain

Cause: a caller of the API that gave no op could not repeat an order whose commit had no answer. Ruled out: naming the op on every error, because a refused order is not run again with its op.

--- a/internal/adapt/admin/orders.go
+++ b/internal/adapt/admin/orders.go
@@ -28,9 +28,13 @@
 		if te.Base != nil {
 			return orders.Result{}, badRequest("an order has no base")
 		}
-		return sv.use.Order(ec.Request().Context(), te, orders.Request{
+		re, err := sv.use.Order(ec.Request().Context(), te, orders.Request{
 			Upstream: ident.Upstream(ec.Param("upstream")), Kind: or.Kind, Subject: or.Subject, Supersede: or.Supersede,
 		})
+		if errors.Is(err, store.ErrUncertain) {
+			err = &opError{re.Op, err}
+		}
+		return re, err
 	})
 }
 
--- a/internal/app/admin/order.go
+++ b/internal/app/admin/order.go
@@ -13,7 +13,8 @@
 // ErrNoOrders means that this process issues no orders.
 var ErrNoOrders = errors.New("admin: this process issues no orders")
 
-// Order issues an order to a model engine.
+// Order issues an order to a model engine. The result has the op also when the
+// error is not nil.
 func (se *Service) Order(ctx context.Context, te Terms, rq orders.Request) (orders.Result, error) {
 	if se.orders == nil {
 		return orders.Result{}, ErrNoOrders
@@ -27,7 +28,9 @@
 	}
 	te = te.withOp()
 	rq.By, rq.Op, rq.DryRun = te.By, te.Op, te.DryRun
-	return se.orders.Issue(ctx, rq)
+	re, err := se.orders.Issue(ctx, rq)
+	re.Op = te.Op
+	return re, err
 }
 
 // Orders lists the latest orders of an upstream, oldest first.
--- a/internal/app/orders/issue_test.go
+++ b/internal/app/orders/issue_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// TestUnsettled guards against an error that says that no number was taken when
+// the table did not answer and cannot be read either.
+func TestUnsettled(t *testing.T) {
+	cl := table.New().Client()
+	lost := false
+	cl.SetFaults(func(commit bool) table.Fault {
+		switch {
+		case commit:
+			lost = true
+			return table.Lost
+		case lost:
+			return table.Down
+		}
+		return table.None
+	})
+	if _, err := issuer(cl, 1, done).Issue(t.Context(), load("ann")); !errors.Is(err, store.ErrUncertain) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // TestRace guards against two calls that both pass an order on when their
 // commits race, for two operators and for one op at two routers.
 func TestRace(t *testing.T) {
