fleet: call a suspect process of a plain service rather than refuse

Cause: after a lost answer at each process of a plain service, all were suspect and every call was refused with noUpstream, although the sidecars answered. Change: if no other process is left, the one whose suspicion ends first is called. TestLastResort failed before.

--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -217,6 +217,31 @@
 	}
 }
 
+// TestLastResort guards against refused calls of a plain service of which every
+// process failed a call a moment ago.
+func TestLastResort(t *testing.T) {
+	to := newTown(t, "r1", 0)
+	for _, id := range []ident.Upstream{"s0", "s1", "s2"} {
+		to.conf = to.conf.WithUpstream(config.Upstream{ID: id, VM: ident.VM(id), Kind: config.Plain, Domain: "d1", Service: "register"})
+	}
+	to.Sync(to.conf)
+	to.say(report(0, 10), "s0", "s1", "s2")
+	de := gate.Demand{Kind: config.Plain, Service: "register", Deadline: start.Add(time.Second)}
+	failed := map[string]bool{}
+	for range 3 {
+		ta, got := to.picked(de)
+		failed[got] = true
+		ta.Done(front.Verdict{Refusal: refuse.New(refuse.UpstreamFailed, "no answer")})
+	}
+	if len(failed) != 3 {
+		t.Fatalf("calls went to %v, want three upstreams", failed)
+	}
+	_, got := to.picked(de)
+	if !failed[got] {
+		t.Errorf("picked %q, want one of the suspects", got)
+	}
+}
+
 // TestKeyed guards against two runs of one key: requests with it go to the same
 // sidecar from every router.
 func TestKeyed(t *testing.T) {
--- a/internal/app/fleet/pick.go
+++ b/internal/app/fleet/pick.go
@@ -112,7 +112,11 @@
 func (fl *Fleet) choose(de gate.Demand, rd route.Demand, now time.Time) (*route.Candidate, bool) {
 	po := fl.view.Load().Pool(rd)
 	if !keyed(de) {
-		return fl.policy.Choose(po, rd, now)
+		ca, ok := fl.policy.Choose(po, rd, now)
+		if !ok && de.Kind == config.Plain {
+			return lastResort(po, rd)
+		}
+		return ca, ok
 	}
 	var members []route.Member
 	for _, ca := range po.Items {
@@ -129,6 +133,22 @@
 	return nil, false
 }
 
+// lastResort returns the suspect whose suspicion ends first. A plain service has
+// few processes: after a failed call at each, all calls would be refused although
+// the processes can be reached.
+func lastResort(po route.Pool[*route.Candidate], rd route.Demand) (*route.Candidate, bool) {
+	var best *route.Candidate
+	for _, ca := range po.Items {
+		if ca.Leaving() || rd.Tried.Upstream(ca.ID()) {
+			continue
+		}
+		if best == nil || ca.SuspectUntil().Before(best.SuspectUntil()) {
+			best = ca
+		}
+	}
+	return best, best != nil
+}
+
 func (fl *Fleet) target(no *node, de gate.Demand, rd route.Demand, now time.Time) front.Target {
 	ti := fl.tracker.Sent(no.up.ID, rd)
 	if de.Kind == config.Engine {
