--- a/internal/bench/stack/stack.go
+++ b/internal/bench/stack/stack.go
@@ -39,6 +39,8 @@
 
 	platform string
 	met      meter.Meter
+	sideTLS  conf.TLS
+	routeTLS conf.TLS
 	wg       sync.WaitGroup
 	closers  []func()
 }
@@ -49,9 +51,15 @@
 // WithMeter sets the meter of all processes. The default discards everything.
 func WithMeter(me meter.Meter) Option { return func(st *Stack) { st.met = me } }
 
+// WithTLS sets the certificates of the sidecars and routers. By default TLS is
+// off.
+func WithTLS(sidecars, routers conf.TLS) Option {
+	return func(st *Stack) { st.sideTLS, st.routeTLS = sidecars, routers }
+}
+
 // New starts the platform.
 func New(opts ...Option) *Stack {
-	st := &Stack{Cloud: cloud.New(), met: meter.Nop{}}
+	st := &Stack{Cloud: cloud.New(), met: meter.Nop{}, sideTLS: conf.TLS{Disabled: true}, routeTLS: conf.TLS{Disabled: true}}
 	for _, op := range opts {
 		op(st)
 	}
@@ -84,7 +92,7 @@
 func (st *Stack) Sidecar(up config.Upstream, url string) (config.Upstream, func(), error) {
 	si, err := side.New(conf.Sidecar{
 		VM: up.VM, Domain: up.Domain, Region: "r1", Upstream: up.ID, Kind: up.Kind,
-		Listen: "127.0.0.1:0", UpstreamURL: url, Platform: st.urls(), TLS: conf.TLS{Disabled: true},
+		Listen: "127.0.0.1:0", UpstreamURL: url, Platform: st.urls(), TLS: st.sideTLS,
 		Limits: conf.SidecarLimits{MaxRunning: 1024, Queue: 64, ReplayBytes: 1 << 20, ReplayFor: time.Minute},
 		Drain:  drain,
 	}, st.met, ops)
@@ -99,7 +107,7 @@
 func (st *Stack) Router(vm ident.VM, domain ident.Domain) (*router.Router, func(), error) {
 	ro, err := router.New(conf.Router{
 		VM: vm, Domain: domain, Region: "r1", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		Platform: st.urls(), TLS: conf.TLS{Disabled: true},
+		Platform: st.urls(), TLS: st.routeTLS,
 		Limits: conf.RouterLimits{MaxBody: 512 << 10, MaxHeader: 16 << 10, MaxRunning: 4096, Queue: 1024, Links: 64},
 		Drain:  drain,
 	}, st.met, ops)
