update: rename the package rollout

Cause: package names have four to six letters. Ruled out: an abbreviation that nobody would recognize. Change: internal/app/rollout is internal/app/update; no other change. Conclusion: all package names keep to the rule.

--- a/internal/adapt/admin/fixture_test.go
+++ b/internal/adapt/admin/fixture_test.go
@@ -15,7 +15,7 @@
 	use "github.com/balsamwood/balsamwood/internal/app/admin"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -57,8 +57,8 @@
 	platform := httptest.NewServer(cl)
 	t.Cleanup(platform.Close)
 	ta := dynamo.New(platform.URL)
-	ac := rollout.NewAcceptor(ta, rollout.Codecs{
-		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	ac := update.NewAcceptor(ta, update.Codecs{
+		Head: codec.JSON[update.Head]{}, Audit: codec.JSON[update.Audit]{}, Config: codec.Config{},
 	})
 	le := budget.NewLedger(ta, codec.Ledger())
 	sv := use.New(ac, le, relay.NewClaims(ta, codec.JSON[claim.Record]{}), use.NewNodes(ta, codec.JSON[use.Node]{}))
--- a/internal/adapt/admin/problem.go
+++ b/internal/adapt/admin/problem.go
@@ -10,7 +10,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/admin"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/orders"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -107,10 +107,10 @@
 
 func describe(err error) *problem {
 	var pr *problem
-	var conflict *rollout.Conflict
-	var invalid *rollout.Invalid
-	var unsettled *rollout.Unsettled
-	var behind *rollout.Behind
+	var conflict *update.Conflict
+	var invalid *update.Invalid
+	var unsettled *update.Unsettled
+	var behind *update.Behind
 	var he *echo.HTTPError
 	if pr := describeOrder(err); pr != nil {
 		return pr
--- a/internal/adapt/admin/state.go
+++ b/internal/adapt/admin/state.go
@@ -10,7 +10,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/app/admin"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -104,10 +104,10 @@
 	if err != nil {
 		return err
 	}
-	return ec.JSON(http.StatusOK, List[rollout.Audit]{Items: rows})
+	return ec.JSON(http.StatusOK, List[update.Audit]{Items: rows})
 }
 
-func (sv *Server) auditRows(ec echo.Context, limit int) ([]rollout.Audit, error) {
+func (sv *Server) auditRows(ec echo.Context, limit int) ([]update.Audit, error) {
 	text := ec.QueryParam("after")
 	if text == "" {
 		return sv.use.Latest(ec.Request().Context(), limit)
--- a/internal/app/admin/admin.go
+++ b/internal/app/admin/admin.go
@@ -10,7 +10,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
@@ -42,7 +42,7 @@
 
 // Service is the set of use cases. It is safe for concurrent use.
 type Service struct {
-	acceptor *rollout.Acceptor
+	acceptor *update.Acceptor
 	ledger   *budget.Ledger
 	claims   relay.Claims
 	nodes    Nodes
@@ -61,7 +61,7 @@
 func WithOrders(is *orders.Issuer) Option { return func(se *Service) { se.orders = is } }
 
 // New returns the use cases.
-func New(ac *rollout.Acceptor, le *budget.Ledger, cl relay.Claims, no Nodes, opts ...Option) *Service {
+func New(ac *update.Acceptor, le *budget.Ledger, cl relay.Claims, no Nodes, opts ...Option) *Service {
 	se := &Service{acceptor: ac, ledger: le, claims: cl, nodes: no, met: meter.Nop{}}
 	for _, op := range opts {
 		op(se)
@@ -76,7 +76,7 @@
 	// An empty op is replaced by a new one.
 	Op ident.Op
 	// Base is the revision that the operator has seen, or nil for the current
-	// one. A change on another base is refused with *rollout.Conflict.
+	// one. A change on another base is refused with *update.Conflict.
 	Base *ident.Revision
 	// DryRun checks the change without accepting it.
 	DryRun bool
--- a/internal/app/admin/budget.go
+++ b/internal/app/admin/budget.go
@@ -7,7 +7,7 @@
 	"log/slog"
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -26,7 +26,7 @@
 	dry := te
 	dry.DryRun = true
 	ch, err := se.editAccount(ctx, dry, rf.Account, ed)
-	var moved *rollout.Conflict
+	var moved *update.Conflict
 	switch {
 	case te.DryRun:
 		return ch, err
--- a/internal/app/admin/change.go
+++ b/internal/app/admin/change.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -68,14 +68,14 @@
 		return Changed{}, err
 	}
 	if finds := config.Check(next); len(finds) > 0 {
-		return Changed{}, &rollout.Invalid{Findings: finds}
+		return Changed{}, &update.Invalid{Findings: finds}
 	}
 	return Changed{Revision: cur.Revision(), Op: te.Op, Changes: config.Diff(cur, next), DryRun: true}, nil
 }
 
 func applied(cur config.Snapshot, te Terms, ed edit) (config.Snapshot, error) {
 	if te.Base != nil && *te.Base != cur.Revision() {
-		return cur, &rollout.Conflict{Base: *te.Base, Revision: cur.Revision(), Author: cur.Author()}
+		return cur, &update.Conflict{Base: *te.Base, Revision: cur.Revision(), Author: cur.Author()}
 	}
 	return ed(cur)
 }
@@ -91,12 +91,12 @@
 }
 
 // History returns up to limit audit rows after the revision, oldest first.
-func (se *Service) History(ctx context.Context, after ident.Revision, limit int) ([]rollout.Audit, error) {
+func (se *Service) History(ctx context.Context, after ident.Revision, limit int) ([]update.Audit, error) {
 	return se.acceptor.History(ctx, after, limit)
 }
 
 // Latest returns the last audit rows, oldest first.
-func (se *Service) Latest(ctx context.Context, limit int) ([]rollout.Audit, error) {
+func (se *Service) Latest(ctx context.Context, limit int) ([]update.Audit, error) {
 	cur, err := se.acceptor.Current(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/app/rollout/accept.go
+++ b/internal/app/update/accept.go
@@ -1,4 +1,4 @@
-package rollout
+package update
 
 import (
 	"context"
@@ -65,7 +65,7 @@
 	for _, it := range items {
 		au, err := ac.codecs.Audit.Decode(it.Value)
 		if err != nil {
-			return nil, fmt.Errorf("rollout: row %s: %w", it.Key, err)
+			return nil, fmt.Errorf("update: row %s: %w", it.Key, err)
 		}
 		out = append(out, au)
 	}
--- a/internal/app/rollout/accept_test.go
+++ b/internal/app/update/accept_test.go
@@ -1,4 +1,4 @@
-package rollout_test
+package update_test
 
 import (
 	"errors"
@@ -11,15 +11,15 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
-var codecs = rollout.Codecs{
-	Head:   codec.JSON[rollout.Head]{},
-	Audit:  codec.JSON[rollout.Audit]{},
+var codecs = update.Codecs{
+	Head:   codec.JSON[update.Head]{},
+	Audit:  codec.JSON[update.Audit]{},
 	Config: codec.Config{},
 }
 
@@ -27,8 +27,8 @@
 	return config.Account{ID: ident.Account(id), Weight: config.WeighRefusal}
 }
 
-func proposal(base ident.Revision, by, op string) rollout.Proposal {
-	return rollout.Proposal{
+func proposal(base ident.Revision, by, op string) update.Proposal {
+	return update.Proposal{
 		Base: base, Author: ident.Operator(by), Op: ident.Op(op),
 		Snapshot: config.Snapshot{}.WithAccount(account(by)),
 	}
@@ -38,11 +38,11 @@
 // against a refusal that names only the first fault.
 func TestInvalidRefused(t *testing.T) {
 	me := newMemory()
-	ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+	ac := update.NewAcceptor(&port{memory: me}, codecs)
 	pr := proposal(0, "ann", "1")
 	pr.Snapshot = pr.Snapshot.WithAccount(config.Account{ID: "a/b"})
 	_, err := ac.Accept(t.Context(), pr)
-	var in *rollout.Invalid
+	var in *update.Invalid
 	if !errors.As(err, &in) || len(in.Findings) != 2 {
 		t.Errorf("error is %v, want 2 findings", err)
 	}
@@ -59,7 +59,7 @@
 	var wg sync.WaitGroup
 	for ix := range errs {
 		wg.Go(func() {
-			ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+			ac := update.NewAcceptor(&port{memory: me}, codecs)
 			_, errs[ix] = ac.Accept(t.Context(), proposal(0, fmt.Sprint("op", ix), fmt.Sprint(ix)))
 		})
 	}
@@ -74,14 +74,14 @@
 		}
 	}
 	for ix, err := range errs {
-		var co *rollout.Conflict
+		var co *update.Conflict
 		if ix == won {
 			continue
 		}
 		if !errors.As(err, &co) {
 			t.Fatalf("operator %d: %v, want a conflict", ix, err)
 		}
-		want := rollout.Conflict{Base: 0, Revision: 1, Author: ident.Operator(fmt.Sprint("op", won))}
+		want := update.Conflict{Base: 0, Revision: 1, Author: ident.Operator(fmt.Sprint("op", won))}
 		if diff := cmp.Diff(want, *co); diff != "" {
 			t.Errorf("conflict (-want +got):\n%s", diff)
 		}
@@ -109,11 +109,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				me := newMemory()
 				po := &port{memory: me, fault: tc.faults}
-				ac := rollout.NewAcceptor(po, codecs)
+				ac := update.NewAcceptor(po, codecs)
 				if tc.rival {
 					go func() {
 						time.Sleep(50 * time.Millisecond)
-						ri := rollout.NewAcceptor(&port{memory: me}, codecs)
+						ri := update.NewAcceptor(&port{memory: me}, codecs)
 						cur, _ := ri.Current(t.Context())
 						_, _ = ri.Accept(t.Context(), proposal(cur.Revision(), "bob", "rival"))
 					}()
@@ -141,8 +141,8 @@
 
 func outcome(err error) string {
 	var (
-		un *rollout.Unsettled
-		co *rollout.Conflict
+		un *update.Unsettled
+		co *update.Conflict
 	)
 	switch {
 	case err == nil:
@@ -159,7 +159,7 @@
 // TestOpReused guards against an op that is taken as accepted for another
 // document.
 func TestOpReused(t *testing.T) {
-	ac := rollout.NewAcceptor(&port{memory: newMemory()}, codecs)
+	ac := update.NewAcceptor(&port{memory: newMemory()}, codecs)
 	if _, err := ac.Accept(t.Context(), proposal(0, "ann", "1")); err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +173,7 @@
 // TestChangeRepeated guards against a change that is applied twice when its
 // answer is lost between the operator and the router.
 func TestChangeRepeated(t *testing.T) {
-	ac := rollout.NewAcceptor(&port{memory: newMemory()}, codecs)
+	ac := update.NewAcceptor(&port{memory: newMemory()}, codecs)
 	runs := 0
 	change := func(sn config.Snapshot) (config.Snapshot, error) {
 		runs++
@@ -207,10 +207,10 @@
 // does not fit in a row, and against rows that are never removed.
 func TestLargeDocument(t *testing.T) {
 	me := newMemory()
-	ac := rollout.NewAcceptor(&port{memory: me}, codecs)
+	ac := update.NewAcceptor(&port{memory: me}, codecs)
 	planned, small := large(110), large(20)
 	for re, sn := range []config.Snapshot{small, small, small, small, planned} {
-		if _, err := ac.Accept(t.Context(), rollout.Proposal{Base: ident.Revision(re), Snapshot: sn, Author: "ann"}); err != nil {
+		if _, err := ac.Accept(t.Context(), update.Proposal{Base: ident.Revision(re), Snapshot: sn, Author: "ann"}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/app/rollout/errors.go
+++ b/internal/app/update/errors.go
@@ -1,4 +1,4 @@
-package rollout
+package update
 
 import (
 	"errors"
@@ -11,10 +11,10 @@
 
 // errMoved means that a document was removed between two reads, because newer
 // revisions were accepted.
-var errMoved = errors.New("rollout: the document was superseded while it was read")
+var errMoved = errors.New("update: the document was superseded while it was read")
 
 // errOpReused means that the op of a proposal was used for another one.
-var errOpReused = errors.New("rollout: the op was already used for another configuration")
+var errOpReused = errors.New("update: the op was already used for another configuration")
 
 // Invalid refuses a configuration with all its findings.
 type Invalid struct{ Findings []config.Finding }
--- a/internal/app/rollout/follow.go
+++ b/internal/app/update/follow.go
@@ -1,4 +1,4 @@
-package rollout
+package update
 
 import (
 	"fmt"
@@ -70,7 +70,7 @@
 	sn, err := fo.codec.Decode(document)
 	if err != nil {
 		fo.meter.Log(evBadDoc, slog.String("source", source), slog.String("error", err.Error()))
-		return false, fmt.Errorf("rollout: document from %s: %w", source, err)
+		return false, fmt.Errorf("update: document from %s: %w", source, err)
 	}
 	return fo.follow(sn, document, source), nil
 }
--- a/internal/app/rollout/history_test.go
+++ b/internal/app/update/history_test.go
@@ -1,4 +1,4 @@
-package rollout_test
+package update_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
 
@@ -33,7 +33,7 @@
 // proper is a node with the package's own follower and acceptor.
 type proper struct {
 	*node
-	acceptor *rollout.Acceptor
+	acceptor *update.Acceptor
 }
 
 func (re *proper) revision() ident.Revision { return re.InForce().Revision }
@@ -44,7 +44,7 @@
 		return 0, false
 	}
 	time.Sleep(editTime)
-	pr := rollout.Proposal{Base: cur.Revision(), Snapshot: cur.WithAccount(account(string(by))), Author: by}
+	pr := update.Proposal{Base: cur.Revision(), Snapshot: cur.WithAccount(account(string(by))), Author: by}
 	got, err := re.acceptor.Accept(ctx, pr)
 	return got.Revision, err == nil
 }
@@ -167,14 +167,14 @@
 			tr := newTrial(seed)
 			gs := &gossip{rng: rand.New(rand.NewPCG(seed, 2))}
 			for _, po := range tr.ports {
-				fo := rollout.NewFollower(codecs.Config)
-				opts := []rollout.Option{rollout.WithFollower(fo), rollout.WithPeers(gs)}
-				re := &proper{&node{Follower: fo, port: po}, rollout.NewAcceptor(po, codecs, opts...)}
+				fo := update.NewFollower(codecs.Config)
+				opts := []update.Option{update.WithFollower(fo), update.WithPeers(gs)}
+				re := &proper{&node{Follower: fo, port: po}, update.NewAcceptor(po, codecs, opts...)}
 				gs.nodes = append(gs.nodes, re)
 				tr.members = append(tr.members, re)
 			}
 			for _, re := range gs.nodes {
-				go rollout.NewWatcher(re.port, codecs, re.Follower, rollout.WithPeers(gs)).Run(ctx)
+				go update.NewWatcher(re.port, codecs, re.Follower, update.WithPeers(gs)).Run(ctx)
 			}
 			tr.run(ctx)
 			if tr.fell > 0 || tr.twice > 0 {
@@ -193,7 +193,7 @@
 // last revision in force.
 func (tr *trial) compareAudit(t *testing.T, seed uint64) {
 	t.Helper()
-	ac := rollout.NewAcceptor(&port{memory: tr.memory}, codecs)
+	ac := update.NewAcceptor(&port{memory: tr.memory}, codecs)
 	rows, err := ac.History(t.Context(), 0, 1000)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/app/rollout/naive_test.go
+++ b/internal/app/update/naive_test.go
@@ -1,4 +1,4 @@
-package rollout_test
+package update_test
 
 import (
 	"context"
--- a/internal/app/rollout/row.go
+++ b/internal/app/update/row.go
@@ -1,5 +1,5 @@
-// Package rollout accepts configurations in the table and distributes them.
-package rollout
+// Package update accepts configurations in the table and distributes them.
+package update
 
 import (
 	"crypto/sha256"
--- a/internal/app/rollout/spread_test.go
+++ b/internal/app/update/spread_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package rollout_test
+package update_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/route"
@@ -72,25 +72,25 @@
 // town is a number of routers with links to sidecars.
 type town struct {
 	table    *counting
-	codecs   rollout.Codecs
-	routers  []*rollout.Follower
-	sidecars map[ident.Upstream]*rollout.Follower
+	codecs   update.Codecs
+	routers  []*update.Follower
+	sidecars map[ident.Upstream]*update.Follower
 	members  [models][]route.Member
 }
 
 func newTown(size, sidecars, bytes int, slow time.Duration) *town {
 	to := &town{
 		table:    &counting{port: &port{memory: newMemory(), slow: slow}, reads: map[int64]int{}},
-		codecs:   rollout.Codecs{Head: codecs.Head, Audit: codecs.Audit, Config: padded{bytes}},
-		sidecars: map[ident.Upstream]*rollout.Follower{},
+		codecs:   update.Codecs{Head: codecs.Head, Audit: codecs.Audit, Config: padded{bytes}},
+		sidecars: map[ident.Upstream]*update.Follower{},
 	}
 	for ix := range sidecars {
 		me := route.Member{Upstream: ident.Upstream(fmt.Sprint("e", ix)), Domain: ident.Domain(fmt.Sprint("d", ix%7))}
 		to.members[ix%models] = append(to.members[ix%models], me)
-		to.sidecars[me.Upstream] = rollout.NewFollower(to.codecs.Config)
+		to.sidecars[me.Upstream] = update.NewFollower(to.codecs.Config)
 	}
 	for range size {
-		to.routers = append(to.routers, rollout.NewFollower(to.codecs.Config))
+		to.routers = append(to.routers, update.NewFollower(to.codecs.Config))
 	}
 	return to
 }
@@ -103,14 +103,14 @@
 		vm := ident.VM(fmt.Sprint("r", ix))
 		wg.Go(func() {
 			time.Sleep(late)
-			rollout.NewWatcher(to.table, to.codecs, fo).Run(ctx)
+			update.NewWatcher(to.table, to.codecs, fo).Run(ctx)
 		})
 		wg.Go(func() { to.offer(ctx, fo, vm) })
 	}
 }
 
 // offer passes what a router follows on to its sidecars.
-func (to *town) offer(ctx context.Context, fo *rollout.Follower, vm ident.VM) {
+func (to *town) offer(ctx context.Context, fo *update.Follower, vm ident.VM) {
 	var links []ident.Upstream
 	for _, group := range to.members {
 		links = append(links, route.Subset(vm, group, linksPerModel)...)
@@ -138,7 +138,7 @@
 	t.Helper()
 	var last time.Time
 	behind := 0
-	note := func(fo *rollout.Follower) {
+	note := func(fo *update.Follower) {
 		st := fo.InForce()
 		if st.Revision != re {
 			behind++
@@ -185,7 +185,7 @@
 				defer wg.Wait()
 				defer stop()
 				to := newTown(tc.routers, tc.sidecars, tc.bytes, tc.slow)
-				ac := rollout.NewAcceptor(&port{memory: to.table.memory}, to.codecs)
+				ac := update.NewAcceptor(&port{memory: to.table.memory}, to.codecs)
 				if _, err := ac.Accept(ctx, proposal(0, "ann", "")); err != nil {
 					t.Fatal(err)
 				}
--- a/internal/app/rollout/table.go
+++ b/internal/app/update/table.go
@@ -1,4 +1,4 @@
-package rollout
+package update
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 	}
 	he, err := ro.codecs.Head.Decode(it.Value)
 	if err != nil {
-		return Head{}, fmt.Errorf("rollout: row %s: %w", headKey, err)
+		return Head{}, fmt.Errorf("update: row %s: %w", headKey, err)
 	}
 	he.version = it.Version
 	return he, nil
@@ -69,10 +69,10 @@
 func (ro rows) decode(document []byte, want ident.Revision) (config.Snapshot, error) {
 	sn, err := ro.codecs.Config.Decode(document)
 	if err != nil {
-		return config.Snapshot{}, fmt.Errorf("rollout: document of revision %d: %w", want, err)
+		return config.Snapshot{}, fmt.Errorf("update: document of revision %d: %w", want, err)
 	}
 	if sn.Revision() != want {
-		return config.Snapshot{}, fmt.Errorf("rollout: the document of revision %d says revision %d", want, sn.Revision())
+		return config.Snapshot{}, fmt.Errorf("update: the document of revision %d says revision %d", want, sn.Revision())
 	}
 	return sn, nil
 }
--- a/internal/app/rollout/watch.go
+++ b/internal/app/update/watch.go
@@ -1,4 +1,4 @@
-package rollout
+package update
 
 import (
 	"context"
--- a/internal/app/rollout/watch_test.go
+++ b/internal/app/update/watch_test.go
@@ -1,4 +1,4 @@
-package rollout_test
+package update_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
@@ -52,28 +52,28 @@
 
 // node is a process with a follower.
 type node struct {
-	*rollout.Follower
+	*update.Follower
 	port  *port
 	meter *record
-	ar    *rollout.Archive
+	ar    *update.Archive
 }
 
 // start runs a node until ctx ends.
-func start(ctx context.Context, po *port, peers rollout.Peers) *node {
+func start(ctx context.Context, po *port, peers update.Peers) *node {
 	no := &node{port: po, meter: &record{}}
-	opts := []rollout.Option{rollout.WithMeter(no.meter)}
-	no.Follower = rollout.NewFollower(codecs.Config, opts...)
-	no.ar = rollout.NewArchive(bucket{po}, opts...)
-	opts = append(opts, rollout.WithArchive(no.ar))
+	opts := []update.Option{update.WithMeter(no.meter)}
+	no.Follower = update.NewFollower(codecs.Config, opts...)
+	no.ar = update.NewArchive(bucket{po}, opts...)
+	opts = append(opts, update.WithArchive(no.ar))
 	if peers != nil {
-		opts = append(opts, rollout.WithPeers(peers))
+		opts = append(opts, update.WithPeers(peers))
 	}
-	go rollout.NewWatcher(po, codecs, no.Follower, opts...).Run(ctx)
+	go update.NewWatcher(po, codecs, no.Follower, opts...).Run(ctx)
 	return no
 }
 
 // ask answers from another node's follower.
-type ask struct{ from *rollout.Follower }
+type ask struct{ from *update.Follower }
 
 func (as ask) Newer(_ context.Context, than ident.Revision) ([]byte, bool, error) {
 	st := as.from.InForce()
@@ -84,7 +84,7 @@
 func accept(t *testing.T, me *memory, count int) {
 	t.Helper()
 	po := &port{memory: me}
-	ac := rollout.NewAcceptor(po, codecs, rollout.WithArchive(rollout.NewArchive(bucket{po})))
+	ac := update.NewAcceptor(po, codecs, update.WithArchive(update.NewArchive(bucket{po})))
 	for range count {
 		cur, err := ac.Current(t.Context())
 		if err != nil {
@@ -186,7 +186,7 @@
 				po := &port{memory: me, down: !tc.table}
 				other := newMemory()
 				accept(t, other, tc.objects)
-				peer := rollout.NewFollower(codecs.Config)
+				peer := update.NewFollower(codecs.Config)
 				if tc.peer > 0 {
 					doc, _ := codecs.Config.Encode(proposal(0, "a", "").Snapshot.WithRevision(tc.peer, "a"))
 					if ok, err := peer.Offer(doc); !ok || err != nil {
@@ -195,10 +195,10 @@
 				}
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
-				fo := rollout.NewFollower(codecs.Config)
-				ar := rollout.NewArchive(bucket{&port{memory: other, slow: tc.slow}})
+				fo := update.NewFollower(codecs.Config)
+				ar := update.NewArchive(bucket{&port{memory: other, slow: tc.slow}})
 				began := time.Now()
-				go rollout.NewWatcher(po, codecs, fo, rollout.WithArchive(ar), rollout.WithPeers(ask{peer})).Run(ctx)
+				go update.NewWatcher(po, codecs, fo, update.WithArchive(ar), update.WithPeers(ask{peer})).Run(ctx)
 				time.Sleep(2*time.Second + 40*tc.slow)
 				st := fo.InForce()
 				if st.Revision != tc.want || st.Source != tc.source || fo.Ready() != (tc.want > 0) {
@@ -241,15 +241,15 @@
 	me := newMemory()
 	accept(t, me, 1)
 	po := &port{memory: me}
-	fo := rollout.NewFollower(codecs.Config)
-	ac := rollout.NewAcceptor(po, codecs, rollout.WithFollower(fo))
+	fo := update.NewFollower(codecs.Config)
+	ac := update.NewAcceptor(po, codecs, update.WithFollower(fo))
 	backup := me.snapshot()
 	if _, err := ac.Accept(t.Context(), proposal(1, "ann", "")); err != nil {
 		t.Fatal(err)
 	}
 	me.rows = backup
 	_, err := ac.Accept(t.Context(), proposal(1, "bob", ""))
-	be, ok := err.(*rollout.Behind)
+	be, ok := err.(*update.Behind)
 	if !ok || be.Table != 1 || be.InForce != 2 {
 		t.Errorf("error is %v, want a table behind", err)
 	}
@@ -262,7 +262,7 @@
 	for _, gap := range [][2]ident.Revision{{60, 66}, {60, 140}, {1, 198}, {128, 128}} {
 		synctest.Test(t, func(t *testing.T) {
 			po := &port{memory: newMemory()}
-			ar := rollout.NewArchive(bucket{po})
+			ar := update.NewArchive(bucket{po})
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
 			go ar.Run(ctx)
@@ -277,7 +277,7 @@
 			time.Sleep(6 * time.Second)
 			po.set(func(po *port) { po.slow = 50 * time.Millisecond })
 			began := time.Now()
-			doc, ok, err := rollout.NewArchive(bucket{po}).Newest(ctx)
+			doc, ok, err := update.NewArchive(bucket{po}).Newest(ctx)
 			if !ok || err != nil || doc[0] != 199 {
 				t.Errorf("gap %v: newest is %v, %v, %v, want 199", gap, doc, ok, err)
 			}
@@ -290,7 +290,7 @@
 
 // TestChanged guards against a link that does not learn of a new revision.
 func TestChanged(t *testing.T) {
-	fo := rollout.NewFollower(codecs.Config)
+	fo := update.NewFollower(codecs.Config)
 	first := fo.Changed()
 	for _, re := range []ident.Revision{2, 1, 2} {
 		doc, _ := codecs.Config.Encode(proposal(0, "a", "").Snapshot.WithRevision(re, "a"))
--- a/internal/bench/deploy/town.go
+++ b/internal/bench/deploy/town.go
@@ -9,7 +9,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -77,8 +77,8 @@
 
 // Accept makes the changed configuration the current one.
 func (de *Deployment) Accept(ctx context.Context, change func(config.Snapshot) config.Snapshot) (ident.Revision, error) {
-	ac := rollout.NewAcceptor(dynamo.New(de.Platform.URL()), rollout.Codecs{
-		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	ac := update.NewAcceptor(dynamo.New(de.Platform.URL()), update.Codecs{
+		Head: codec.JSON[update.Head]{}, Audit: codec.JSON[update.Audit]{}, Config: codec.Config{},
 	})
 	acc, err := ac.Change(ctx, "bench", ident.NewOp(),
 		func(sn config.Snapshot) (config.Snapshot, error) { return change(sn), nil })
--- a/internal/bench/stack/stack.go
+++ b/internal/bench/stack/stack.go
@@ -16,7 +16,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/dynamo"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/app/budget"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/fake/cloud"
@@ -35,7 +35,7 @@
 type Stack struct {
 	Cloud    *cloud.Cloud
 	Ledger   *budget.Ledger
-	Acceptor *rollout.Acceptor
+	Acceptor *update.Acceptor
 
 	platform string
 	met      meter.Meter
@@ -70,8 +70,8 @@
 	st.platform = st.Serve(st.Cloud)
 	ta := dynamo.New(st.platform)
 	st.Ledger = budget.NewLedger(ta, codec.Ledger())
-	st.Acceptor = rollout.NewAcceptor(ta, rollout.Codecs{
-		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	st.Acceptor = update.NewAcceptor(ta, update.Codecs{
+		Head: codec.JSON[update.Head]{}, Audit: codec.JSON[update.Audit]{}, Config: codec.Config{},
 	})
 	return st
 }
--- a/internal/role/cmdln/admin_test.go
+++ b/internal/role/cmdln/admin_test.go
@@ -21,7 +21,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/orders"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -48,8 +48,8 @@
 	platform := httptest.NewServer(si.cloud)
 	t.Cleanup(platform.Close)
 	ta := dynamo.New(platform.URL)
-	ac := rollout.NewAcceptor(ta, rollout.Codecs{
-		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	ac := update.NewAcceptor(ta, update.Codecs{
+		Head: codec.JSON[update.Head]{}, Audit: codec.JSON[update.Audit]{}, Config: codec.Config{},
 	})
 	sv := use.New(ac, budget.NewLedger(ta, codec.Ledger()), relay.NewClaims(ta, codec.JSON[claim.Record]{}),
 		use.NewNodes(ta, codec.JSON[use.Node]{}), use.WithOrders(issuer(ta)))
--- a/internal/role/cmdln/state.go
+++ b/internal/role/cmdln/state.go
@@ -14,7 +14,7 @@
 	adapt "github.com/balsamwood/balsamwood/internal/adapt/admin"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
 	"github.com/balsamwood/balsamwood/internal/app/admin"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -63,7 +63,7 @@
 		qu.Set("after", strconv.FormatUint(*ch.After, 10))
 	}
 	rq := admcli.Request{Method: http.MethodGet, Path: "/audit", Query: qu}
-	return do(en, ad, rq, func(wr io.Writer, li adapt.List[rollout.Audit]) {
+	return do(en, ad, rq, func(wr io.Writer, li adapt.List[update.Audit]) {
 		for _, au := range li.Items {
 			_, _ = fmt.Fprintf(wr, "revision %d by %s at %s (op %s)\n", au.Revision, au.Author, au.At.UTC().Format(time.RFC3339), au.Op)
 			for _, it := range au.Changes {
--- a/internal/role/router/outage_test.go
+++ b/internal/role/router/outage_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/bucket"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/bench/stack"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -96,7 +96,7 @@
 		t.Fatal(err)
 	}
 	doc, _ := codec.Config{}.Encode(first)
-	rollout.NewArchive(bucket.New(st.Serve(st.Cloud))).Keep(t.Context(), 1, doc)
+	update.NewArchive(bucket.New(st.Serve(st.Cloud))).Keep(t.Context(), 1, doc)
 	_, stop, err := st.Router("vm-r1", "d1")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -23,8 +23,8 @@
 	"github.com/balsamwood/balsamwood/internal/app/gate"
 	"github.com/balsamwood/balsamwood/internal/app/recov"
 	"github.com/balsamwood/balsamwood/internal/app/relay"
-	"github.com/balsamwood/balsamwood/internal/app/rollout"
 	"github.com/balsamwood/balsamwood/internal/app/roster"
+	"github.com/balsamwood/balsamwood/internal/app/update"
 	"github.com/balsamwood/balsamwood/internal/core/claim"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/retry"
@@ -58,10 +58,10 @@
 	table    store.Table
 	ledger   *budget.Ledger
 	holder   *budget.Holder
-	follower *rollout.Follower
-	acceptor *rollout.Acceptor
-	watcher  *rollout.Watcher
-	archive  *rollout.Archive
+	follower *update.Follower
+	acceptor *update.Acceptor
+	watcher  *update.Watcher
+	archive  *update.Archive
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
 	front    *front.Service
@@ -109,14 +109,14 @@
 }
 
 func (ro *Router) composeConfig() {
-	cod := rollout.Codecs{
-		Head: codec.JSON[rollout.Head]{}, Audit: codec.JSON[rollout.Audit]{}, Config: codec.Config{},
+	cod := update.Codecs{
+		Head: codec.JSON[update.Head]{}, Audit: codec.JSON[update.Audit]{}, Config: codec.Config{},
 	}
-	ro.archive = rollout.NewArchive(bucket.New(ro.set.Platform.Objects), rollout.WithMeter(ro.met))
-	archive := rollout.WithArchive(ro.archive)
-	ro.follower = rollout.NewFollower(codec.Config{}, rollout.WithMeter(ro.met))
-	ro.watcher = rollout.NewWatcher(ro.table, cod, ro.follower, rollout.WithMeter(ro.met), archive)
-	ro.acceptor = rollout.NewAcceptor(ro.table, cod, rollout.WithMeter(ro.met), rollout.WithFollower(ro.follower), archive)
+	ro.archive = update.NewArchive(bucket.New(ro.set.Platform.Objects), update.WithMeter(ro.met))
+	archive := update.WithArchive(ro.archive)
+	ro.follower = update.NewFollower(codec.Config{}, update.WithMeter(ro.met))
+	ro.watcher = update.NewWatcher(ro.table, cod, ro.follower, update.WithMeter(ro.met), archive)
+	ro.acceptor = update.NewAcceptor(ro.table, cod, update.WithMeter(ro.met), update.WithFollower(ro.follower), archive)
 }
 
 func (ro *Router) composeBudgets() {
