openai, model: resume a cut stream at the engine

Cause: engines resume streams, and neither the adapter nor the stand-in did; a connection that was cut between sidecar and engine ended the answer. Ruled out: resuming at engines that number no events (a second POST would run the call again), and counting an event whose data was cut off as received. Conclusion: works for engines that follow the specification of server-sent events.

--- a/internal/adapt/openai/events.go
+++ b/internal/adapt/openai/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
@@ -22,6 +23,11 @@
 type events struct {
 	sc  *bufio.Scanner
 	max int
+	// id is the number of the last whole event, or 0 if the engine gives none.
+	// read is the number of the event that is being read.
+	id, read uint64
+	// cut says that the body ended before the stream did.
+	cut bool
 }
 
 // bounded fails when more than left bytes are read.
@@ -54,10 +60,12 @@
 	for ev.sc.Scan() {
 		line := ev.sc.Bytes()
 		if len(line) == 0 && found {
+			ev.id = ev.read
 			return data, nil
 		}
 		val, ok := bytes.CutPrefix(line, []byte("data:"))
 		if !ok {
+			ev.number(line)
 			continue
 		}
 		if found {
@@ -75,6 +83,14 @@
 	return nil, io.ErrUnexpectedEOF
 }
 
+// number notes the number of an event. Other identifiers are ignored, because
+// only a number shows that nothing is missing after a resumption.
+func (ev *events) number(line []byte) {
+	if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		ev.read, _ = strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
+	}
+}
+
 // drain reads to the end of the body, at most for drainTime.
 func (ev *events) drain(cancel func()) {
 	ti := time.AfterFunc(drainTime, cancel)
--- a/internal/adapt/openai/meter.go
+++ b/internal/adapt/openai/meter.go
@@ -61,6 +61,7 @@
 	for {
 		data, err := ev.next()
 		if err != nil {
+			ev.cut = !isTooLarge(err)
 			return broken(err)
 		}
 		if string(data) == done {
--- a/internal/adapt/openai/openai.go
+++ b/internal/adapt/openai/openai.go
@@ -6,8 +6,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"mime"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
@@ -81,14 +81,7 @@
 	// the engine.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, en.base+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return engine.Result{}, refuse.New(refuse.BadRequest, "%v", err)
-	}
-	re.Header.Set("Content-Type", "application/json")
-	re.Header.Set("Accept", "text/event-stream")
-	re.Header.Set("X-Request-Id", string(ca.Request))
-	resp, sent, err := client.Do(en.hc, re)
+	resp, sent, err := en.post(ctx, ca, body, 0)
 	if err != nil && !sent {
 		return engine.Result{}, client.Unsent(err)
 	}
@@ -96,29 +89,32 @@
 	if err != nil {
 		return engine.Result{Usage: me.usage()}, client.Lost(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
 		return en.failed(resp, me)
 	}
-	return en.stream(cancel, resp, me, emit)
-}
-
-func (en *Engine) stream(cancel func(), resp *http.Response, me *meter, emit func(engine.Chunk) error) (engine.Result, error) {
 	res := engine.Result{Status: resp.StatusCode, Header: []engine.Field{{Name: "Content-Type", Value: eventStream}}}
-	var err error
-	if kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type")); kind != eventStream {
-		err = refuse.New(refuse.UpstreamFailed, "the answer has content type %q", kind)
-	} else {
-		ev := newEvents(resp.Body, en.maxLine, en.maxAnswer)
-		err = forward(ev, me, emit)
-		if err == nil {
-			ev.drain(cancel)
-		}
-	}
+	err = en.stream(ctx, cancel, &answer{call: ca, body: body, resp: resp, meter: me, emit: emit})
 	res.Usage = me.usage()
 	return res, err
 }
 
+// post sends the call. After the event with the number last, it asks the engine
+// to resume the stream in place of a new run.
+func (en *Engine) post(ctx context.Context, ca engine.Call, body []byte, last uint64) (*http.Response, bool, error) {
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, en.base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	re.Header.Set("Content-Type", "application/json")
+	re.Header.Set("Accept", eventStream)
+	re.Header.Set("X-Request-Id", string(ca.Request))
+	if last > 0 {
+		re.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
+	}
+	return client.Do(en.hc, re)
+}
+
 // failed maps an error status. Statuses below 500, 429 and 503 prove that the
 // call did not run.
 func (en *Engine) failed(resp *http.Response, me *meter) (engine.Result, error) {
--- a/internal/fake/model/chat.go
+++ b/internal/fake/model/chat.go
@@ -43,10 +43,16 @@
 	length int
 	finish string
 	cached int
-	ru     *Run
+	// produced is the number of tokens made, over all connections.
+	produced int
+	ru       *Run
 }
 
 func (en *Engine) chat(wr http.ResponseWriter, re *http.Request) {
+	if last := re.Header.Get("Last-Event-ID"); last != "" {
+		en.resume(wr, re, last)
+		return
+	}
 	ca, ok := en.parse(wr, re)
 	if !ok {
 		return
@@ -54,11 +60,16 @@
 	ca.ru = en.record.add(Run{
 		Request: re.Header.Get("X-Request-Id"), Priority: ca.req.Priority, Prompt: len(ca.prompt), State: Waiting,
 	})
-	en.owed.Add(int64(ca.length))
+	en.serve(re.Context(), wr, ca, 1)
+}
+
+// serve gives the call a slot and produces its answer from a token on.
+func (en *Engine) serve(ctx context.Context, wr http.ResponseWriter, ca *call, from int) {
+	en.owed.Add(int64(ca.length - ca.produced))
 	defer en.sample()
-	defer func() { en.owed.Add(int64(ca.ru.Produced - ca.length)) }()
+	defer func() { en.owed.Add(int64(ca.produced - ca.length)) }()
 	en.sample()
-	if err := en.sched.acquire(re.Context(), ca.req.Priority); err != nil {
+	if err := en.sched.acquire(ctx, ca.req.Priority); err != nil {
 		en.refuse(wr, ca, err)
 		return
 	}
@@ -66,7 +77,7 @@
 	en.sample()
 	ca.cached = en.cache.use(ca.prompt, en.se.clk.Now(), en.se.eventLoss)
 	en.record.start(ca.ru, ca.cached)
-	en.run(re.Context(), wr, ca)
+	en.run(ctx, wr, ca, from)
 }
 
 func (en *Engine) refuse(wr http.ResponseWriter, ca *call, err error) {
@@ -112,29 +123,44 @@
 }
 
 // run produces the answer. It ends the call when the client goes away.
-func (en *Engine) run(ctx context.Context, wr http.ResponseWriter, ca *call) {
+func (en *Engine) run(ctx context.Context, wr http.ResponseWriter, ca *call, from int) {
 	out := newWriter(wr, en.se.clk.Now(), ca)
 	state := Cancelled
 	defer func() { en.record.change(ca.ru, func(ru *Run) { ru.State = state }) }()
 	if !pause(ctx, en.scaled(en.se.prefillTime, len(ca.prompt)-ca.cached)) {
 		fault.Abort()
 	}
-	for num := 1; num <= ca.length; num++ {
+	for num := from; num <= ca.length; num++ {
 		if !pause(ctx, en.scaled(en.se.tokenTime, 1)) || out.token(num) != nil {
 			fault.Abort()
 		}
-		en.record.change(ca.ru, func(ru *Run) { ru.Produced++ })
-		en.owed.Add(-1)
-		if limit := en.setting.Load().FailAfter; limit > 0 && num >= limit {
+		en.count(ca, num)
+		se := en.setting.Load()
+		if se.FailAfter > 0 && num >= se.FailAfter {
 			state = Failed
 			fault.Abort()
 		}
+		if se.CutAfter > 0 && num-from+1 >= se.CutAfter {
+			state = Cut
+			en.parked.put(ca.ru.Request, ca)
+			fault.Abort()
+		}
 	}
 	if out.end() == nil {
 		state = Completed
 	}
 }
 
+// count records a token that was not made before.
+func (en *Engine) count(ca *call, num int) {
+	if num <= ca.produced {
+		return
+	}
+	ca.produced = num
+	en.record.change(ca.ru, func(ru *Run) { ru.Produced = num })
+	en.owed.Add(-1)
+}
+
 func (en *Engine) scaled(d time.Duration, n int) time.Duration {
 	return time.Duration(float64(d) * float64(n) * en.slow())
 }
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -20,6 +20,7 @@
 	cache   *cache
 	orders  *orders
 	record  *record
+	parked  *parked
 	load    *history
 	// owed is the number of tokens that accepted calls may still produce.
 	owed atomic.Int64
@@ -34,6 +35,9 @@
 	// FailAfter breaks the connection of a call after that many tokens. Zero
 	// means never.
 	FailAfter int `json:"failAfter"`
+	// CutAfter cuts the connection of a call after that many tokens. The call
+	// can be resumed. Zero means never.
+	CutAfter int `json:"cutAfter"`
 	// LoadLagMillis is the age of the load report.
 	LoadLagMillis int `json:"loadLagMillis"`
 	// Leaving refuses new calls and is shown in the load report.
@@ -52,6 +56,12 @@
 	return se
 }
 
+// WithCutAfter returns a copy that cuts connections after n tokens.
+func (se Setting) WithCutAfter(n int) Setting {
+	se.CutAfter = n
+	return se
+}
+
 // WithLoadLag returns a copy with the age of the load report in milliseconds.
 func (se Setting) WithLoadLag(millis int) Setting {
 	se.LoadLagMillis = millis
@@ -74,7 +84,7 @@
 		se: se, faults: fault.New(se.seed), setting: snap.NewCell(Setting{}),
 		sched: newScheduler(se.slots, se.queue), cache: newCache(se.cacheTokens/blockTokens, se.seed),
 		orders: newOrders(se.fencing, se.models), record: newRecord(se.records),
-		load: &history{}, mux: http.NewServeMux(),
+		parked: &parked{}, load: &history{}, mux: http.NewServeMux(),
 	}
 	en.routes()
 	return en
--- a/internal/fake/model/record.go
+++ b/internal/fake/model/record.go
@@ -31,6 +31,8 @@
 	Cancelled = "cancelled"
 	// Failed means that a switch broke the call.
 	Failed = "failed"
+	// Cut means that the connection was cut and that the call can be resumed.
+	Cut = "cut"
 	// Refused means that the queue was full, so the call did not run.
 	Refused = "refused"
 )
--- a/internal/fake/model/stream.go
+++ b/internal/fake/model/stream.go
@@ -71,7 +71,7 @@
 	if num == 1 {
 		de.Role = "assistant"
 	}
-	return ou.event(choice{Delta: de})
+	return ou.event(num, choice{Delta: de})
 }
 
 // end writes the finish reason and the usage.
@@ -86,12 +86,12 @@
 		fault.WriteJSON(ou.wr, http.StatusOK, ou.head)
 		return nil
 	}
-	if err := ou.event(choice{Delta: &content{}, Finish: &ou.ca.finish}); err != nil {
+	if err := ou.event(ou.ca.length+1, choice{Delta: &content{}, Finish: &ou.ca.finish}); err != nil {
 		return err
 	}
 	if ou.ca.req.StreamOptions.IncludeUsage {
 		ou.head.Usage = us
-		if err := ou.event(); err != nil {
+		if err := ou.event(ou.ca.length + 2); err != nil {
 			return err
 		}
 	}
@@ -101,14 +101,15 @@
 	return ou.rc.Flush()
 }
 
-func (ou *writer) event(choices ...choice) error {
+// event writes an event with its number, after which a client can resume.
+func (ou *writer) event(num int, choices ...choice) error {
 	ev := ou.head
 	ev.Choices = append([]choice{}, choices...)
 	data, err := json.Marshal(ev)
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(ou.wr, "data: %s\n\n", data); err != nil {
+	if _, err := fmt.Fprintf(ou.wr, "id: %d\ndata: %s\n\n", num, data); err != nil {
 		return err
 	}
 	return ou.rc.Flush()
