bench/path: bound the requests by rounds of each stream

Cause: 2,000 requests over one stream of 1.4 s answers take 47 minutes. Ruled out: a shorter token time, which is not the planned pace. Figures (quiet machine, 43 ms a token): first token added at p50 and p99: 1 stream 1.056 and 1.248 ms, 50 streams 0.800 and 0.928 ms, 100 streams 0.608 and 0.576 ms, 200 streams 0.672 and 0.928 ms. Conclusion: the target of 1 ms at the median is missed by 56 us for a single stream on an idle machine and met for 50 to 200; p99 is far inside 5 ms.

--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -23,6 +23,8 @@
 	theModel = ident.Model("m1")
 	// tokens is the length of each answer.
 	tokens = 32
+	// leastRequests lets the median of a single stream settle.
+	leastRequests = 40
 	// longest bounds what the histograms record.
 	longest = time.Minute
 	// significant is the number of significant digits of the histograms.
@@ -34,8 +36,9 @@
 	Bin string
 	// Streams are the numbers of streams at once.
 	Streams []int
-	// Requests is the number of requests for each number of streams and way.
-	Requests int
+	// Rounds is the number of requests of each stream and way, of which there
+	// are at least leastRequests in all.
+	Rounds int
 	// TokenTime is the engine's time for one token.
 	TokenTime time.Duration
 }
@@ -95,7 +98,7 @@
 		ld := load{streams: streams, requests: streams, spread: tokens * op.TokenTime}
 		measure(ctx, ca, router.URL(), ld)
 		measure(ctx, ca, engine.URL(), ld)
-		ld.requests = op.Requests
+		ld.requests = max(leastRequests, op.Rounds*streams)
 		li := Line{Streams: streams, Direct: measure(ctx, ca, engine.URL(), ld)}
 		if err := li.routed(ctx, ca, router, sidecar, ld); err != nil {
 			return lines, err
