--- a/internal/adapt/link/world_test.go
+++ b/internal/adapt/link/fixture_test.go
@@ -16,8 +16,8 @@
 	"github.com/balsamwood/balsamwood/internal/port/peer"
 )
 
-// world is a router's client and a sidecar's server on a faulty network.
-type world struct {
+// fixture is a router's client and a sidecar's server on a faulty network.
+type fixture struct {
 	*testing.T
 	name   string
 	nw     *network
@@ -38,42 +38,42 @@
 	return nil, nil
 }
 
-func newWorld(t *testing.T, name string, si peer.Sidecar, opts ...link.ClientOption) *world {
-	wo := &world{T: t, name: name, nw: newNetwork()}
-	wo.ctx, wo.stop = context.WithCancel(t.Context())
-	wo.serve("s1", si)
-	wo.cl = link.NewClient(link.Identity{VM: "vm-r", Incarnation: "r1"}, wo.nw.dial, opts...)
-	wo.wg.Go(func() { wo.cl.Run(wo.ctx) })
+func newFixture(t *testing.T, name string, si peer.Sidecar, opts ...link.ClientOption) *fixture {
+	fx := &fixture{T: t, name: name, nw: newNetwork()}
+	fx.ctx, fx.stop = context.WithCancel(t.Context())
+	fx.serve("s1", si)
+	fx.cl = link.NewClient(link.Identity{VM: "vm-r", Incarnation: "r1"}, fx.nw.dial, opts...)
+	fx.wg.Go(func() { fx.cl.Run(fx.ctx) })
 	time.Sleep(time.Second)
-	if !wo.cl.Connected() {
+	if !fx.cl.Connected() {
 		t.Fatalf("%s: not connected", name)
 	}
-	return wo
+	return fx
 }
 
 // serve starts a sidecar's server, which ends with cancel.
-func (wo *world) serve(in ident.Incarnation, si peer.Sidecar) {
-	ctx, cancel := context.WithCancel(wo.ctx)
-	wo.cancel = cancel
+func (fx *fixture) serve(in ident.Incarnation, si peer.Sidecar) {
+	ctx, cancel := context.WithCancel(fx.ctx)
+	fx.cancel = cancel
 	sv := link.NewServer(link.Identity{VM: "vm-s", Incarnation: in, Upstream: "u1"}, si, control{})
-	wo.wg.Go(func() { _ = sv.Serve(ctx, wo.nw.listen()) })
+	fx.wg.Go(func() { _ = sv.Serve(ctx, fx.nw.listen()) })
 }
 
 // restart replaces the sidecar's process by another incarnation.
-func (wo *world) restart(in ident.Incarnation, si peer.Sidecar) {
-	wo.cancel()
-	wo.nw.cut()
-	wo.serve(in, si)
+func (fx *fixture) restart(in ident.Incarnation, si peer.Sidecar) {
+	fx.cancel()
+	fx.nw.cut()
+	fx.serve(in, si)
 }
 
-func (wo *world) close() {
-	wo.stop()
-	wo.wg.Wait()
-	wo.nw.cut()
+func (fx *fixture) close() {
+	fx.stop()
+	fx.wg.Wait()
+	fx.nw.cut()
 }
 
-func (wo *world) fail(format string, args ...any) {
-	wo.Errorf("%s: %s", wo.name, fmt.Sprintf(format, args...))
+func (fx *fixture) fail(format string, args ...any) {
+	fx.Errorf("%s: %s", fx.name, fmt.Sprintf(format, args...))
 }
 
 // upstream is an engine whose calls run a function.
@@ -176,10 +176,10 @@
 	return re.err == nil && re.last.Kind == peer.Final && slices.Equal(want, re.seqs)
 }
 
-func (wo *world) must(di peer.Dispatch) peer.Stream {
-	st, err := wo.cl.Open(wo.ctx, di)
+func (fx *fixture) must(di peer.Dispatch) peer.Stream {
+	st, err := fx.cl.Open(fx.ctx, di)
 	if err != nil {
-		wo.Fatalf("%s: open: %v", wo.name, err)
+		fx.Fatalf("%s: open: %v", fx.name, err)
 	}
 	return st
 }
--- a/internal/adapt/link/frames_test.go
+++ b/internal/adapt/link/frames_test.go
@@ -23,22 +23,22 @@
 		if accepted {
 			list = append(list, peer.Event{Kind: peer.Accepted})
 		}
-		wo := newWorld(t, fmt.Sprintf("restarted, accepted %v", accepted), answers(list...))
+		fx := newFixture(t, fmt.Sprintf("restarted, accepted %v", accepted), answers(list...))
 		di := dispatch("q", time.Minute)
 		di.Idempotent, di.Call.Key = false, "k"
-		st := wo.must(di)
+		st := fx.must(di)
 		refusing := &script{answer: func(int, peer.Dispatch) (peer.Stream, error) {
 			return nil, refuse.New(refuse.Busy, "no place")
 		}}
-		time.AfterFunc(time.Second, func() { wo.restart("s2", refusing) })
+		time.AfterFunc(time.Second, func() { fx.restart("s2", refusing) })
 		var re reading
-		re.read(wo.ctx, st)
+		re.read(fx.ctx, st)
 		rf := refuse.From(re.err)
 		opens, resumes := refusing.counts()
 		if rf.Reason != refuse.LinkLost || rf.Outcome != refuse.Unknown || opens+resumes != 0 {
-			wo.fail("event %+v, error %v, %d dispatches and %d resumes at the new process", re.last, re.err, opens, resumes)
+			fx.fail("event %+v, error %v, %d dispatches and %d resumes at the new process", re.last, re.err, opens, resumes)
 		}
-		wo.close()
+		fx.close()
 	}
 }
 
@@ -47,23 +47,23 @@
 func cutOff(t *testing.T) {
 	si := service(paced(50, 100*time.Millisecond))
 	defer si.Close()
-	wo := newWorld(t, "cut off", si)
-	defer wo.close()
+	fx := newFixture(t, "cut off", si)
+	defer fx.close()
 	re := reading{onChunk: func(seq uint64) {
 		if seq == 10 {
-			wo.nw.down.Store(true)
-			wo.nw.all()[0].sidecar.truncate(100)
+			fx.nw.down.Store(true)
+			fx.nw.all()[0].sidecar.truncate(100)
 		}
 	}}
-	ctx, cancel := context.WithTimeout(wo.ctx, time.Minute)
+	ctx, cancel := context.WithTimeout(fx.ctx, time.Minute)
 	defer cancel()
-	st, err := wo.cl.Open(ctx, dispatch("q", time.Minute))
+	st, err := fx.cl.Open(ctx, dispatch("q", time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
 	re.read(ctx, st)
 	if re.err == nil || refuse.From(re.err).Outcome != refuse.Unknown || len(re.seqs) < 10 || len(re.seqs) > 20 {
-		wo.fail("%d chunks, event %+v, error %v, want a part and an error", len(re.seqs), re.last, re.err)
+		fx.fail("%d chunks, event %+v, error %v, want a part and an error", len(re.seqs), re.last, re.err)
 	}
 }
 
@@ -84,21 +84,21 @@
 		"short answer":    {{Kind: peer.Accepted}, chunk(1), {Kind: peer.Final, Seq: 2}},
 		"refused later":   {{Kind: peer.Accepted}, chunk(1), {Kind: peer.Refused, Refusal: refuse.New(refuse.Busy, "")}},
 	} {
-		wo := newWorld(t, name, answers(list...))
+		fx := newFixture(t, name, answers(list...))
 		var re reading
-		re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+		re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 		if re.err == nil || refuse.From(re.err).Outcome != refuse.Unknown || len(re.seqs) != 1 {
-			wo.fail("chunks %v, event %+v, error %v, want chunk 1 and an error", re.seqs, re.last, re.err)
+			fx.fail("chunks %v, event %+v, error %v, want chunk 1 and an error", re.seqs, re.last, re.err)
 		}
-		wo.close()
+		fx.close()
 	}
 	late := []peer.Event{{Kind: peer.Accepted}, chunk(1), chunk(1), {Kind: peer.Accepted}, chunk(2), chunk(1), {Kind: peer.Final, Seq: 2}}
-	wo := newWorld(t, "late frames", answers(late...))
-	defer wo.close()
+	fx := newFixture(t, "late frames", answers(late...))
+	defer fx.close()
 	var re reading
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 	if !re.whole(2) {
-		wo.fail("chunks %v, event %+v, error %v", re.seqs, re.last, re.err)
+		fx.fail("chunks %v, event %+v, error %v", re.seqs, re.last, re.err)
 	}
 }
 
@@ -108,18 +108,18 @@
 	up := paced(600, 100*time.Millisecond)
 	si := service(up)
 	defer si.Close()
-	wo := newWorld(t, "lost cancel", si)
-	defer wo.close()
-	st := wo.must(dispatch("q", time.Hour))
+	fx := newFixture(t, "lost cancel", si)
+	defer fx.close()
+	st := fx.must(dispatch("q", time.Hour))
 	re := reading{onChunk: func(seq uint64) {
 		if seq == 10 {
-			wo.nw.all()[0].hold(true, true)
+			fx.nw.all()[0].hold(true, true)
 			st.Cancel()
 		}
 	}}
-	re.read(wo.ctx, st)
+	re.read(fx.ctx, st)
 	if re.err != nil || re.last.Kind != peer.Failed || re.last.Charged < 10 || re.took > 10*time.Second {
-		wo.fail("event %+v, error %v after %s, want the usage of a cancelled call", re.last, re.err, re.took)
+		fx.fail("event %+v, error %v after %s, want the usage of a cancelled call", re.last, re.err, re.took)
 	}
 }
 
@@ -128,19 +128,19 @@
 func oversized(t *testing.T) {
 	sc := answers(peer.Event{Kind: peer.Accepted},
 		peer.Event{Kind: peer.Data, Seq: 1, Chunk: engine.Chunk{Data: bytes.Repeat([]byte("x"), 1<<20)}})
-	wo := newWorld(t, "oversized", sc)
-	defer wo.close()
+	fx := newFixture(t, "oversized", sc)
+	defer fx.close()
 	var re reading
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 	_, resumes := sc.counts()
-	if re.err == nil || refuse.From(re.err).Outcome != refuse.Unknown || resumes > 1 || len(wo.nw.all()) != 1 {
-		wo.fail("event %v, error %v, %d resumes, %d connections", re.last.Kind, re.err, resumes, len(wo.nw.all()))
+	if re.err == nil || refuse.From(re.err).Outcome != refuse.Unknown || resumes > 1 || len(fx.nw.all()) != 1 {
+		fx.fail("event %v, error %v, %d resumes, %d connections", re.last.Kind, re.err, resumes, len(fx.nw.all()))
 	}
 	di := dispatch("q2", time.Minute)
 	di.Call.Body = make([]byte, 1<<20)
-	_, err := wo.cl.Open(wo.ctx, di)
+	_, err := fx.cl.Open(fx.ctx, di)
 	if rf := refuse.From(err); err == nil || rf.Reason != refuse.TooLarge || rf.Outcome != refuse.NotRun {
-		wo.fail("dispatch above the limit: %v, want tooLarge", err)
+		fx.fail("dispatch above the limit: %v, want tooLarge", err)
 	}
 }
 
@@ -149,18 +149,18 @@
 func notText(t *testing.T) {
 	sc := answers(peer.Event{Kind: peer.Accepted}, peer.Event{Kind: peer.Final, Result: engine.Result{
 		Status: 200, Header: []engine.Field{{Name: "Content-Type", Value: "\xff"}}}})
-	wo := newWorld(t, "not text", sc)
-	defer wo.close()
+	fx := newFixture(t, "not text", sc)
+	defer fx.close()
 	var re reading
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 	di := dispatch("q2", time.Minute)
 	di.Idempotent, di.Call.Key = false, "\xff"
-	_, err := wo.cl.Open(wo.ctx, di)
+	_, err := fx.cl.Open(fx.ctx, di)
 	if rf := refuse.From(err); err == nil || rf.Reason != refuse.BadRequest || rf.Outcome != refuse.NotRun {
-		wo.fail("dispatch: %v, want badRequest", err)
+		fx.fail("dispatch: %v, want badRequest", err)
 	}
-	if !re.whole(0) || len(wo.nw.all()) != 1 {
-		wo.fail("event %+v, error %v, %d connections, want the whole answer and 1", re.last, re.err, len(wo.nw.all()))
+	if !re.whole(0) || len(fx.nw.all()) != 1 {
+		fx.fail("event %+v, error %v, %d connections, want the whole answer and 1", re.last, re.err, len(fx.nw.all()))
 	}
 }
 
@@ -180,23 +180,23 @@
 	}}
 	si := service(up)
 	defer si.Close()
-	wo := newWorld(t, "slow reader", si)
-	defer wo.close()
-	slow := wo.must(dispatch("slow", time.Minute))
+	fx := newFixture(t, "slow reader", si)
+	defer fx.close()
+	slow := fx.must(dispatch("slow", time.Minute))
 	time.Sleep(time.Second)
 	// The sidecar keeps at most 1 MiB of output, and yamux a window of 256 KiB.
 	if kept := emitted.Load(); kept > 2<<20 {
-		wo.fail("the sidecar took %d bytes from the upstream for a reader that reads nothing", kept)
+		fx.fail("the sidecar took %d bytes from the upstream for a reader that reads nothing", kept)
 	}
 	var re reading
-	re.read(wo.ctx, wo.must(dispatch("fast", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("fast", time.Minute)))
 	if !re.whole(400) || re.took > time.Second {
-		wo.fail("the other stream: %d chunks, error %v after %s", len(re.seqs), re.err, re.took)
+		fx.fail("the other stream: %d chunks, error %v after %s", len(re.seqs), re.err, re.took)
 	}
 	re = reading{}
-	re.read(wo.ctx, slow)
+	re.read(fx.ctx, slow)
 	if !re.whole(400) {
-		wo.fail("the slow stream: %d chunks, error %v", len(re.seqs), re.err)
+		fx.fail("the slow stream: %d chunks, error %v", len(re.seqs), re.err)
 	}
 }
 
@@ -206,26 +206,26 @@
 	up := paced(50, 100*time.Millisecond)
 	si := service(up)
 	defer si.Close()
-	wo := newWorld(t, "leaving", si)
-	defer wo.close()
-	st := wo.must(dispatch("q", time.Minute))
+	fx := newFixture(t, "leaving", si)
+	defer fx.close()
+	st := fx.must(dispatch("q", time.Minute))
 	re := reading{onChunk: func(seq uint64) {
 		if seq == 10 {
 			si.Leave()
 		}
-		if rp, ok := wo.cl.Report(); seq == 30 && (!ok || !rp.Leaving) {
-			wo.fail("report %+v 2 s after the sidecar began to leave", rp)
+		if rp, ok := fx.cl.Report(); seq == 30 && (!ok || !rp.Leaving) {
+			fx.fail("report %+v 2 s after the sidecar began to leave", rp)
 		}
 	}}
-	re.read(wo.ctx, st)
+	re.read(fx.ctx, st)
 	if !re.whole(50) {
-		wo.fail("%d chunks, error %v, want the whole answer", len(re.seqs), re.err)
+		fx.fail("%d chunks, error %v, want the whole answer", len(re.seqs), re.err)
 	}
 	var refused reading
-	refused.read(wo.ctx, wo.must(dispatch("q2", time.Minute)))
+	refused.read(fx.ctx, fx.must(dispatch("q2", time.Minute)))
 	rf := refused.last.Refusal
 	if refused.last.Kind != peer.Refused || rf.Reason != refuse.Leaving || rf.Outcome != refuse.NotRun || up.count() != 1 {
-		wo.fail("event %+v, error %v, want the proof that it did not run", refused.last, refused.err)
+		fx.fail("event %+v, error %v, want the proof that it did not run", refused.last, refused.err)
 	}
 }
 
@@ -237,7 +237,7 @@
 	defer si.Close()
 	var mu sync.Mutex
 	left, late := false, 0
-	wo := newWorld(t, "late report", si, link.WithOnReport(func(rp peer.Report) {
+	fx := newFixture(t, "late report", si, link.WithOnReport(func(rp peer.Report) {
 		mu.Lock()
 		defer mu.Unlock()
 		if left && !rp.Leaving {
@@ -245,25 +245,25 @@
 		}
 		left = left || rp.Leaving
 	}))
-	defer wo.close()
-	old := wo.nw.all()[0]
+	defer fx.close()
+	old := fx.nw.all()[0]
 	re := reading{onChunk: func(seq uint64) {
 		switch seq {
 		case 11:
 			old.hold(false, true)
 			// A change of the load, so that a report is held back.
-			wo.must(dispatch("q2", time.Minute)).Close()
+			fx.must(dispatch("q2", time.Minute)).Close()
 		case 42:
 			si.Leave()
 		case 56:
 			old.sidecar.release()
 		}
 	}}
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 	time.Sleep(time.Second)
 	mu.Lock()
 	defer mu.Unlock()
 	if !left || late != 0 || !re.whole(60) {
-		wo.fail("leaving %v, %d late reports, %d chunks, error %v", left, late, len(re.seqs), re.err)
+		fx.fail("leaving %v, %d late reports, %d chunks, error %v", left, late, len(re.seqs), re.err)
 	}
 }
--- a/internal/adapt/link/silent_test.go
+++ b/internal/adapt/link/silent_test.go
@@ -51,27 +51,27 @@
 	} {
 		up := paced(100, tc.every)
 		si := service(up)
-		wo := newWorld(t, tc.name, si)
+		fx := newFixture(t, tc.name, si)
 		var cutAt time.Time
 		fresh := make(chan time.Time, 1)
 		re := reading{onChunk: func(seq uint64) {
 			if seq == 10 {
 				cutAt = time.Now()
-				wo.nw.all()[0].hold(tc.router, tc.sidecar)
+				fx.nw.all()[0].hold(tc.router, tc.sidecar)
 				go func() {
-					for len(wo.nw.all()) < 2 && time.Since(cutAt) < time.Minute {
+					for len(fx.nw.all()) < 2 && time.Since(cutAt) < time.Minute {
 						time.Sleep(10 * time.Millisecond)
 					}
 					fresh <- time.Now()
 				}()
 			}
 		}}
-		re.read(wo.ctx, wo.must(dispatch("q", time.Hour)))
+		re.read(fx.ctx, fx.must(dispatch("q", time.Hour)))
 		if !re.whole(100) || up.count() != 1 || re.gap > tc.limit {
-			wo.fail("%d chunks, last %+v, error %v, %d runs, longest gap %s", len(re.seqs), re.last, re.err, up.count(), re.gap)
+			fx.fail("%d chunks, last %+v, error %v, %d runs, longest gap %s", len(re.seqs), re.last, re.err, up.count(), re.gap)
 		}
 		t.Logf("silent %s: new connection after %s, longest time without a chunk %s", tc.name, (<-fresh).Sub(cutAt), re.gap)
-		wo.close()
+		fx.close()
 		si.Close()
 	}
 }
@@ -85,15 +85,15 @@
 	}{{"accepted lost", false, true}, {"dispatch lost", true, false}, {"both lost", true, true}} {
 		up := paced(20, 10*time.Millisecond)
 		si := service(up)
-		wo := newWorld(t, tc.name, si)
-		wo.nw.all()[0].hold(tc.router, tc.sidecar)
+		fx := newFixture(t, tc.name, si)
+		fx.nw.all()[0].hold(tc.router, tc.sidecar)
 		var re reading
-		re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+		re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 		if !re.whole(20) || up.count() != 1 || re.took > 5*time.Second {
-			wo.fail("%d chunks, error %v, %d runs, took %s", len(re.seqs), re.err, up.count(), re.took)
+			fx.fail("%d chunks, error %v, %d runs, took %s", len(re.seqs), re.err, up.count(), re.took)
 		}
 		t.Logf("%s: whole answer after %s", tc.name, re.took)
-		wo.close()
+		fx.close()
 		si.Close()
 	}
 }
@@ -109,20 +109,20 @@
 		}
 		return accept(number, di)
 	}
-	wo := newWorld(t, "held dispatch", sc)
-	defer wo.close()
-	old := wo.nw.all()[0]
+	fx := newFixture(t, "held dispatch", sc)
+	defer fx.close()
+	old := fx.nw.all()[0]
 	old.hold(true, false)
-	st := wo.must(dispatch("q", time.Minute))
+	st := fx.must(dispatch("q", time.Minute))
 	var re reading
-	re.read(wo.ctx, st)
+	re.read(fx.ctx, st)
 	old.router.release()
 	time.Sleep(time.Second)
 	if opens, _ := sc.counts(); opens != 2 {
-		wo.fail("%d dispatches arrived, want both copies", opens)
+		fx.fail("%d dispatches arrived, want both copies", opens)
 	}
 	if re.err == nil || refuse.From(re.err).Outcome != refuse.Unknown {
-		wo.fail("event %+v, error %v, want the outcome unknown", re.last, re.err)
+		fx.fail("event %+v, error %v, want the outcome unknown", re.last, re.err)
 	}
 }
 
@@ -135,12 +135,12 @@
 		time.Sleep(20 * time.Second)
 		return answer(number, di)
 	}
-	wo := newWorld(t, "slow accept", sc)
-	defer wo.close()
+	fx := newFixture(t, "slow accept", sc)
+	defer fx.close()
 	var re reading
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
-	if opens, _ := sc.counts(); !re.whole(0) || opens != 1 || len(wo.nw.all()) != 1 {
-		wo.fail("error %v, %d dispatches, %d connections, want 1 and 1", re.err, opens, len(wo.nw.all()))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
+	if opens, _ := sc.counts(); !re.whole(0) || opens != 1 || len(fx.nw.all()) != 1 {
+		fx.fail("error %v, %d dispatches, %d connections, want 1 and 1", re.err, opens, len(fx.nw.all()))
 	}
 }
 
@@ -149,11 +149,11 @@
 func callerGone(t *testing.T) {
 	si := service(paced(100, time.Second))
 	defer si.Close()
-	wo := newWorld(t, "caller gone", si)
-	defer wo.close()
-	ctx, cancel := context.WithTimeout(wo.ctx, 10*time.Second)
+	fx := newFixture(t, "caller gone", si)
+	defer fx.close()
+	ctx, cancel := context.WithTimeout(fx.ctx, 10*time.Second)
 	defer cancel()
-	st, err := wo.cl.Open(ctx, dispatch("q", time.Minute))
+	st, err := fx.cl.Open(ctx, dispatch("q", time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,8 +161,8 @@
 	re.read(ctx, st)
 	st.Close()
 	time.Sleep(10 * time.Second)
-	if refuse.From(re.err).Reason != refuse.TimedOut || len(wo.nw.all()) != 1 {
-		wo.fail("error %v and %d connections, want timedOut and 1", re.err, len(wo.nw.all()))
+	if refuse.From(re.err).Reason != refuse.TimedOut || len(fx.nw.all()) != 1 {
+		fx.fail("error %v and %d connections, want timedOut and 1", re.err, len(fx.nw.all()))
 	}
 }
 
@@ -171,9 +171,9 @@
 func drained(t *testing.T) {
 	si := service(paced(50, 100*time.Millisecond))
 	defer si.Close()
-	wo := newWorld(t, "drained", si)
-	defer wo.close()
-	old := wo.nw.all()[0]
+	fx := newFixture(t, "drained", si)
+	defer fx.close()
+	old := fx.nw.all()[0]
 	re := reading{onChunk: func(seq uint64) {
 		// The first keepalive after the cut is answered in time.
 		if seq == 15 {
@@ -183,10 +183,10 @@
 			old.sidecar.release()
 		}
 	}}
-	re.read(wo.ctx, wo.must(dispatch("q", time.Minute)))
+	re.read(fx.ctx, fx.must(dispatch("q", time.Minute)))
 	time.Sleep(5 * time.Second)
-	if !re.whole(50) || len(wo.nw.all()) != 2 || wo.nw.open() != 1 {
-		wo.fail("error %v, %d connections of which %d are open, want 2 and 1", re.err, len(wo.nw.all()), wo.nw.open())
+	if !re.whole(50) || len(fx.nw.all()) != 2 || fx.nw.open() != 1 {
+		fx.fail("error %v, %d connections of which %d are open, want 2 and 1", re.err, len(fx.nw.all()), fx.nw.open())
 	}
 }
 
@@ -199,18 +199,18 @@
 	}}
 	si := service(up)
 	defer si.Close()
-	wo := newWorld(t, "dead sidecar", si)
-	defer wo.close()
-	st := wo.must(dispatch("q", time.Hour))
+	fx := newFixture(t, "dead sidecar", si)
+	defer fx.close()
+	st := fx.must(dispatch("q", time.Hour))
 	time.AfterFunc(time.Second, func() {
-		wo.nw.down.Store(true)
-		wo.nw.cut()
+		fx.nw.down.Store(true)
+		fx.nw.cut()
 	})
 	var re reading
-	re.read(wo.ctx, st)
+	re.read(fx.ctx, st)
 	rf := refuse.From(re.err)
 	if rf.Reason != refuse.LinkLost || rf.Outcome != refuse.Unknown || re.took > 5*time.Second {
-		wo.fail("error %v after %s, want linkLost within 5 s", re.err, re.took)
+		fx.fail("error %v after %s, want linkLost within 5 s", re.err, re.took)
 	}
 	t.Logf("dead sidecar: the router may retry elsewhere %s after the loss", re.took-time.Second)
 }
--- a/internal/app/fleet/bound_test.go
+++ b/internal/app/fleet/bound_test.go
@@ -26,16 +26,16 @@
 func (purse) Keep()               {}
 
 // Open answers each attempt at once.
-func (li *line) Open(context.Context, peer.Dispatch) (peer.Stream, error) { return li, nil }
+func (li *fakeLink) Open(context.Context, peer.Dispatch) (peer.Stream, error) { return li, nil }
 
 // Recv returns the last event of an answer.
-func (*line) Recv(context.Context) (peer.Event, error) {
+func (*fakeLink) Recv(context.Context) (peer.Event, error) {
 	return peer.Event{Kind: peer.Final, Charged: 10, Result: engine.Result{Usage: engine.Usage{Completion: 10}}}, nil
 }
 
-func (*line) Ack(uint64) {}
-func (*line) Cancel()    {}
-func (*line) Close()     {}
+func (*fakeLink) Ack(uint64) {}
+func (*fakeLink) Cancel()    {}
+func (*fakeLink) Close()     {}
 
 // TestBoundAllocations guards against work per request that grows with the
 // upstreams. 25 allocations a request are about 340 a second at each of 380
@@ -44,9 +44,9 @@
 	const most = 25
 	counts := map[int]float64{}
 	for _, engines := range []int{10, 600} {
-		to := newTown(t, "r1", engines)
+		to := newTopology(t, "r1", engines)
 		re := front.NewPolicyRetries(retry.NewBudget(), route.NewRand(1))
-		sv := front.New("i1", purse{}, gate.New(to.Fleet, gate.WithClock(still{})), front.WithClock(still{}),
+		sv := front.New("i1", purse{}, gate.New(to.Fleet, gate.WithClock(fixedClock{})), front.WithClock(fixedClock{}),
 			front.WithRetries(re), front.WithHedges(re))
 		rq := front.Request{
 			ID: "r1", Account: config.Account{ID: "a1"}, Budget: "b1", Class: config.Normal, Kind: config.Engine,
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -21,38 +21,38 @@
 
 var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
 
-// still is a clock that stands.
-type still struct{}
+// fixedClock is a clock that stands.
+type fixedClock struct{}
 
-func (still) Now() time.Time { return start }
+func (fixedClock) Now() time.Time { return start }
 
-// line is a link without a connection behind it.
-type line struct {
+// fakeLink is a link without a connection behind it.
+type fakeLink struct {
 	peer.Sidecar
 	up   bool
 	tell func(peer.Report)
 }
 
-func (*line) Run(ctx context.Context) { <-ctx.Done() }
-func (*line) Tried() bool             { return true }
-func (li *line) Connected() bool      { return li.up }
-func (*line) ConfigChanged()          {}
+func (*fakeLink) Run(ctx context.Context) { <-ctx.Done() }
+func (*fakeLink) Tried() bool             { return true }
+func (li *fakeLink) Connected() bool      { return li.up }
+func (*fakeLink) ConfigChanged()          {}
 
-// town is a fleet with its links.
-type town struct {
+// topology is a fleet with its links.
+type topology struct {
 	*fleet.Fleet
-	lines map[ident.Upstream]*line
+	lines map[ident.Upstream]*fakeLink
 	conf  config.Snapshot
 }
 
-func newTown(t testing.TB, vm ident.VM, engines int) *town {
+func newTopology(t testing.TB, vm ident.VM, engines int) *topology {
 	t.Helper()
-	to := &town{lines: map[ident.Upstream]*line{}}
+	to := &topology{lines: map[ident.Upstream]*fakeLink{}}
 	var err error
 	to.Fleet, err = fleet.New(vm, func(up config.Upstream, tell func(peer.Report)) fleet.Link {
-		to.lines[up.ID] = &line{up: true, tell: tell}
+		to.lines[up.ID] = &fakeLink{up: true, tell: tell}
 		return to.lines[up.ID]
-	}, fleet.WithClock(still{}))
+	}, fleet.WithClock(fixedClock{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +82,7 @@
 	}
 }
 
-func (to *town) picked(de gate.Demand) (front.Target, string) {
+func (to *topology) picked(de gate.Demand) (front.Target, string) {
 	ta, decision := to.Pick(de, start)
 	switch decision.Verdict {
 	case admit.Admit:
@@ -108,24 +108,24 @@
 	queued.Queued = 1
 	cases := []struct {
 		name  string
-		setup func(to *town)
+		setup func(to *topology)
 		de    gate.Demand
 		want  string
 	}{
-		{"no report is no reason to refuse", func(*town) {}, soon, "e"},
-		{"one of three has room", func(to *town) { to.say(report(10, 10), "e0", "e1"); to.say(report(0, 10), "e2") }, demand(), "e2"},
-		{"all are full", func(to *town) { to.say(report(10, 10), "e0", "e1", "e2") }, demand(), "wait"},
-		{"others wait already", func(to *town) { to.say(report(0, 10), "e0", "e1", "e2") }, queued, "wait"},
-		{"too late at all", func(to *town) { to.say(report(0, 10), "e0", "e1", "e2") }, soon, string(refuse.DeadlineUnmeetable)},
-		{"batch waits for its latest start", func(to *town) { to.say(report(200, 10), "e0", "e1", "e2") }, patient, "wait"},
-		{"a key stays with its full upstream", func(to *town) { to.say(report(10, 10), "e0", "e1", "e2") }, keyedDe, "e"},
-		{"two links are down", func(to *town) { to.lines["e0"].up, to.lines["e2"].up = false, false }, demand(), "e1"},
-		{"all links are down", func(to *town) { to.down() }, demand(), "wait"},
-		{"all links are down and it is too late", func(to *town) { to.say(report(0, 10), "e0"); to.down() }, soon, string(refuse.NoUpstream)},
+		{"no report is no reason to refuse", func(*topology) {}, soon, "e"},
+		{"one of three has room", func(to *topology) { to.say(report(10, 10), "e0", "e1"); to.say(report(0, 10), "e2") }, demand(), "e2"},
+		{"all are full", func(to *topology) { to.say(report(10, 10), "e0", "e1", "e2") }, demand(), "wait"},
+		{"others wait already", func(to *topology) { to.say(report(0, 10), "e0", "e1", "e2") }, queued, "wait"},
+		{"too late at all", func(to *topology) { to.say(report(0, 10), "e0", "e1", "e2") }, soon, string(refuse.DeadlineUnmeetable)},
+		{"batch waits for its latest start", func(to *topology) { to.say(report(200, 10), "e0", "e1", "e2") }, patient, "wait"},
+		{"a key stays with its full upstream", func(to *topology) { to.say(report(10, 10), "e0", "e1", "e2") }, keyedDe, "e"},
+		{"two links are down", func(to *topology) { to.lines["e0"].up, to.lines["e2"].up = false, false }, demand(), "e1"},
+		{"all links are down", func(to *topology) { to.down() }, demand(), "wait"},
+		{"all links are down and it is too late", func(to *topology) { to.say(report(0, 10), "e0"); to.down() }, soon, string(refuse.NoUpstream)},
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
-			to := newTown(t, "r1", 3)
+			to := newTopology(t, "r1", 3)
 			ca.setup(to)
 			if _, got := to.picked(ca.de); got != ca.want && (ca.want != "e" || got[0] != 'e') {
 				t.Errorf("got %s, want %s", got, ca.want)
@@ -134,13 +134,13 @@
 	}
 }
 
-func (to *town) say(rp peer.Report, ids ...ident.Upstream) {
+func (to *topology) say(rp peer.Report, ids ...ident.Upstream) {
 	for _, id := range ids {
 		to.lines[id].tell(rp)
 	}
 }
 
-func (to *town) down() {
+func (to *topology) down() {
 	for _, li := range to.lines {
 		li.up = false
 	}
@@ -150,7 +150,7 @@
 // two reports.
 func TestPeers(t *testing.T) {
 	for routers, want := range map[int]int{0: 8, 1: 8, 4: 2} {
-		to := newTown(t, "r1", 1)
+		to := newTopology(t, "r1", 1)
 		rp := report(0, 10)
 		rp.Routers = routers
 		to.say(rp, "e0")
@@ -169,15 +169,15 @@
 func TestLeaving(t *testing.T) {
 	leaving := report(0, 10)
 	leaving.Leaving = true
-	for name, leave := range map[string]func(to *town){
-		"report": func(to *town) { to.say(leaving, "e0") },
-		"refusal": func(to *town) {
+	for name, leave := range map[string]func(to *topology){
+		"report": func(to *topology) { to.say(leaving, "e0") },
+		"refusal": func(to *topology) {
 			ta, _ := to.picked(demand())
 			ta.Done(front.Verdict{Refusal: refuse.New(refuse.Leaving, "leaving")})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			to := newTown(t, "r1", 1)
+			to := newTopology(t, "r1", 1)
 			to.say(report(0, 10), "e0")
 			leave(to)
 			to.say(report(0, 10), "e0")
@@ -197,7 +197,7 @@
 // TestSuspect guards against work at an upstream whose link failed, and against
 // one that is avoided although it reports.
 func TestSuspect(t *testing.T) {
-	to := newTown(t, "r1", 2)
+	to := newTopology(t, "r1", 2)
 	to.say(report(0, 10), "e0", "e1")
 	ta, first := to.picked(demand())
 	ta.Done(front.Verdict{Refusal: refuse.New(refuse.LinkLost, "cut")})
@@ -220,7 +220,7 @@
 // TestLastResort guards against refused calls of a plain service of which every
 // process failed a call a moment ago.
 func TestLastResort(t *testing.T) {
-	to := newTown(t, "r1", 0)
+	to := newTopology(t, "r1", 0)
 	for _, id := range []ident.Upstream{"s0", "s1", "s2"} {
 		to.conf = to.conf.WithUpstream(config.Upstream{ID: id, VM: ident.VM(id), Kind: config.Plain, Domain: "d1", Service: "register"})
 	}
@@ -245,7 +245,7 @@
 // TestKeyed guards against two runs of one key: requests with it go to the same
 // sidecar from every router.
 func TestKeyed(t *testing.T) {
-	one, two := newTown(t, "r1", 9), newTown(t, "r2", 9)
+	one, two := newTopology(t, "r1", 9), newTopology(t, "r2", 9)
 	two.say(report(10, 10), "e0", "e1", "e2", "e3")
 	var got, want []string
 	for no := range 50 {
@@ -263,7 +263,7 @@
 // TestRemoved guards against work at an upstream that the configuration no
 // longer has, and against its link being closed under running work.
 func TestRemoved(t *testing.T) {
-	to := newTown(t, "r1", 1)
+	to := newTopology(t, "r1", 1)
 	ta, _ := to.picked(demand())
 	to.Sync(to.conf.WithoutUpstream("e0"))
 	if _, got := to.picked(demand()); got != "wait" {
--- a/internal/app/fleet/listed_test.go
+++ b/internal/app/fleet/listed_test.go
@@ -21,25 +21,25 @@
 	leaves.Leaving = true
 	cases := []struct {
 		name  string
-		setup func(to *town)
+		setup func(to *topology)
 		want  string
 	}{
-		{"listed", func(to *town) { to.Listed(off("e0", "e1")) }, "e2"},
-		{"reports do not undo it", func(to *town) {
+		{"listed", func(to *topology) { to.Listed(off("e0", "e1")) }, "e2"},
+		{"reports do not undo it", func(to *topology) {
 			to.Listed(off("e0", "e2"))
 			to.say(report(0, 100), "e0", "e1", "e2")
 		}, "e1"},
-		{"every upstream", func(to *town) { to.Listed(off("e0", "e1", "e2")) }, "wait"},
-		{"shown as live again", func(to *town) {
+		{"every upstream", func(to *topology) { to.Listed(off("e0", "e1", "e2")) }, "wait"},
+		{"shown as live again", func(to *topology) {
 			to.Listed(off("e0", "e1", "e2"))
 			to.Listed(off("e0", "e2"))
 		}, "e1"},
-		{"the list does not undo the sidecar", func(to *town) {
+		{"the list does not undo the sidecar", func(to *topology) {
 			to.Listed(off("e0", "e2"))
 			to.say(leaves, "e0")
 			to.Listed(off("e2"))
 		}, "e1"},
-		{"linked after the list", func(to *town) {
+		{"linked after the list", func(to *topology) {
 			conf := to.conf
 			to.Sync(conf.WithoutUpstream("e0").WithoutUpstream("e1"))
 			to.Listed(off("e0", "e2"))
@@ -48,7 +48,7 @@
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
-			to := newTown(t, "r1", 3)
+			to := newTopology(t, "r1", 3)
 			ca.setup(to)
 			for range 20 {
 				if _, got := to.picked(demand()); got != ca.want {
--- a/internal/app/recov/recov_test.go
+++ b/internal/app/recov/recov_test.go
@@ -25,7 +25,7 @@
 
 // side is a sidecar that meters and refuses as the real one does.
 type side struct {
-	wo     *world
+	fx     *fixture
 	id     ident.Incarnation
 	vm     ident.VM
 	mu     sync.Mutex
@@ -50,19 +50,19 @@
 
 // run produces tokens unless the incarnation is closed.
 func (si *side) run(router ident.Incarnation, tokens ident.Tokens) bool {
-	err := si.wo.ledger.Witness(si.wo.t.Context(), router, si.id, escrow.WitnessRow{VM: si.vm})
+	err := si.fx.ledger.Witness(si.fx.t.Context(), router, si.id, escrow.WitnessRow{VM: si.vm})
 	si.mu.Lock()
 	defer si.mu.Unlock()
 	if si.closed[router] || err != nil && si.used[router] == 0 {
 		return false
 	}
 	si.used[router] += tokens
-	si.wo.produced += tokens
+	si.fx.produced += tokens
 	return true
 }
 
-// world is a table, a VM list and two routers that recover; r1 is to die.
-type world struct {
+// fixture is a table, a VM list and two routers that recover; r1 is to die.
+type fixture struct {
 	t        *testing.T
 	now      time.Time
 	tb       *table.Table
@@ -76,108 +76,108 @@
 	recs     []*recov.Recoverer
 }
 
-func (wo *world) Now() time.Time { return wo.now }
+func (fx *fixture) Now() time.Time { return fx.now }
 
-func (wo *world) List(context.Context) ([]store.VM, error) { return wo.vms, wo.listErr }
+func (fx *fixture) List(context.Context) ([]store.VM, error) { return fx.vms, fx.listErr }
 
-func (wo *world) Connected() []recov.Sidecar {
+func (fx *fixture) Connected() []recov.Sidecar {
 	var all []recov.Sidecar
-	for _, si := range wo.sides {
+	for _, si := range fx.sides {
 		all = append(all, si)
 	}
 	return all
 }
 
-func (wo *world) Answers(_ context.Context, address string) bool { return wo.alive[address] }
+func (fx *fixture) Answers(_ context.Context, address string) bool { return fx.alive[address] }
 
-func (wo *world) must(err error) {
-	wo.t.Helper()
+func (fx *fixture) must(err error) {
+	fx.t.Helper()
 	if err != nil {
-		wo.t.Fatal(err)
+		fx.t.Fatal(err)
 	}
 }
 
-func (wo *world) side(id ident.Incarnation, vm ident.VM) *side {
-	si := &side{wo: wo, id: id, vm: vm, closed: map[ident.Incarnation]bool{}, used: map[ident.Incarnation]ident.Tokens{}}
-	wo.sides = append(wo.sides, si)
+func (fx *fixture) side(id ident.Incarnation, vm ident.VM) *side {
+	si := &side{fx: fx, id: id, vm: vm, closed: map[ident.Incarnation]bool{}, used: map[ident.Incarnation]ident.Tokens{}}
+	fx.sides = append(fx.sides, si)
 	return si
 }
 
-func (wo *world) holder(inc ident.Incarnation, vm ident.VM) *budget.Holder {
-	wo.t.Helper()
-	hd := budget.NewHolder(inc, vm, "fd1", wo.ledger, budget.WithClock(wo), budget.WithRefuseFor(0),
+func (fx *fixture) holder(inc ident.Incarnation, vm ident.VM) *budget.Holder {
+	fx.t.Helper()
+	hd := budget.NewHolder(inc, vm, "fd1", fx.ledger, budget.WithClock(fx), budget.WithRefuseFor(0),
 		budget.WithAddress(func() string { return "a" + string(vm[1:]) }))
-	wo.must(hd.Open(wo.t.Context()))
+	fx.must(hd.Open(fx.t.Context()))
 	return hd
 }
 
-func newWorld(t *testing.T) *world {
+func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	wo := &world{
+	fx := &fixture{
 		t: t, now: time.Unix(1000, 0), tb: table.New(), alive: map[string]bool{"a1": true, "a2": true, "a3": true},
 		vms: []store.VM{{ID: "v1", Address: "a1"}, {ID: "v2", Address: "a2"}, {ID: "v3", Address: "a3"}, {ID: "s"}},
 	}
-	wo.ledger = budget.NewLedger(wo.tb.Client(), codec.Ledger())
-	wo.must(wo.ledger.Create(t.Context(), meals))
-	wo.must(wo.ledger.TopUp(t.Context(), meals, prepaid, "first", "op"))
-	wo.side("s1", "s")
-	wo.r1 = wo.holder("r1", "v1")
+	fx.ledger = budget.NewLedger(fx.tb.Client(), codec.Ledger())
+	fx.must(fx.ledger.Create(t.Context(), meals))
+	fx.must(fx.ledger.TopUp(t.Context(), meals, prepaid, "first", "op"))
+	fx.side("s1", "s")
+	fx.r1 = fx.holder("r1", "v1")
 	for _, id := range []ident.Incarnation{"r2", "r3"} {
-		wo.holder(id, ident.VM("v"+id[1:]))
-		wo.recs = append(wo.recs, recov.New(id, wo.ledger, wo, wo, wo, recov.WithClock(wo)))
+		fx.holder(id, ident.VM("v"+id[1:]))
+		fx.recs = append(fx.recs, recov.New(id, fx.ledger, fx, fx, fx, recov.WithClock(fx)))
 	}
-	_, err := wo.r1.Reserve(t.Context(), meals, 900, config.WeighRefusal)
-	wo.must(err)
-	wo.passes(1)
-	return wo
+	_, err := fx.r1.Reserve(t.Context(), meals, 900, config.WeighRefusal)
+	fx.must(err)
+	fx.passes(1)
+	return fx
 }
 
 // passes makes passes of both routers at the same time.
-func (wo *world) passes(count int) {
-	wo.t.Helper()
+func (fx *fixture) passes(count int) {
+	fx.t.Helper()
 	for range count {
-		wo.now = wo.now.Add(time.Minute)
+		fx.now = fx.now.Add(time.Minute)
 		var wg sync.WaitGroup
-		for _, re := range wo.recs {
-			wg.Go(func() { _ = re.Pass(wo.t.Context()) })
+		for _, re := range fx.recs {
+			wg.Go(func() { _ = re.Pass(fx.t.Context()) })
 		}
 		wg.Wait()
 	}
 }
 
-func (wo *world) unlist(vm ident.VM) {
+func (fx *fixture) unlist(vm ident.VM) {
 	var rest []store.VM
-	for _, it := range wo.vms {
+	for _, it := range fx.vms {
 		if it.ID != vm {
 			rest = append(rest, it)
 		}
 	}
-	wo.vms = rest
+	fx.vms = rest
 }
 
-func (wo *world) kill() {
-	wo.unlist("v1")
-	wo.alive["a1"] = false
+func (fx *fixture) kill() {
+	fx.unlist("v1")
+	fx.alive["a1"] = false
 }
 
 // restart replaces the recoverers, which know nothing yet.
-func (wo *world) restart() {
+func (fx *fixture) restart() {
 	for ix, id := range []ident.Incarnation{"r2", "r3"} {
-		wo.recs[ix] = recov.New(id, wo.ledger, wo, wo, wo, recov.WithClock(wo))
+		fx.recs[ix] = recov.New(id, fx.ledger, fx, fx, fx, recov.WithClock(fx))
 	}
 }
 
 // want compares settled, held and free, and the books with what was produced.
-func (wo *world) want(settled, held, free ident.Tokens) {
-	wo.t.Helper()
-	ba, err := wo.ledger.Balance(wo.t.Context(), meals)
-	wo.must(err)
+func (fx *fixture) want(settled, held, free ident.Tokens) {
+	fx.t.Helper()
+	ba, err := fx.ledger.Balance(fx.t.Context(), meals)
+	fx.must(err)
 	got := []ident.Tokens{ba.Prepaid, ba.Settled, ba.Held, ba.Free}
 	if diff := cmp.Diff([]ident.Tokens{prepaid, settled, held, free}, got); diff != "" {
-		wo.t.Errorf("prepaid, settled, held, free (-want +got):\n%s", diff)
+		fx.t.Errorf("prepaid, settled, held, free (-want +got):\n%s", diff)
 	}
-	if wo.produced > ba.Settled+ba.Held {
-		wo.t.Errorf("%d tokens were produced, %d are settled or held", wo.produced, ba.Settled+ba.Held)
+	if fx.produced > ba.Settled+ba.Held {
+		fx.t.Errorf("%d tokens were produced, %d are settled or held", fx.produced, ba.Settled+ba.Held)
 	}
 }
 
@@ -186,56 +186,56 @@
 func TestRecovery(t *testing.T) {
 	cases := []struct {
 		name                string
-		run                 func(wo *world)
+		run                 func(fx *fixture)
 		settled, held, free ident.Tokens
 	}{
-		{"listed and answering", func(wo *world) { wo.passes(5) }, 0, 900, 100},
-		{"gone from one list", func(wo *world) { wo.kill(); wo.passes(1) }, 0, 900, 100},
-		{"gone from two lists", func(wo *world) { wo.kill(); wo.passes(2) }, 300, 0, 700},
-		{"gone but answering", func(wo *world) { wo.unlist("v1"); wo.passes(9) }, 0, 900, 100},
-		{"gone before the others started", func(wo *world) { wo.kill(); wo.restart(); wo.passes(3) }, 300, 0, 700},
-		{"new and not listed yet", func(wo *world) { wo.unlist("v1"); wo.restart(); wo.passes(9) }, 0, 900, 100},
-		{"listed but silent", func(wo *world) { wo.alive["a1"] = false; wo.passes(9) }, 0, 900, 100},
-		{"the list cannot be read", func(wo *world) { wo.kill(); wo.listErr = store.ErrUnavailable; wo.passes(9) }, 0, 900, 100},
-		{"its address was given to another VM", func(wo *world) {
-			wo.unlist("v1")
-			wo.vms = append(wo.vms, store.VM{ID: "v9", Address: "a1"})
-			wo.passes(2)
+		{"listed and answering", func(fx *fixture) { fx.passes(5) }, 0, 900, 100},
+		{"gone from one list", func(fx *fixture) { fx.kill(); fx.passes(1) }, 0, 900, 100},
+		{"gone from two lists", func(fx *fixture) { fx.kill(); fx.passes(2) }, 300, 0, 700},
+		{"gone but answering", func(fx *fixture) { fx.unlist("v1"); fx.passes(9) }, 0, 900, 100},
+		{"gone before the others started", func(fx *fixture) { fx.kill(); fx.restart(); fx.passes(3) }, 300, 0, 700},
+		{"new and not listed yet", func(fx *fixture) { fx.unlist("v1"); fx.restart(); fx.passes(9) }, 0, 900, 100},
+		{"listed but silent", func(fx *fixture) { fx.alive["a1"] = false; fx.passes(9) }, 0, 900, 100},
+		{"the list cannot be read", func(fx *fixture) { fx.kill(); fx.listErr = store.ErrUnavailable; fx.passes(9) }, 0, 900, 100},
+		{"its address was given to another VM", func(fx *fixture) {
+			fx.unlist("v1")
+			fx.vms = append(fx.vms, store.VM{ID: "v9", Address: "a1"})
+			fx.passes(2)
 		}, 300, 0, 700},
-		{"restarted on the same VM", func(wo *world) { wo.holder("r1b", "v1"); wo.passes(1) }, 300, 0, 700},
-		{"closed by an operator", func(wo *world) { wo.must(wo.ledger.Declare(wo.t.Context(), "r1")); wo.passes(2) }, 300, 0, 700},
-		{"in the middle of an orderly end", func(wo *world) { wo.must(wo.ledger.Declare(wo.t.Context(), "r1")); wo.passes(1) }, 0, 900, 100},
-		{"the sidecar is cut off", func(wo *world) { wo.sides[0].cut = true; wo.kill(); wo.passes(9) }, 0, 900, 100},
-		{"the sidecar is reached later", func(wo *world) {
-			wo.sides[0].cut = true
-			wo.kill()
-			wo.passes(9)
-			wo.sides[0].cut = false
-			wo.passes(16)
+		{"restarted on the same VM", func(fx *fixture) { fx.holder("r1b", "v1"); fx.passes(1) }, 300, 0, 700},
+		{"closed by an operator", func(fx *fixture) { fx.must(fx.ledger.Declare(fx.t.Context(), "r1")); fx.passes(2) }, 300, 0, 700},
+		{"in the middle of an orderly end", func(fx *fixture) { fx.must(fx.ledger.Declare(fx.t.Context(), "r1")); fx.passes(1) }, 0, 900, 100},
+		{"the sidecar is cut off", func(fx *fixture) { fx.sides[0].cut = true; fx.kill(); fx.passes(9) }, 0, 900, 100},
+		{"the sidecar is reached later", func(fx *fixture) {
+			fx.sides[0].cut = true
+			fx.kill()
+			fx.passes(9)
+			fx.sides[0].cut = false
+			fx.passes(16)
 		}, 300, 0, 700},
-		{"the sidecar was restarted", func(wo *world) {
-			wo.sides = nil
-			wo.side("s2", "s")
-			wo.kill()
-			wo.passes(30)
+		{"the sidecar was restarted", func(fx *fixture) {
+			fx.sides = nil
+			fx.side("s2", "s")
+			fx.kill()
+			fx.passes(30)
 		}, 0, 900, 100},
-		{"the sidecar left in order", func(wo *world) {
-			cr, err := wo.sides[0].Close(wo.t.Context(), "r1")
-			wo.must(err)
-			wo.must(wo.ledger.Confirm(wo.t.Context(), "r1", "s1", cr))
-			wo.sides = nil
-			wo.kill()
-			wo.passes(2)
+		{"the sidecar left in order", func(fx *fixture) {
+			cr, err := fx.sides[0].Close(fx.t.Context(), "r1")
+			fx.must(err)
+			fx.must(fx.ledger.Confirm(fx.t.Context(), "r1", "s1", cr))
+			fx.sides = nil
+			fx.kill()
+			fx.passes(2)
 		}, 300, 0, 700},
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
-			wo := newWorld(t)
-			if !wo.sides[0].run("r1", 300) {
+			fx := newFixture(t)
+			if !fx.sides[0].run("r1", 300) {
 				t.Fatal("work of an open incarnation was refused")
 			}
-			ca.run(wo)
-			wo.want(ca.settled, ca.held, ca.free)
+			ca.run(fx)
+			fx.want(ca.settled, ca.held, ca.free)
 		})
 	}
 }
@@ -243,19 +243,19 @@
 // TestNoWork guards against escrow that stays held because no sidecar can
 // confirm what a router without any work used.
 func TestNoWork(t *testing.T) {
-	wo := newWorld(t)
-	wo.kill()
-	wo.passes(2)
-	wo.want(0, 0, prepaid)
+	fx := newFixture(t)
+	fx.kill()
+	fx.passes(2)
+	fx.want(0, 0, prepaid)
 }
 
 // byClock frees the escrow of a router that has not been heard of for a while.
-func byClock(wo *world) {
-	wo.must(wo.ledger.Declare(wo.t.Context(), "r1"))
-	wo.must(wo.ledger.Resolve(wo.t.Context(), meals, "r1", 0, "clock"))
+func byClock(fx *fixture) {
+	fx.must(fx.ledger.Declare(fx.t.Context(), "r1"))
+	fx.must(fx.ledger.Resolve(fx.t.Context(), meals, "r1", 0, "clock"))
 }
 
-func onEvidence(wo *world) { wo.passes(2) }
+func onEvidence(fx *fixture) { fx.passes(2) }
 
 // TestPaused guards against a router that is paused while its escrow is
 // reclaimed and that spends it after all. The variant that reclaims by the
@@ -263,26 +263,26 @@
 func TestPaused(t *testing.T) {
 	for _, va := range []struct {
 		name      string
-		reclaim   func(wo *world)
+		reclaim   func(fx *fixture)
 		overspent ident.Tokens
 	}{{"on evidence", onEvidence, 0}, {"by the clock", byClock, 900}} {
 		t.Run(va.name, func(t *testing.T) {
-			wo := newWorld(t)
-			wo.sides[0].run("r1", 300)
-			late := wo.side("s2", "s2")
-			wo.kill()
-			va.reclaim(wo)
-			r4 := wo.holder("r4", "v4")
-			ba, err := wo.ledger.Balance(t.Context(), meals)
-			wo.must(err)
+			fx := newFixture(t)
+			fx.sides[0].run("r1", 300)
+			late := fx.side("s2", "s2")
+			fx.kill()
+			va.reclaim(fx)
+			r4 := fx.holder("r4", "v4")
+			ba, err := fx.ledger.Balance(t.Context(), meals)
+			fx.must(err)
 			_, err = r4.Reserve(t.Context(), meals, ba.Free, config.WeighRefusal)
-			wo.must(err)
-			wo.sides[0].run("r4", ba.Free)
+			fx.must(err)
+			fx.sides[0].run("r4", ba.Free)
 			// The paused router goes on at the sidecar that knows it and at one
 			// that started after the closure.
-			wo.sides[0].run("r1", 600)
+			fx.sides[0].run("r1", 600)
 			late.run("r1", 300)
-			if got := max(0, wo.produced-prepaid); got != va.overspent {
+			if got := max(0, fx.produced-prepaid); got != va.overspent {
 				t.Errorf("overspent %d tokens, want %d", got, va.overspent)
 			}
 		})
--- a/internal/bench/budget/peers.go
+++ b/internal/bench/budget/peers.go
@@ -8,15 +8,15 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
 
-// neighbours lets the holders of a run ask each other. The address of a holder
+// simPeers lets the holders of a run ask each other. The address of a holder
 // is its position. One that is cut off fails at the table.
-type neighbours struct{ si *sim }
+type simPeers struct{ si *sim }
 
 // Release asks the holder at the position.
-func (ne neighbours) Release(ctx context.Context, addr string, in ident.Incarnation, rf ident.BudgetRef) (ident.Tokens, error) {
+func (sp simPeers) Release(ctx context.Context, addr string, in ident.Incarnation, rf ident.BudgetRef) (ident.Tokens, error) {
 	no, err := strconv.Atoi(addr)
-	if err != nil || ne.si.holders[no].Incarnation() != in {
+	if err != nil || sp.si.holders[no].Incarnation() != in {
 		return 0, errors.New("budget: another holder answers")
 	}
-	return ne.si.holders[no].Release(ctx, rf)
+	return sp.si.holders[no].Release(ctx, rf)
 }
--- a/internal/bench/budget/sim.go
+++ b/internal/bench/budget/sim.go
@@ -143,7 +143,7 @@
 		cl := si.tb.Client()
 		opts := way.options(budget.WithClock(si.clock))
 		if way.asks {
-			opts = append(opts, budget.WithPeers(neighbours{si}), budget.WithPeerAddress(fmt.Sprint(no)))
+			opts = append(opts, budget.WithPeers(simPeers{si}), budget.WithPeerAddress(fmt.Sprint(no)))
 		}
 		hd := budget.NewHolder(ident.Incarnation(fmt.Sprint("r", no)), "vm", "fd", budget.NewLedger(cl, codecs()), opts...)
 		if err := hd.Open(ctx); err != nil {
--- a/internal/bench/faults/audit.go
+++ b/internal/bench/faults/audit.go
@@ -12,7 +12,7 @@
 )
 
 // Runs returns what all engines have recorded.
-func (to *Town) Runs(ctx context.Context) ([]model.Run, error) {
+func (to *Topology) Runs(ctx context.Context) ([]model.Run, error) {
 	var all []model.Run
 	for _, en := range to.EngineNodes {
 		runs, err := en.Runs(ctx)
@@ -42,7 +42,7 @@
 
 // Audit compares the books and the answers with the engines' records. It
 // returns the balance.
-func (to *Town) Audit(ctx context.Context) (budget.Balance, error) {
+func (to *Topology) Audit(ctx context.Context) (budget.Balance, error) {
 	ba, err := to.Ledger().Balance(ctx, to.Ref)
 	if err != nil {
 		return ba, err
@@ -66,7 +66,7 @@
 }
 
 // answers checks what callers were told.
-func (to *Town) answers(runs []model.Run) error {
+func (to *Topology) answers(runs []model.Run) error {
 	ran := make(map[ident.Request]bool)
 	for _, ru := range runs {
 		ran[ident.Request(ru.Request)] = ru.State != model.Refused || ran[ident.Request(ru.Request)]
--- a/internal/bench/faults/town.go
+++ b/internal/bench/faults/topology.go
@@ -23,8 +23,8 @@
 	// recovery is the mean time between two looks for dead routers, short so
 	// that a run takes seconds.
 	recovery = 100 * time.Millisecond
-	// Patience bounds the wait for a condition, far above what it takes.
-	Patience = 45 * time.Second
+	// WaitLimit bounds the wait for a condition, far above what it takes.
+	WaitLimit = 45 * time.Second
 )
 
 // Plan describes a deployment.
@@ -37,8 +37,8 @@
 	TokenTime time.Duration
 }
 
-// Town is a deployment with one client account.
-type Town struct {
+// Topology is a deployment with one client account.
+type Topology struct {
 	*deploy.Deployment
 	Plan
 	EngineNodes, SidecarNodes, RouterNodes []*deploy.Node
@@ -51,20 +51,20 @@
 
 // New starts the deployment from the programs in bin. Settings are written to
 // dir, and the output of all processes to log.
-func New(ctx context.Context, bin, dir string, log io.Writer, pl Plan) (*Town, error) {
+func New(ctx context.Context, bin, dir string, log io.Writer, pl Plan) (*Topology, error) {
 	de, err := deploy.New(bin, dir, deploy.WithLog(log), deploy.WithRecovery(recovery))
 	if err != nil {
 		return nil, err
 	}
 	key := config.NewAPIKey()
-	to := &Town{
+	to := &Topology{
 		Deployment: de, Plan: pl, caller: call.New(key),
 		Ref: ident.BudgetRef{Account: "sejin-desk", Budget: "breakfast"},
 	}
 	return to, to.start(ctx, key)
 }
 
-func (to *Town) start(ctx context.Context, key string) error {
+func (to *Topology) start(ctx context.Context, key string) error {
 	answer := fmt.Sprint(to.Answer)
 	var ups []config.Upstream
 	var err error
@@ -104,9 +104,9 @@
 func VM(router int) ident.VM { return ident.VM(fmt.Sprintf("entry-%d", router+1)) }
 
 // Ask sends a streamed request to the router and waits for its end.
-func (to *Town) Ask(ctx context.Context, router int, prompt string, key ident.Key) call.Result {
+func (to *Topology) Ask(ctx context.Context, router int, prompt string, key ident.Key) call.Result {
 	re := to.caller.Stream(ctx, to.RouterNodes[router].URL(), call.Chat{
-		Model: theModel, Prompt: prompt, MaxTokens: to.Answer, Class: config.Urgent, Key: key, Timeout: Patience,
+		Model: theModel, Prompt: prompt, MaxTokens: to.Answer, Class: config.Urgent, Key: key, Timeout: WaitLimit,
 	})
 	to.mu.Lock()
 	defer to.mu.Unlock()
@@ -116,7 +116,7 @@
 
 // Begin sends requests to the router and returns a function that waits for
 // their results. It returns when each has produced some tokens at an engine.
-func (to *Town) Begin(ctx context.Context, router, count int, prompt string, key ident.Key) (func() []call.Result, error) {
+func (to *Topology) Begin(ctx context.Context, router, count int, prompt string, key ident.Key) (func() []call.Result, error) {
 	before, err := to.running(ctx)
 	if err != nil {
 		return nil, err
@@ -134,7 +134,7 @@
 }
 
 // running counts the calls that produce tokens now.
-func (to *Town) running(ctx context.Context) (int, error) {
+func (to *Topology) running(ctx context.Context) (int, error) {
 	count := 0
 	runs, err := to.Runs(ctx)
 	for _, ru := range runs {
@@ -146,14 +146,14 @@
 }
 
 // Until waits for the condition.
-func (to *Town) Until(ctx context.Context, holds func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, Patience)
+func (to *Topology) Until(ctx context.Context, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, WaitLimit)
 	defer cancel()
 	return deploy.Until(ctx, holds)
 }
 
 // Incarnation returns the incarnation of the router's VM as the table has it.
-func (to *Town) Incarnation(ctx context.Context, router int) (budget.Incarnation, error) {
+func (to *Topology) Incarnation(ctx context.Context, router int) (budget.Incarnation, error) {
 	incs, err := to.Ledger().Incarnations(ctx)
 	if err != nil {
 		return budget.Incarnation{}, err
@@ -167,7 +167,7 @@
 }
 
 // Closed waits until the incarnation is closed.
-func (to *Town) Closed(ctx context.Context, id ident.Incarnation) error {
+func (to *Topology) Closed(ctx context.Context, id ident.Incarnation) error {
 	return to.Until(ctx, func() bool {
 		st, err := to.Ledger().State(ctx, id)
 		return err == nil && st == escrow.Closed
@@ -176,7 +176,7 @@
 
 // Granted returns the tokens that all routers hold, read beside the table's
 // protocol, so that it works during an outage.
-func (to *Town) Granted(ctx context.Context) (ident.Tokens, error) {
+func (to *Topology) Granted(ctx context.Context) (ident.Tokens, error) {
 	var rows []cloud.Row
 	if err := to.Platform.Get(ctx, "/control/rows", &rows); err != nil {
 		return 0, err
@@ -191,6 +191,6 @@
 }
 
 // Outage starts or ends an outage of the platform.
-func (to *Town) Outage(ctx context.Context, down bool) error {
+func (to *Topology) Outage(ctx context.Context, down bool) error {
 	return to.Platform.Control(ctx, "faults", map[string]bool{"down": down})
 }
