link: take the sequence of an answer from frame.Inbox

Cause: the link checked sequence and final count by itself, and frame.Inbox, which does the same, was used nowhere. Ruled out: removing the inbox; it is the tested piece that another transport would need as well. Change: the stream of the link holds an inbox without a window ahead; a resumed stream starts it at its next chunk. Figures: the tests of link, frame and role/router pass twice under the race detector. Conclusion: one piece of code decides about sequence and truncation.

--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -316,7 +316,7 @@
 		return nil, refuse.New(refuse.LinkLost, "no connection to the sidecar: %v", err)
 	}
 	st := newStream(ctx, cl, peer.Dispatch{Request: re, Attempt: attempt, Call: engine.Call{Request: re}})
-	st.next, st.accepted = nextSeq, true
+	st.in, st.accepted = st.in.From(nextSeq), true
 	if err := st.attach(se); err != nil {
 		st.release()
 		return nil, refuse.New(refuse.LinkLost, "resume: %v", err)
--- a/internal/adapt/link/stream.go
+++ b/internal/adapt/link/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
+	"github.com/balsamwood/balsamwood/internal/core/frame"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/peer"
 )
@@ -21,8 +22,9 @@
 // again while nothing new arrives.
 const maxBroken = 4
 
-// errForeign means that a frame belongs to another attempt.
-var errForeign = errors.New("link: frame of another attempt")
+// window allows no frame ahead of the next one, because a yamux stream keeps the
+// order.
+const window = 1
 
 // stream is one attempt as the router sees it. It moves to a new session when
 // the current one goes silent or fails. Recv and Ack are called from one
@@ -32,7 +34,7 @@
 	ctx      context.Context
 	di       peer.Dispatch
 	se       *session
-	next     uint64
+	in       *frame.Inbox[peer.Event]
 	acked    uint64
 	accepted bool
 	// repeated means that the dispatch was sent more than once.
@@ -49,7 +51,7 @@
 }
 
 func newStream(ctx context.Context, cl *Client, di peer.Dispatch) *stream {
-	st := &stream{cl: cl, ctx: ctx, di: di, next: 1}
+	st := &stream{cl: cl, ctx: ctx, di: di, in: frame.NewInbox[peer.Event](di.Request, di.Attempt, window)}
 	// A read that waits ends at once when the caller gives up.
 	st.stop = context.AfterFunc(ctx, st.interrupt)
 	return st
@@ -111,7 +113,7 @@
 		return st.fc.send(EncodeDispatch(st.di))
 	}
 	return st.fc.send(&wire.Frame{Body: &wire.Frame_Resume{Resume: &wire.Resume{
-		Request: string(st.di.Request), Attempt: st.di.Attempt, NextSeq: st.next, Router: string(st.di.Router),
+		Request: string(st.di.Request), Attempt: st.di.Attempt, NextSeq: st.in.Next(), Router: string(st.di.Router),
 	}}})
 }
 
@@ -150,7 +152,7 @@
 // patience bounds the wait for another session. An idempotent call without
 // output is better run elsewhere than held until its deadline.
 func (st *stream) patience() (context.Context, context.CancelFunc) {
-	if st.di.Idempotent && st.next == 1 {
+	if st.di.Idempotent && st.in.Next() == 1 {
 		return context.WithTimeout(st.ctx, st.cl.progress)
 	}
 	return context.WithCancel(st.ctx)
@@ -224,7 +226,7 @@
 		return peer.Event{}, false, nil
 	}
 	if ev.Request != st.di.Request || ev.Attempt != st.di.Attempt {
-		return peer.Event{}, false, refuse.New(refuse.Internal, "%v", errForeign)
+		return peer.Event{}, false, refuse.New(refuse.Internal, "%v", frame.ErrForeign)
 	}
 	switch ev.Kind {
 	case peer.Accepted:
@@ -235,8 +237,8 @@
 		return st.admitChunk(ev)
 	case peer.Final:
 		// After a cancellation the rest of the output is not sent.
-		if ev.Seq != st.next-1 && !st.cancelled.Load() {
-			return peer.Event{}, false, refuse.New(refuse.Truncated, "%d of %d chunks arrived", st.next-1, ev.Seq)
+		if err := st.complete(ev); err != nil && !st.cancelled.Load() {
+			return peer.Event{}, false, refuse.New(refuse.Truncated, "%v", err)
 		}
 	case peer.Refused:
 		if st.accepted || st.repeated && ev.Refusal.Reason != refuse.DeadlinePassed {
@@ -251,15 +253,24 @@
 }
 
 func (st *stream) admitChunk(ev peer.Event) (peer.Event, bool, error) {
-	if ev.Seq < st.next {
-		return peer.Event{}, false, nil
+	fresh, err := st.in.Put(ev.Request, ev.Attempt, ev.Seq, ev)
+	if err != nil {
+		return peer.Event{}, false, refuse.New(refuse.Truncated, "%v", err)
 	}
-	if ev.Seq > st.next {
-		return peer.Event{}, false, refuse.New(refuse.Truncated, "chunk %d is missing", st.next)
+	if !fresh {
+		return peer.Event{}, false, nil
 	}
-	st.next++
 	st.broken = 0
-	return ev, true, nil
+	ev, _, ok := st.in.Take()
+	return ev, ok, nil
+}
+
+// complete records the final count and reports what is missing.
+func (st *stream) complete(ev peer.Event) error {
+	if err := st.in.End(ev.Request, ev.Attempt, ev.Seq); err != nil {
+		return err
+	}
+	return st.in.Close()
 }
 
 // Ack acknowledges all chunks up to seq.
--- a/internal/core/frame/inbox.go
+++ b/internal/core/frame/inbox.go
@@ -38,6 +38,14 @@
 	return &Inbox[T]{request: request, attempt: attempt, next: 1, window: window, early: make(map[uint64]T)}
 }
 
+// From returns an inbox that expects the frame with number next first, for a
+// stream that is resumed there.
+func (in *Inbox[T]) From(next uint64) *Inbox[T] {
+	re := NewInbox[T](in.request, in.attempt, in.window)
+	re.next = max(1, next)
+	return re
+}
+
 // Put adds the frame with number seq and reports whether it is new. A
 // duplicate is dropped. A frame that cannot belong to the answer is an error.
 func (in *Inbox[T]) Put(request ident.Request, attempt uint32, seq uint64, val T) (bool, error) {
