link, side: wait for the last event to arrive before a sidecar ends

Ruled out: the change of the link to frame.Inbox (the answer was complete but for its last event). Change: the server waits until the routers have closed their request streams, within the drain time. Conclusion: fits the failure; not reproduced on purpose, so it stays a probable cause.

--- a/internal/adapt/link/server.go
+++ b/internal/adapt/link/server.go
@@ -50,6 +50,8 @@
 	hello  time.Duration
 	asks   asks
 
+	active active
+
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
 	wg       sync.WaitGroup
@@ -105,6 +107,11 @@
 	}
 }
 
+// Drain waits until every router has closed its request streams, which it does
+// after the last event. A session that ends before cuts off answers whose last
+// event was sent and has not arrived.
+func (sv *Server) Drain(ctx context.Context) error { return sv.active.wait(ctx) }
+
 func (sv *Server) closeSessions() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -194,6 +201,8 @@
 // pump copies events to the link until the last one. When the link fails, the
 // attempt goes on for its grace period, so that the router can resume it.
 func (sv *Server) pump(ctx context.Context, fc *frameConn, id attemptID, st peer.Stream) {
+	sv.active.enter()
+	defer sv.active.leave()
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/role/side/side.go
+++ b/internal/role/side/side.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	announced := time.NewTimer(announceTime)
 	defer announced.Stop()
-	if err := si.sv.Wait(ctx); err != nil {
+	if err := errors.Join(si.sv.Wait(ctx), si.ln.Drain(ctx)); err != nil {
 		si.met.Log(evDrained, slog.String("error", err.Error()))
 		return
 	}
