balsambench: find the programs in one place

Cause: the soak command repeated what programs() does for demo and path. Ruled out: nothing. Change: it calls programs(); behaviour stays as it is. Conclusion: one function finds the programs.

--- a/cmd/balsambench/soak.go
+++ b/cmd/balsambench/soak.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 
 	"github.com/balsamwood/balsamwood/internal/bench/soak"
 )
@@ -21,19 +20,16 @@
 
 // Run runs the soak. A count that must be zero and is not is an error.
 func (sc soakCmd) Run(ctx context.Context) error {
-	if sc.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		sc.Bin = filepath.Dir(self)
+	bin, err := programs(sc.Bin)
+	if err != nil {
+		return err
 	}
 	var log io.Writer
 	if sc.Verbose {
 		log = os.Stderr
 	}
 	re, err := soak.Run(ctx, soak.Options{
-		Bin: sc.Bin, Requests: sc.Requests, Seed: sc.Seed, Workers: sc.Workers, Rate: sc.Rate, Log: log,
+		Bin: bin, Requests: sc.Requests, Seed: sc.Seed, Workers: sc.Workers, Rate: sc.Rate, Log: log,
 	})
 	if err != nil {
 		return err
