direct: serve callers from upstreams that the router calls itself

Cause: the users' platform has no sidecars in front of plain services and an operator's store in place of the project's own platform services. Change: routing intent (core/intent), choice of upstream (core/place), the use case (app/direct), followers of feeds (app/follow), connection pool and HTTP front end, and platform/ with the store's client and the documents. The budget ledger serves unchanged; its cover became a value and prepaid totals may come from a configuration. Not measured yet.

--- /dev/null
+++ b/internal/adapt/terms/terms.go
@@ -0,0 +1,40 @@
+// Package terms names the header fields in which a deployment expresses what
+// the product needs to know about requests and answers.
+package terms
+
+// Terms are the names of header fields. An empty name means that the
+// deployment has no such field.
+type Terms struct {
+	// RequestID identifies a request; upstreams echo it in their answers.
+	RequestID string
+	// TimeLeft is the time in milliseconds that the sender goes on waiting.
+	TimeLeft string
+	// After is the number of the last event that the receiver has.
+	After string
+	// Model, TokenCounts (prompt and largest output, separated by a comma) and
+	// PromptParts (ID:TOKENS, separated by commas) describe a prompt.
+	Model       string
+	TokenCounts string
+	PromptParts string
+	// Account, Instance and Urgency are set by the router for the upstream: the
+	// client account, the instance that is meant, and a rank from 0 to 9.
+	Account  string
+	Instance string
+	Urgency  string
+	// NotRun is set by an upstream that did not run the request.
+	NotRun string
+	// Load is running, waiting and places of an upstream, separated by commas.
+	Load string
+	// Private lists further fields that only the router may set.
+	Private []string
+}
+
+// Default returns the names of the project's own deployment.
+func Default() Terms {
+	return Terms{
+		RequestID: "Balsamwood-Request", TimeLeft: "Balsamwood-Time-Left-Ms", After: "Last-Event-Id",
+		Model: "Balsamwood-Model", TokenCounts: "Balsamwood-Tokens", PromptParts: "Balsamwood-Prompt-Parts",
+		Account: "Balsamwood-Account", Instance: "Balsamwood-Instance", Urgency: "Balsamwood-Urgency",
+		NotRun: "Balsamwood-Not-Run", Load: "Balsamwood-Load",
+	}
+}
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -86,7 +86,7 @@
 	full := us.requests-us.sent >= hd.opts.batch*scale
 	aged := now.Sub(us.lastSent) >= settleWithin(hg.weight())
 	du.settle = co.Returning > 0 || hg.doubt || co.Unsettled > 0 && (full || aged)
-	de := hg.demand(us.typical, true, hg.seen)
+	de := hd.demand(hg, us.typical, true, hg.seen)
 	du.ahead = us.lastUse.Equal(now) && co.Available < de.Low() && hd.opts.slicer.Slice(de) > 0
 	every := lookEvery
 	if de.Tight() {
@@ -157,14 +157,14 @@
 
 func (hd *Holder) planFor(du duty) plan {
 	return func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
-		if en.Budget.Wanted > 0 {
-			// Pieces that are too small for a request here add up elsewhere.
+		if en.Budget.Wanted > 0 || en.Budget.Free() < 0 {
+			// A lowered total takes back what is not reserved. Pieces that are too small for a request here add up elsewhere.
 			hg.pool.Withdraw(hg.pool.Available())
 		}
 		due := du.settle || hg.pool.Counts().Returning > 0
 		amount := ident.Tokens(0)
 		if du.ahead && en.Budget.Wanted == 0 {
-			amount = hd.opts.slicer.Slice(hg.demand(hg.usage.typical, true, en.Budget))
+			amount = hd.opts.slicer.Slice(hd.demand(hg, hg.usage.typical, true, en.Budget))
 		}
 		if !due && amount <= 0 {
 			return en, nil
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -123,6 +123,17 @@
 	return Hold{hd: hd, hg: hg, sl: sl, mark: sl.state.Load(), tokens: tokens}, nil
 }
 
+// Prime draws escrow for a budget that has had no request yet, so that the
+// first ones need not wait for the table. A typical request is that large.
+func (hd *Holder) Prime(ctx context.Context, rf ident.BudgetRef, typical ident.Tokens) error {
+	hg := hd.index.add(rf)
+	if !hg.lock(ctx) {
+		return ctx.Err()
+	}
+	defer hg.unlock()
+	return hd.draw(ctx, hg, typical)
+}
+
 func (hd *Holder) refusal(tokens ident.Tokens) *refuse.Refusal {
 	switch phase(hd.phase.Load()) {
 	case starting:
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -105,14 +105,14 @@
 }
 
 // demand describes the holding for the grant size policy.
-func (hg *holding) demand(want ident.Tokens, ahead bool, bud escrow.BudgetRow) escrow.Demand {
+func (hd *Holder) demand(hg *holding, want ident.Tokens, ahead bool, bud escrow.BudgetRow) escrow.Demand {
 	holders := bud.Holders
 	if hg.grant.val.Outstanding() == 0 {
 		holders++
 	}
 	return escrow.Demand{
 		Free: bud.Free(), Holders: holders, Want: want, Ahead: ahead,
-		Rate: hg.usage.rate, Weight: hg.weight(), Available: hg.pool.Available(),
+		Rate: hg.usage.rate, Cover: hd.opts.cover(hg.weight()), Available: hg.pool.Available(),
 	}
 }
 
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
@@ -22,8 +23,14 @@
 	batch       int64
 	peers       Peers
 	peerAddress string
+	cover       func(we config.Weight) escrow.Cover
+	prepaid     Prepaid
 }
 
+// Prepaid returns the prepaid total of a budget and the configuration that it
+// is from. It reports false for budgets that operators top up.
+type Prepaid func(rf ident.BudgetRef) (ident.Tokens, ident.Revision, bool)
+
 // Option configures a Holder.
 type Option func(*options)
 
@@ -39,6 +46,8 @@
 		refuseFor:   500 * time.Millisecond,
 		idleAfter:   30 * time.Second,
 		batch:       64,
+		cover:       escrow.CoverFor,
+		prepaid:     func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 0, 0, false },
 	}
 	for _, apply := range opts {
 		apply(&op)
@@ -108,3 +117,13 @@
 func WithBatch(requests int64) Option {
 	return func(op *options) { op.batch = min(max(requests, 1), 10_000) }
 }
+
+// WithCover sets how much escrow is held in advance, for all weights alike. The
+// default is escrow.CoverFor.
+func WithCover(co escrow.Cover) Option {
+	return func(op *options) { op.cover = func(config.Weight) escrow.Cover { return co } }
+}
+
+// WithPrepaid takes the prepaid totals from a configuration. The row of such a
+// budget is created by its first draw. By default operators top budgets up.
+func WithPrepaid(source Prepaid) Option { return func(op *options) { op.prepaid = source } }
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -47,9 +47,11 @@
 	if err != nil {
 		return intent{}, err
 	}
-	if !bu.exists() {
+	total, rev, ok := hd.opts.prepaid(hg.ref)
+	if !ok && !bu.exists() {
 		return intent{}, ErrUnknownBudget
 	}
+	bu.val = bu.val.WithPrepaid(total, rev)
 	hg.seen = bu.val
 	en := escrow.Entry{Budget: bu.val, Grant: hg.grant.val}
 	nx, err := pl(hg, en)
@@ -164,7 +166,7 @@
 		if err != nil || lack <= 0 {
 			return en, err
 		}
-		if amount := hd.opts.slicer.Slice(hg.demand(lack, false, en.Budget)); amount > 0 {
+		if amount := hd.opts.slicer.Slice(hd.demand(hg, lack, false, en.Budget)); amount > 0 {
 			return en.Draw(amount)
 		}
 		short = true
--- /dev/null
+++ b/internal/app/follow/config.go
@@ -0,0 +1,102 @@
+package follow
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/snap"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+var (
+	evConfig    = meter.Event{Number: 5111, Level: slog.LevelInfo, Text: "routing intent in force"}
+	evBadConfig = meter.Event{Number: 5112, Level: slog.LevelError, Text: "routing intent cannot be used"}
+)
+
+// DecodeConfig decodes the row of the routing intent. It reports false for
+// other rows.
+type DecodeConfig func(ro feed.Row) (intent.Config, bool, error)
+
+// Config is the routing intent in force. It never goes back to an older
+// revision while the process runs.
+type Config struct {
+	cell   *snap.Cell[intent.Config]
+	decode DecodeConfig
+	meter  meter.Meter
+
+	mu      sync.Mutex
+	row     feed.Row
+	changed chan struct{}
+	known   bool
+}
+
+// NewConfig returns a follower without a configuration.
+func NewConfig(decode DecodeConfig, me meter.Meter) *Config {
+	return &Config{
+		cell: snap.NewCell(intent.Config{}), decode: decode, meter: me, changed: make(chan struct{}),
+	}
+}
+
+// Load returns the configuration in force; its revision is zero while none is.
+func (co *Config) Load() intent.Config { return co.cell.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (co *Config) Changed() <-chan struct{} {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.changed
+}
+
+// Row returns the row of the configuration in force, for other routers.
+func (co *Config) Row() (feed.Row, bool) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.row, co.known
+}
+
+// Offer takes a row from any source into force if it is newer.
+func (co *Config) Offer(ro feed.Row, source string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.known && ro.Version <= co.row.Version {
+		return
+	}
+	next, ok, err := co.decode(ro)
+	if err != nil {
+		co.meter.Log(evBadConfig, slog.Uint64("version", ro.Version), slog.String("source", source), slog.String("error", err.Error()))
+		return
+	}
+	if !ok || next.Revision() < co.cell.Load().Revision() {
+		return
+	}
+	co.cell.Store(next)
+	co.row, co.known = ro, true
+	close(co.changed)
+	co.changed = make(chan struct{})
+	co.meter.Log(evConfig, slog.Uint64("revision", uint64(next.Revision())), slog.Uint64("version", ro.Version),
+		slog.String("source", source), slog.Int("accounts", len(next.Accounts())))
+}
+
+// Sink returns the sink of the feed that holds the configuration.
+func (co *Config) Sink() Sink { return configSink{co} }
+
+type configSink struct{ co *Config }
+
+// Whole offers each row.
+func (cs configSink) Whole(ba feed.Batch, now time.Time) { cs.Changed(ba, now) }
+
+// Changed offers each row.
+func (cs configSink) Changed(ba feed.Batch, _ time.Time) {
+	for _, ro := range ba.Rows {
+		cs.co.Offer(ro, "store")
+	}
+}
+
+// Lost does nothing: what is in force stays in force.
+func (configSink) Lost(time.Time) {}
+
+// Regained does nothing.
+func (configSink) Regained(time.Time) {}
--- a/internal/core/escrow/budget.go
+++ b/internal/core/escrow/budget.go
@@ -34,6 +34,9 @@
 	// Wanted is the largest worst case that was refused since the last draw.
 	// Holders that see it return what they do not need.
 	Wanted ident.Tokens `json:"wanted,omitempty"`
+	// Revision is the configuration that Prepaid was taken from, or zero if the
+	// budget is topped up by operators.
+	Revision ident.Revision `json:"revision,omitempty"`
 }
 
 // Free returns the tokens that can still be granted.
@@ -50,6 +53,15 @@
 	return br
 }
 
+// WithPrepaid returns a copy with the prepaid total of a configuration. A row
+// that was written under a newer configuration stays as it is.
+func (br BudgetRow) WithPrepaid(prepaid ident.Tokens, rev ident.Revision) BudgetRow {
+	if rev > br.Revision {
+		br.Prepaid, br.Revision = prepaid, rev
+	}
+	return br
+}
+
 // TopUp adds prepaid tokens.
 func (br BudgetRow) TopUp(amount ident.Tokens) (BudgetRow, error) {
 	if amount <= 0 || br.Prepaid+amount < br.Prepaid {
--- a/internal/core/escrow/escrow_test.go
+++ b/internal/core/escrow/escrow_test.go
@@ -74,13 +74,13 @@
 		de   escrow.Demand
 		want ident.Tokens
 	}{
-		{"share", escrow.Demand{Free: 24_000, Holders: 3, Want: 100, Rate: 1e6, Weight: config.WeighRefusal}, 2000},
-		{"less in advance", escrow.Demand{Free: 24_000, Holders: 3, Want: 100, Rate: 1e6, Weight: config.WeighOverspend}, 500},
-		{"limited by cover", escrow.Demand{Free: 24_000, Holders: 1, Want: 10, Rate: 1, Weight: config.WeighRefusal}, 90},
-		{"up to the cover", escrow.Demand{Free: 24_000, Holders: 1, Want: 10, Available: 30, Ahead: true}, 50},
-		{"single request", escrow.Demand{Free: 1000, Holders: 3, Want: 100}, 100},
-		{"nothing ahead", escrow.Demand{Free: 1000, Holders: 3, Want: 100, Ahead: true}, 0},
-		{"does not fit", escrow.Demand{Free: 99, Holders: 3, Want: 100}, 0},
+		{"share", escrow.Demand{Free: 24_000, Holders: 3, Want: 100, Rate: 1e6, Cover: escrow.CoverFor(config.WeighRefusal)}, 2000},
+		{"less in advance", escrow.Demand{Free: 24_000, Holders: 3, Want: 100, Rate: 1e6, Cover: escrow.CoverFor(config.WeighOverspend)}, 500},
+		{"limited by cover", escrow.Demand{Free: 24_000, Holders: 1, Want: 10, Rate: 1, Cover: escrow.CoverFor(config.WeighRefusal)}, 90},
+		{"up to the cover", escrow.Demand{Free: 24_000, Holders: 1, Want: 10, Available: 30, Ahead: true, Cover: escrow.CoverFor("")}, 50},
+		{"single request", escrow.Demand{Free: 1000, Holders: 3, Want: 100, Cover: escrow.CoverFor("")}, 100},
+		{"nothing ahead", escrow.Demand{Free: 1000, Holders: 3, Want: 100, Ahead: true, Cover: escrow.CoverFor("")}, 0},
+		{"does not fit", escrow.Demand{Free: 99, Holders: 3, Want: 100, Cover: escrow.CoverFor("")}, 0},
 	}
 	for _, tt := range tests {
 		if got := sl.Slice(tt.de); got != tt.want {
--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -25,8 +25,8 @@
 	// Ahead means that no request waits for the draw.
 	Ahead bool
 	// Rate is the holder's recent reservation rate in tokens per second.
-	Rate   float64
-	Weight config.Weight
+	Rate  float64
+	Cover Cover
 }
 
 // Bounded limits another policy to what a draw may take: at least the waiting
@@ -56,29 +56,33 @@
 // share falls below one request, and only the waiting request is drawn.
 type Adaptive struct{}
 
-// cover is the escrow policy of one weight.
-type cover struct {
-	// seconds of the recent rate are held in advance after a draw, and low
+// Cover says how much escrow is held in advance.
+type Cover struct {
+	// Seconds of the recent rate are held in advance after a draw, and Low
 	// seconds before the next one. The latter is how long a holder can serve at
 	// least while the table does not answer.
-	seconds, low float64
-	// requests is the number of typical requests drawn while no rate is known.
-	requests ident.Tokens
-	// parts is the number of equal parts into which a holder's share of the
+	Seconds, Low float64
+	// Requests is the number of typical requests drawn while no rate is known.
+	Requests ident.Tokens
+	// LowRequests is the number of typical requests below which a holder draws
+	// ahead whatever its rate is.
+	LowRequests ident.Tokens
+	// Parts is the number of equal parts into which a holder's share of the
 	// free tokens is divided, so that later draws still find something free.
-	parts ident.Tokens
+	Parts ident.Tokens
 }
 
-func coverFor(we config.Weight) cover {
+// CoverFor returns the cover of a client account's weight.
+func CoverFor(we config.Weight) Cover {
 	if we == config.WeighOverspend {
-		return cover{seconds: 30, low: 15, requests: 2, parts: 16}
+		return Cover{Seconds: 30, Low: 15, Requests: 2, LowRequests: 2, Parts: 16}
 	}
-	return cover{seconds: 90, low: 60, requests: 8, parts: 4}
+	return Cover{Seconds: 90, Low: 60, Requests: 8, LowRequests: 2, Parts: 4}
 }
 
 // Low returns the mark of available tokens below which a holder draws ahead.
 func (de Demand) Low() ident.Tokens {
-	return max(ident.Tokens(de.Rate*coverFor(de.Weight).low), 2*de.Want)
+	return max(ident.Tokens(de.Rate*de.Cover.Low), de.Cover.LowRequests*de.Want)
 }
 
 // Tight reports whether the holder's share of the free tokens is below one
@@ -86,19 +90,19 @@
 func (de Demand) Tight() bool { return de.share() < de.Want }
 
 func (de Demand) share() ident.Tokens {
-	return de.Free / (ident.Tokens(max(1, de.Holders)) * coverFor(de.Weight).parts)
+	return de.Free / (ident.Tokens(max(1, de.Holders)) * max(1, de.Cover.Parts))
 }
 
 // Slice returns the share, limited by the cover.
 func (Adaptive) Slice(de Demand) ident.Tokens {
-	co, share := coverFor(de.Weight), de.share()
+	co, share := de.Cover, de.share()
 	if share < de.Want {
 		if de.Ahead {
 			return 0
 		}
 		return de.Want
 	}
-	need := max(ident.Tokens(de.Rate*co.seconds), de.Want*co.requests)
+	need := max(ident.Tokens(de.Rate*co.Seconds), de.Want*co.Requests)
 	return min(share, need-de.Available)
 }
 
--- /dev/null
+++ b/internal/core/intent/intent.go
@@ -0,0 +1,148 @@
+// Package intent holds the routing intent of an operator: routes by host and
+// path, the services behind them, client accounts with their keys and prepaid
+// totals, and the limits on callers. All values are immutable.
+package intent
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// Limits bounds what a caller may send and how long it may take.
+type Limits struct {
+	MaxHeader int
+	MaxBody   int64
+	// HeaderTime is the longest time that a header may take to arrive, and
+	// IdleTime the longest time without a request on an open connection.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
+}
+
+// Service is a group of upstreams that do the same work.
+type Service struct {
+	Name ident.Service
+	// MaxConns is the number of connections that one upstream accepts from all
+	// routers together; zero means that it is not known.
+	MaxConns int
+	// Engine says that the upstreams are model engines with Slots places and
+	// memory for CacheTokens.
+	Engine      bool
+	Slots       int
+	CacheTokens ident.Tokens
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens ident.Tokens
+}
+
+// Account is a client account with its prepaid total.
+type Account struct {
+	Name ident.Account
+	Keys []string
+	// Priority ranks the account before the priority of a route; zero is the
+	// highest.
+	Priority int
+	Prepaid  ident.Tokens
+	// Metered says that the account has a prepaid total at all.
+	Metered bool
+}
+
+// Config is one version of the routing intent.
+type Config struct {
+	revision ident.Revision
+	limits   Limits
+	routes   map[string][]Route
+	services map[ident.Service]Service
+	accounts map[ident.Account]Account
+	keys     map[string]ident.Account
+}
+
+// New returns a configuration without routes.
+func New(revision ident.Revision, limits Limits) Config {
+	return Config{revision: revision, limits: limits}
+}
+
+// Revision returns the version. It is zero as long as none is known.
+func (co Config) Revision() ident.Revision { return co.revision }
+
+// Limits returns the bounds on callers.
+func (co Config) Limits() Limits { return co.limits }
+
+// Open reports whether callers need no key because there are no accounts.
+func (co Config) Open() bool { return len(co.accounts) == 0 }
+
+// WithRoutes returns a copy with these routes in place of the earlier ones.
+func (co Config) WithRoutes(routes ...Route) Config {
+	next := make(map[string][]Route)
+	for _, ro := range routes {
+		host := strings.ToLower(ro.Host)
+		next[host] = append(next[host], ro)
+	}
+	for _, list := range next {
+		slices.SortStableFunc(list, func(one, two Route) int { return cmp.Compare(len(two.Prefix), len(one.Prefix)) })
+	}
+	co.routes = next
+	return co
+}
+
+// WithServices returns a copy with these services in place of the earlier ones.
+func (co Config) WithServices(services ...Service) Config {
+	co.services = make(map[ident.Service]Service, len(services))
+	for _, se := range services {
+		co.services[se.Name] = se
+	}
+	return co
+}
+
+// WithAccounts returns a copy with these accounts in place of the earlier ones.
+func (co Config) WithAccounts(accounts ...Account) Config {
+	co.accounts = make(map[ident.Account]Account, len(accounts))
+	co.keys = make(map[string]ident.Account)
+	for _, ac := range accounts {
+		co.accounts[ac.Name] = ac
+		for _, key := range ac.Keys {
+			co.keys[key] = ac.Name
+		}
+	}
+	return co
+}
+
+// Route returns the route with the longest prefix of the path among those of
+// the host. The path is compared as it was sent, without decoding.
+func (co Config) Route(host, path string) (Route, bool) {
+	for _, ro := range co.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, ro.Prefix) {
+			return ro, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns the service with the name.
+func (co Config) Service(name ident.Service) (Service, bool) {
+	se, ok := co.services[name]
+	return se, ok
+}
+
+// Account returns the account with the name.
+func (co Config) Account(name ident.Account) (Account, bool) {
+	ac, ok := co.accounts[name]
+	return ac, ok
+}
+
+// Accounts returns all accounts in the order of their names.
+func (co Config) Accounts() []Account {
+	return slices.SortedFunc(maps.Values(co.accounts), func(one, two Account) int { return cmp.Compare(one.Name, two.Name) })
+}
+
+// Holder returns the account that holds the key.
+func (co Config) Holder(key string) (Account, bool) {
+	name, ok := co.keys[key]
+	if !ok {
+		return Account{}, false
+	}
+	return co.accounts[name], true
+}
--- a/internal/role/cmdln/check.go
+++ b/internal/role/cmdln/check.go
@@ -9,16 +9,19 @@
 )
 
 type checkCmd struct {
-	Program string `arg:"" enum:"router,sidecar" help:"Program that the settings are for: router or sidecar."`
+	Program string `arg:"" enum:"router,sidecar,direct" help:"Program that the settings are for: router, sidecar or direct."`
 	File    string `arg:"" type:"path" help:"Settings file in YAML."`
 }
 
 // Run reports all findings in the file.
 func (cc checkCmd) Run(en *env) error {
 	var err error
-	if cc.Program == "router" {
+	switch cc.Program {
+	case "router":
 		_, err = conf.LoadRouter(cc.File)
-	} else {
+	case "direct":
+		_, err = conf.LoadDirect(cc.File)
+	default:
 		_, err = conf.LoadSidecar(cc.File)
 	}
 	if err != nil {
--- a/internal/role/cmdln/cmdln.go
+++ b/internal/role/cmdln/cmdln.go
@@ -19,6 +19,7 @@
 type root struct {
 	Router  routerCmd        `cmd:"" help:"Run an entry router."`
 	Sidecar sidecarCmd       `cmd:"" help:"Run the process beside an upstream."`
+	Direct  directCmd        `cmd:"" help:"Run a router that calls upstreams itself, on a platform with an operator's store."`
 	Check   checkCmd         `cmd:"" help:"Check a settings file without starting anything."`
 	Intake  intakeCmd        `cmd:"" help:"Generate the configuration from the answers of the questionnaire."`
 	Key     keyCmd           `cmd:"" help:"Make a random API key and print it with its hash."`
--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"runtime/debug"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
@@ -10,8 +11,10 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/adapt/stats"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/role/direct"
 	"github.com/balsamwood/balsamwood/internal/role/router"
 	"github.com/balsamwood/balsamwood/internal/role/side"
+	"github.com/balsamwood/balsamwood/platform"
 )
 
 type routerCmd struct {
@@ -52,6 +55,41 @@
 	return si.Run(en.ctx)
 }
 
+type directCmd struct {
+	Settings string `required:"" short:"s" type:"path" env:"BALSAMWOOD_SETTINGS" help:"Settings file in YAML."`
+}
+
+const (
+	// memoryShare is the part of the VM's memory that the garbage collector
+	// keeps to; buffers of the kernel and stacks need the rest.
+	memoryShare = 0.6
+	// collectAt trades memory for processor time: the collector runs when the
+	// heap has grown to three times its live size.
+	collectAt = 200
+)
+
+// Run runs a direct router until the program is told to stop.
+func (dc directCmd) Run(en *env) error {
+	set, err := conf.LoadDirect(dc.Settings)
+	if err != nil {
+		return errs.Settings.Wrap(err, "%s", dc.Settings)
+	}
+	debug.SetGCPercent(collectAt)
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(set.MemoryMB * memoryShare * 1e6))
+	}
+	out := logs.NewQueue(en.out)
+	defer out.Close()
+	me := newMeter(out, set.Log, set.VM)
+	defer func() { _ = me.Close() }()
+	out.OnDrop(func(lines int64) { me.Count("logLinesDropped", "", "", lines) })
+	ro, err := direct.New(set, me, me.Handler(), platform.New(set.Store))
+	if err != nil {
+		return err
+	}
+	return ro.Run(en.ctx)
+}
+
 func newMeter(wr io.Writer, lo conf.Log, vm ident.VM) *stats.Meter {
 	return stats.NewMeter(logs.NewLogger(wr,
 		logs.WithSettings(lo.Level, lo.Format), logs.WithAttrs(slog.String("vm", string(vm)))))
--- /dev/null
+++ b/internal/role/direct/direct.go
@@ -0,0 +1,291 @@
+// Package direct composes a router that calls upstreams itself, without a
+// sidecar beside each of them.
+package direct
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/adapt/conf"
+	"github.com/balsamwood/balsamwood/internal/adapt/entry"
+	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/adapt/serve"
+	"github.com/balsamwood/balsamwood/internal/adapt/terms"
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	app "github.com/balsamwood/balsamwood/internal/app/direct"
+	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/place"
+	"github.com/balsamwood/balsamwood/internal/core/retry"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+	"github.com/balsamwood/balsamwood/internal/port/store"
+)
+
+// Events of the program.
+var (
+	evStarted = meter.Event{Number: 9301, Level: slog.LevelInfo, Text: "direct router started"}
+	evReady   = meter.Event{Number: 9302, Level: slog.LevelInfo, Text: "direct router is ready"}
+	evLeaving = meter.Event{Number: 9303, Level: slog.LevelInfo, Text: "direct router is leaving"}
+	evStopped = meter.Event{Number: 9304, Level: slog.LevelInfo, Text: "direct router stopped"}
+	evOpening = meter.Event{Number: 9305, Level: slog.LevelWarn, Text: "the incarnation could not be registered yet"}
+	evHeld    = meter.Event{Number: 9306, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
+	evPrime   = meter.Event{Number: 9307, Level: slog.LevelWarn, Text: "no escrow could be drawn in advance"}
+)
+
+const (
+	openPause = 200 * time.Millisecond
+	// announceTime is how long callers are still taken after the router has
+	// said that it leaves: the platform needs two misses a second apart.
+	announceTime = 2500 * time.Millisecond
+	// closeTime is kept at the end of the drain time for the return of escrow.
+	closeTime = 800 * time.Millisecond
+	leavePoll = 50 * time.Millisecond
+	// expireEvery is the time between two looks for lapsed upstreams.
+	expireEvery = 200 * time.Millisecond
+	// typicalPrompt is the size of a request for which escrow is drawn before
+	// the first one has come.
+	typicalPrompt ident.Tokens = 10_000
+)
+
+// Escrow held in advance: the store may be away for 8 s, and what a router
+// holds when it is killed is lost to the account for good.
+var cover = escrow.Cover{Seconds: 12, Low: 8, Requests: 4, LowRequests: 3, Parts: 6}
+
+// Platform holds what a deployment's platform provides.
+type Platform struct {
+	Table          store.Table
+	Configs        feed.Feed
+	Upstreams      feed.Feed
+	DecodeConfig   follow.DecodeConfig
+	DecodeUpstream follow.DecodeUpstream
+	Terms          terms.Terms
+}
+
+// Router is a running router.
+type Router struct {
+	set       conf.Direct
+	met       meter.Meter
+	in        ident.Incarnation
+	configs   *follow.Config
+	upstreams *follow.Upstreams
+	loops     []*follow.Loop
+	holder    *budget.Holder
+	pool      *pool.Pool
+	entry     *entry.Server
+	ready     *serve.Server
+	ops       *serve.Server
+
+	open    atomic.Bool
+	leaving atomic.Bool
+}
+
+// New composes a router and listens.
+func New(set conf.Direct, me meter.Meter, metrics http.Handler, pf Platform) (*Router, error) {
+	ro := &Router{set: set, met: me, in: ident.NewIncarnation(), pool: pool.New(pf.Terms)}
+	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
+	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
+	ro.loops = []*follow.Loop{
+		follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me)),
+		follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me)),
+	}
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, budget.NewLedger(pf.Table, codec.Ledger()),
+		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
+		budget.WithAddress(func() string { return set.PeerListen }))
+	svc := app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
+		app.WithRetries(func() app.Retries {
+			return retry.NewBudget(retry.WithRatio(set.Retries.Ratio),
+				retry.WithReserve(int(set.Retries.Slack)/set.Retries.Routers))
+		}))
+	var err error
+	if ro.entry, err = entry.New(set.Listen, svc, ro.pool, pf.Terms, ro.limits); err != nil {
+		return nil, err
+	}
+	mx := http.NewServeMux()
+	mx.HandleFunc(set.Ready.Path, ro.answerReady)
+	if ro.ready, err = serve.New(set.Ready.Listen, mx); err != nil {
+		return nil, err
+	}
+	ro.ops, err = serve.New(set.MetricsListen, serve.Ops(metrics, ro.readiness))
+	return ro, err
+}
+
+// belief gives the use case what the followers know.
+type belief struct{ ro *Router }
+
+// Config returns the configuration in force.
+func (be belief) Config() intent.Config { return be.ro.configs.Load() }
+
+// Upstreams returns the upstreams in force.
+func (be belief) Upstreams() place.Map { return be.ro.upstreams.Load() }
+
+func (ro *Router) limits() intent.Limits { return ro.configs.Load().Limits() }
+
+// prepaid returns the total of an account in the configuration in force.
+func (ro *Router) prepaid(rf ident.BudgetRef) (ident.Tokens, ident.Revision, bool) {
+	co := ro.configs.Load()
+	ac, ok := co.Account(rf.Account)
+	return ac.Prepaid, co.Revision(), ok && ac.Metered
+}
+
+// readiness is nil when requests can be served.
+func (ro *Router) readiness() error {
+	switch {
+	case ro.leaving.Load():
+		return errors.New("leaving")
+	case ro.configs.Load().Revision() == 0:
+		return errors.New("no configuration is in force yet")
+	case !ro.upstreams.Known():
+		return errors.New("the upstreams are not known yet")
+	case !ro.open.Load():
+		return errors.New("the incarnation is not registered yet")
+	default:
+		return nil
+	}
+}
+
+func (ro *Router) answerReady(wr http.ResponseWriter, _ *http.Request) {
+	if err := ro.readiness(); err != nil {
+		http.Error(wr, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(wr, "ready")
+}
+
+// Run serves until ctx ends, then lets requests in flight finish and returns
+// all escrow.
+func (ro *Router) Run(ctx context.Context) error {
+	ro.met.Log(evStarted, slog.String("incarnation", string(ro.in)), slog.String("address", ro.entry.Addr()),
+		slog.String("domain", string(ro.set.Domain)), slog.String("store", ro.set.Store))
+	own, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed, fail := context.WithCancel(ctx)
+	defer fail()
+	var servers, workers sync.WaitGroup
+	errCh := make(chan error, 3)
+	servers.Go(func() { defer fail(); errCh <- ro.entry.Serve() })
+	for _, sv := range []*serve.Server{ro.ready, ro.ops} {
+		servers.Go(func() { defer fail(); errCh <- sv.Serve() })
+	}
+	for _, lo := range ro.loops {
+		workers.Go(func() { lo.Run(own) })
+	}
+	workers.Go(func() { ro.pool.Run(own) })
+	workers.Go(func() { ro.expire(own) })
+	workers.Go(func() { ro.hold(own) })
+	<-failed.Done()
+	ro.leave()
+	stop()
+	workers.Wait()
+	ro.returnEscrow()
+	_ = ro.ready.Close()
+	_ = ro.ops.Close()
+	servers.Wait()
+	close(errCh)
+	ro.met.Log(evStopped)
+	var all []error
+	for err := range errCh {
+		all = append(all, err)
+	}
+	return errors.Join(all...)
+}
+
+// expire removes upstreams that did not come back after an outage.
+func (ro *Router) expire(ctx context.Context) {
+	tk := time.NewTicker(expireEvery)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tk.C:
+			ro.upstreams.Expire(now)
+		}
+	}
+}
+
+// hold registers the incarnation, draws escrow for every account, and then
+// keeps it up to date.
+func (ro *Router) hold(ctx context.Context) {
+	for {
+		err := ro.holder.Open(ctx)
+		if err == nil {
+			break
+		}
+		ro.met.Log(evOpening, slog.String("error", err.Error()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(openPause):
+		}
+	}
+	var workers sync.WaitGroup
+	workers.Go(func() { _ = ro.holder.Run(ctx) })
+	workers.Go(func() { ro.prime(ctx) })
+	workers.Wait()
+}
+
+// prime draws escrow for each account that the configuration adds.
+func (ro *Router) prime(ctx context.Context) {
+	done := map[ident.Account]bool{}
+	for {
+		changed := ro.configs.Changed()
+		co := ro.configs.Load()
+		for _, ac := range co.Accounts() {
+			if done[ac.Name] || !ac.Metered {
+				continue
+			}
+			rf := ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid}
+			if err := ro.holder.Prime(ctx, rf, min(typicalPrompt, ac.Prepaid)); err != nil {
+				ro.met.Log(evPrime, slog.String("account", string(ac.Name)), slog.String("error", err.Error()))
+			}
+			done[ac.Name] = true
+		}
+		if co.Revision() > 0 && ro.open.CompareAndSwap(false, true) {
+			ro.met.Log(evReady, slog.Uint64("revision", uint64(co.Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// leave announces the end, goes on serving while callers still come, and waits
+// for the requests in flight.
+func (ro *Router) leave() {
+	began := time.Now()
+	ro.leaving.Store(true)
+	ro.entry.Leave()
+	ro.met.Log(evLeaving, slog.Int("connections", ro.entry.Open()), slog.Int("busy", ro.entry.Busy()))
+	last := began.Add(ro.set.Drain - closeTime)
+	for {
+		now := time.Now()
+		if !now.Before(last) || now.Sub(began) >= announceTime && ro.entry.Busy() == 0 {
+			break
+		}
+		time.Sleep(leavePoll)
+	}
+	_ = ro.entry.Close()
+}
+
+func (ro *Router) returnEscrow() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if !ro.open.Load() {
+		return
+	}
+	if err := ro.holder.Close(ctx); err != nil {
+		ro.met.Log(evHeld, slog.String("error", err.Error()))
+	}
+}
