direct: hold escrow for longer store outages, refuse late in a shutdown

Ruled out: choice of upstream and retries, which refused nothing. Change: cover of 10 to 14 s, a first draw sized by the number of routers, which the incarnation rows tell; requests refused from 2.9 s after SIGTERM, serving until 0.8 s before the end of the grace time.

--- a/internal/adapt/conf/direct.go
+++ b/internal/adapt/conf/direct.go
@@ -22,7 +22,8 @@
 	Seeds []string `yaml:"seeds" rule:"addr"`
 	// Weight says which error hurts the accounts more. Default: refusal.
 	Weight config.Weight `yaml:"weight" rule:"oneof=refusal|overspend"`
-	// Drain is the time allowed for a graceful shutdown. Default: 7s.
+	// Drain is the time between the signal to stop and the end by force.
+	// Default: 8s.
 	Drain   time.Duration `yaml:"drain" rule:"min=0s,max=10m"`
 	Retries Retries       `yaml:"retries"`
 	// MemoryMB is the memory of the VM in megabytes. Default: no limit.
@@ -52,7 +53,7 @@
 // error is of type Findings.
 func LoadDirect(path string) (Direct, error) {
 	di := Direct{
-		Weight: config.WeighRefusal, Drain: 7 * time.Second, Log: defaultLog(),
+		Weight: config.WeighRefusal, Drain: 8 * time.Second, Log: defaultLog(),
 		Retries: Retries{Ratio: 0.1, Slack: 50, Routers: 16},
 	}
 	de, err := decodeFile(path, &di)
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -29,6 +29,9 @@
 	// refusalPause is the time after which a refused request may come again.
 	// An engine frees a place about every 50 ms.
 	refusalPause = 250 * time.Millisecond
+	// leavePause is the time after which a request that a leaving router refused
+	// may come again, at another router.
+	leavePause = 20 * time.Millisecond
 	// maxUrgency is the least urgent rank that engines know.
 	maxUrgency = 9
 	// ranksPerAccount is the number of route priorities within one rank of
@@ -62,6 +65,9 @@
 
 // check finds the route and the account of the request.
 func (rn *run) check() *refuse.Refusal {
+	if rn.se.leaving.Load() {
+		return refuse.New(refuse.Leaving, "the router is leaving").WithRetryAt(rn.ask.Arrived.Add(leavePause))
+	}
 	if rn.conf.Revision() == 0 {
 		return refuse.New(refuse.NotReady, "no routing intent is in force").WithRetryAt(rn.ask.Arrived.Add(refusalPause))
 	}
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// Leave makes the service refuse all further requests.
+func (se *Service) Leave() { se.leaving.Store(true) }
+
 // Serve answers one request. It returns nil if the reply is complete, or else
 // why it is not. If begun is set, a part of the answer has been written and the
 // connection must be broken off.
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -47,6 +47,9 @@
 	// announceTime is how long callers are still taken after the router has
 	// said that it leaves: the platform needs two misses a second apart.
 	announceTime = 2500 * time.Millisecond
+	// refuseAfter is when a leaving router refuses requests: one that comes
+	// later may not be complete before the end.
+	refuseAfter = 2900 * time.Millisecond
 	// closeTime is kept at the end of the drain time for the return of escrow.
 	closeTime = 800 * time.Millisecond
 	leavePoll = 50 * time.Millisecond
@@ -55,11 +58,18 @@
 	// typicalPrompt is the size of a request for which escrow is drawn before
 	// the first one has come.
 	typicalPrompt ident.Tokens = 10_000
+	// primeParts is the number of equal parts of a budget, of which all routers
+	// together draw one in advance. A total lasts for about 45 s of the users'
+	// days, so that a quarter covers 11 s.
+	primeParts = 4
+	// holderTick is the time between two looks at the escrow. The rates follow
+	// the first seconds of a day.
+	holderTick = 500 * time.Millisecond
 )
 
 // Escrow held in advance: the store may be away for 8 s, and what a router
 // holds when it is killed is lost to the account for good.
-var cover = escrow.Cover{Seconds: 12, Low: 8, Requests: 4, LowRequests: 3, Parts: 6}
+var cover = escrow.Cover{Seconds: 14, Low: 10, Requests: 4, LowRequests: 4, Parts: 3}
 
 // Platform holds what a deployment's platform provides.
 type Platform struct {
@@ -79,8 +89,10 @@
 	configs   *follow.Config
 	upstreams *follow.Upstreams
 	loops     []*follow.Loop
+	fleet     *follow.Fleet
 	holder    *budget.Holder
 	pool      *pool.Pool
+	service   *app.Service
 	entry     *entry.Server
 	ready     *serve.Server
 	ops       *serve.Server
@@ -98,16 +110,18 @@
 		follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me)),
 		follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me)),
 	}
-	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, budget.NewLedger(pf.Table, codec.Ledger()),
+	ledger := budget.NewLedger(pf.Table, codec.Ledger())
+	ro.fleet = follow.NewFleet(ledger, set.VM, me)
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ledger, budget.WithTick(holderTick),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
-	svc := app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
+	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
 		app.WithRetries(func() app.Retries {
 			return retry.NewBudget(retry.WithRatio(set.Retries.Ratio),
 				retry.WithReserve(int(set.Retries.Slack)/set.Retries.Routers))
 		}))
 	var err error
-	if ro.entry, err = entry.New(set.Listen, svc, ro.pool, pf.Terms, ro.limits); err != nil {
+	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.Terms, ro.limits); err != nil {
 		return nil, err
 	}
 	mx := http.NewServeMux()
@@ -231,6 +245,7 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { _ = ro.holder.Run(ctx) })
 	workers.Go(func() { ro.prime(ctx) })
+	workers.Go(func() { ro.fleet.Run(ctx) })
 	workers.Wait()
 }
 
@@ -240,23 +255,26 @@
 	for {
 		changed := ro.configs.Changed()
 		co := ro.configs.Load()
+		if co.Revision() > 0 && ro.open.CompareAndSwap(false, true) {
+			ro.met.Log(evReady, slog.Uint64("revision", uint64(co.Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
+		}
+		routers := ro.fleet.Routers()
 		for _, ac := range co.Accounts() {
-			if done[ac.Name] || !ac.Metered {
+			if done[ac.Name] || !ac.Metered || routers == 0 {
 				continue
 			}
 			rf := ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid}
-			if err := ro.holder.Prime(ctx, rf, min(typicalPrompt, ac.Prepaid)); err != nil {
+			typical := max(typicalPrompt, ac.Prepaid/(primeParts*ident.Tokens(routers)*cover.Requests))
+			if err := ro.holder.Prime(ctx, rf, min(typical, ac.Prepaid)); err != nil {
 				ro.met.Log(evPrime, slog.String("account", string(ac.Name)), slog.String("error", err.Error()))
 			}
 			done[ac.Name] = true
 		}
-		if co.Revision() > 0 && ro.open.CompareAndSwap(false, true) {
-			ro.met.Log(evReady, slog.Uint64("revision", uint64(co.Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
-		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-ro.fleet.Known():
 		}
 	}
 }
@@ -271,6 +289,9 @@
 	last := began.Add(ro.set.Drain - closeTime)
 	for {
 		now := time.Now()
+		if now.Sub(began) >= refuseAfter {
+			ro.service.Leave()
+		}
 		if !now.Before(last) || now.Sub(began) >= announceTime && ro.entry.Busy() == 0 {
 			break
 		}
