budget: shelf that a successor can reclaim, loans between routers

In a cut, one router was short while another had escrow left. Change: escrow beyond the next seconds is put on a shelf, whose use needs 4 s without a write by the store's clock; a restarted router reclaims the shelf of its predecessor. Routers lend each other available tokens while the table is away; the lender charges them. A table that is away is probed with one read and requests do not wait for it. Configurations pass between routers while the feed is lost.

--- a/internal/app/budget/close.go
+++ b/internal/app/budget/close.go
@@ -72,6 +72,7 @@
 			return en, nil
 		}
 		hg.pool.Withdraw(hg.pool.Available())
+		hg.pool.WithdrawShelf()
 		en, err := pending(hg, en)
 		if err != nil || en.Grant.Outstanding() > 0 {
 			return en, err
@@ -84,5 +85,6 @@
 func (hg *holding) finish() {
 	co := hg.pool.Counts()
 	hg.pool.Confirm(co.Unsettled, co.Returning)
+	hg.pool.ConfirmShelf(co.Shelving, co.Loose)
 	hg.grant, hg.issued = row[escrow.GrantRow]{key: hg.grant.key}, nil
 }
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -37,17 +37,26 @@
 	settle bool
 	ahead  bool
 	look   bool
+	// renew writes the grant row for the shelf, from which arm is taken.
+	renew bool
+	arm   ident.Tokens
 }
 
-func (du duty) any() bool { return du.settle || du.ahead || du.look }
+func (du duty) any() bool { return du.budget() || du.renew }
+
+// budget reports whether the duty concerns the budget row.
+func (du duty) budget() bool { return du.settle || du.ahead || du.look }
 
 // Flush makes one pass over all budgets: it settles what is due, draws ahead
 // for busy budgets, and returns idle escrow. What cannot be written stays for
 // the next pass.
 func (hd *Holder) Flush(ctx context.Context) {
-	if phase(hd.phase.Load()) != running {
+	if phase(hd.phase.Load()) != running || !hd.back(ctx) {
 		return
 	}
+	// The turns are not kept longer than a request waits for one.
+	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
+	defer cancel()
 	now := hd.opts.clock.Now()
 	var batch []duty
 	for _, hg := range hd.index.all() {
@@ -94,9 +103,10 @@
 		every = time.Duration(scale) * hd.opts.tick
 	}
 	du.look = co.Available > 0 && now.Sub(us.looked) >= every
-	if du.any() {
+	if du.budget() {
 		hg.usage.looked = now
 	}
+	du.arm, du.renew = hd.shelve(hg, now)
 	return du
 }
 
@@ -109,7 +119,8 @@
 		}
 	}()
 	err := hd.together(ctx, batch, now)
-	if err == nil || errors.Is(err, store.ErrUnavailable) {
+	hd.noteAway(err)
+	if err == nil || hd.away.Load() {
 		return err == nil
 	}
 	for _, du := range batch {
@@ -132,7 +143,7 @@
 	var writes []store.Write
 	intents := make([]intent, len(batch))
 	for no, du := range batch {
-		in, err := hd.prepare(ctx, du.hg, hd.planFor(du))
+		in, err := hd.intend(ctx, du)
 		if err != nil {
 			return err
 		}
@@ -155,13 +166,22 @@
 	return failed
 }
 
+// intend prepares the commit of one duty.
+func (hd *Holder) intend(ctx context.Context, du duty) (intent, error) {
+	if du.budget() {
+		return hd.prepare(ctx, du.hg, hd.planFor(du))
+	}
+	return hd.renewal(ctx, du.hg, du.arm)
+}
+
 func (hd *Holder) planFor(du duty) plan {
 	return func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
 		if en.Budget.Wanted > 0 || en.Budget.Free() < 0 {
 			// A lowered total takes back what is not reserved. Pieces that are too small for a request here add up elsewhere.
 			hg.pool.Withdraw(hg.pool.Available())
 		}
-		due := du.settle || hg.pool.Counts().Returning > 0
+		co := hg.pool.Counts()
+		due := du.settle || du.renew || co.Returning > 0
 		amount := ident.Tokens(0)
 		if du.ahead && en.Budget.Wanted == 0 {
 			amount = hd.opts.slicer.Slice(hd.demand(hg, hg.usage.typical, true, en.Budget))
@@ -170,6 +190,9 @@
 			return en, nil
 		}
 		en, err := pending(hg, en)
+		if err == nil && du.arm > 0 {
+			en, err = en.Arm(min(du.arm, en.Grant.Shelf()))
+		}
 		if err != nil || amount <= 0 {
 			return en, err
 		}
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -14,6 +14,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
+	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
 // Events of this package.
@@ -54,6 +55,9 @@
 	row   atomic.Uint64
 	index *index
 	slots sync.Pool
+	// away is set while the table does not answer. Requests then do not wait
+	// for it, and one read at a time finds out when it is back.
+	away atomic.Bool
 }
 
 // NewHolder returns a holder for one incarnation. Open must succeed before
@@ -169,17 +173,50 @@
 		if re := hg.standing(now, tokens); re != nil {
 			return re
 		}
+		if hd.loosen(hg) {
+			continue
+		}
+		if hd.away.Load() {
+			if hd.borrow(ctx, hg, tokens) {
+				continue
+			}
+			return refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table is away").
+				WithRetryAt(now.Add(hd.opts.refuseFor))
+		}
 		err := hd.draw(ctx, hg, tokens)
+		hd.noteAway(err)
 		if errors.Is(err, escrow.ErrShort) && !asked && hd.ask(ctx, hg, tokens) {
 			asked = true
 			continue
 		}
+		if err != nil && hd.borrow(ctx, hg, tokens) {
+			continue
+		}
 		if err != nil {
 			return hd.refuseDraw(hg, tokens, err)
 		}
 	}
 }
 
+// noteAway notes from the result of a call whether the table answers.
+func (hd *Holder) noteAway(err error) {
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) {
+		hd.away.Store(true)
+	}
+}
+
+// back reports whether the table answers.
+func (hd *Holder) back(ctx context.Context) bool {
+	if !hd.away.Load() {
+		return true
+	}
+	_, err := hd.ledger.incarnation(ctx, hd.inc)
+	if err == nil {
+		hd.away.Store(false)
+	}
+	return err == nil
+}
+
 func (hd *Holder) refuseDraw(hg *holding, tokens ident.Tokens, err error) *refuse.Refusal {
 	if re := hd.refusal(tokens); re != nil {
 		return re
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -37,6 +37,10 @@
 	usage usage
 	// lastAsked is when other holders were last asked for escrow.
 	lastAsked time.Time
+	// renewed is when the row was last sent with a time for the shelf, and
+	// shelvedUntil the latest such time.
+	renewed      time.Time
+	shelvedUntil atomic.Int64
 	// asking is set while they are asked. A holder that is short itself has
 	// nothing to release, and two that ask each other must not wait.
 	asking atomic.Bool
@@ -112,7 +116,7 @@
 	}
 	return escrow.Demand{
 		Free: bud.Free(), Holders: holders, Want: want, Ahead: ahead,
-		Rate: hg.usage.rate, Cover: hd.opts.cover(hg.weight()), Available: hg.pool.Available(),
+		Rate: hg.usage.rate, Cover: hd.opts.cover(hg.weight()), Available: hg.pool.Available() + hg.pool.Counts().Shelf,
 	}
 }
 
@@ -129,6 +133,7 @@
 		return false
 	}
 	hg.pool.Confirm(ro.val.Settled-old.val.Settled, ro.val.Returned-old.val.Returned)
+	hg.pool.ConfirmShelf(ro.val.Shelved-old.val.Shelved, ro.val.Armed-old.val.Armed)
 	hg.pool.Credit(ro.val.Drawn - old.val.Drawn)
 	hg.grant, hg.issued = ro, nil
 	return true
--- /dev/null
+++ b/internal/app/budget/lend.go
@@ -0,0 +1,52 @@
+package budget
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+var eventBorrowed = meter.Event{Number: 3007, Level: slog.LevelInfo, Text: "escrow borrowed from other routers"}
+
+// Lenders reaches the other holders of a budget without the table.
+type Lenders interface {
+	// Borrow asks other holders for tokens until enough came together, and
+	// returns how many did. Tokens whose answer is lost are charged to the
+	// lender and used by nobody.
+	Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens
+}
+
+const (
+	// borrowAhead is how many times what it lacks a holder borrows, so that the
+	// next request need not ask again.
+	borrowAhead = 2
+	// lendShare is the part of its available tokens that a holder lends at most
+	// in one go: it may be short next.
+	lendShare = 2
+)
+
+// borrow gets tokens from other holders. It reports whether the pool has
+// enough. The caller has the turn of the holding.
+func (hd *Holder) borrow(ctx context.Context, hg *holding, tokens ident.Tokens) bool {
+	lack := tokens - hg.pool.Available()
+	if hd.opts.lenders == nil || lack <= 0 {
+		return lack <= 0
+	}
+	got := hd.opts.lenders.Borrow(ctx, hg.ref, lack*borrowAhead)
+	hg.pool.Borrow(got)
+	hd.opts.meter.Log(eventBorrowed, slog.String("budget", hg.ref.String()), slog.Int64("lack", int64(lack)), slog.Int64("got", int64(got)))
+	return hg.pool.Available() >= tokens
+}
+
+// Lend charges tokens of this holder for use by another one and returns how
+// many they are. It uses what is available and nothing from the shelf.
+func (hd *Holder) Lend(rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens {
+	hg := hd.index.find(rf)
+	if hg == nil || phase(hd.phase.Load()) != running {
+		return 0
+	}
+	hd.loosen(hg)
+	return hg.pool.Lend(min(tokens, hg.pool.Available()/lendShare))
+}
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -25,6 +25,15 @@
 	peerAddress string
 	cover       func(we config.Weight) escrow.Cover
 	prepaid     Prepaid
+	shelf       shelf
+	lenders     Lenders
+}
+
+// shelf says how long escrow that is put aside stays there at least. It is off
+// without a store's clock.
+type shelf struct {
+	hold time.Duration
+	now  func() (ms int64, ok bool)
 }
 
 // Prepaid returns the prepaid total of a budget and the configuration that it
@@ -127,3 +136,17 @@
 // WithPrepaid takes the prepaid totals from a configuration. The row of such a
 // budget is created by its first draw. By default operators top budgets up.
 func WithPrepaid(source Prepaid) Option { return func(op *options) { op.prepaid = source } }
+
+// WithShelf makes the holder put escrow that it does not need within the hold
+// time on a shelf, from which it takes nothing until that time has passed
+// without a write to the table. The shelf of a holder that is known to be dead
+// can be reclaimed within the hold time. now returns a lower bound of the
+// store's clock in milliseconds, and false while it is not known. By default
+// nothing is shelved.
+func WithShelf(hold time.Duration, now func() (ms int64, ok bool)) Option {
+	return func(op *options) { op.shelf = shelf{hold: hold, now: now} }
+}
+
+// WithLenders sets how other holders are asked for tokens when the table is
+// away or has none left. By default they are not asked.
+func WithLenders(le Lenders) Option { return func(op *options) { op.lenders = le } }
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -58,16 +58,36 @@
 	if err != nil || nx == en {
 		return intent{}, err
 	}
-	return hd.encode(hg, bu, en, nx)
-}
-
-func (hd *Holder) encode(hg *holding, bu row[escrow.BudgetRow], en, nx escrow.Entry) (intent, error) {
 	wb, err := put(hd.ledger.codecs.Budget, bu, nx.Budget)
 	if err != nil {
 		return intent{}, err
 	}
 	in := intent{writes: []store.Write{wb}, grant: hg.grant, budget: nx.Budget}
-	if nx.Grant == en.Grant {
+	return hd.encode(hg, in, en, nx)
+}
+
+// renewal is prepare for a change to the shelf, which writes the grant row and
+// reads nothing unless it is in doubt.
+func (hd *Holder) renewal(ctx context.Context, hg *holding, arm ident.Tokens) (intent, error) {
+	if hg.doubt {
+		if err := hd.reread(ctx, hg); err != nil {
+			return intent{}, err
+		}
+	}
+	en := escrow.Entry{Budget: hg.seen, Grant: hg.grant.val}
+	nx, err := moved(hg, en)
+	if err == nil {
+		nx, err = nx.Arm(min(arm, nx.Grant.Shelf()))
+	}
+	if err != nil || !hg.grant.exists() {
+		return intent{}, err
+	}
+	return hd.encode(hg, intent{grant: hg.grant, budget: hg.seen}, en, nx)
+}
+
+// encode adds the write of the grant row to the intent.
+func (hd *Holder) encode(hg *holding, in intent, en, nx escrow.Entry) (intent, error) {
+	if nx = hd.stamp(hg, nx); nx.Grant == en.Grant {
 		return in, nil
 	}
 	old := hg.grant
@@ -166,6 +186,9 @@
 		if err != nil || lack <= 0 {
 			return en, err
 		}
+		if en.Grant.Shelf() >= lack {
+			return en.Arm(lack)
+		}
 		if amount := hd.opts.slicer.Slice(hd.demand(hg, lack, false, en.Budget)); amount > 0 {
 			return en.Draw(amount)
 		}
@@ -188,5 +211,18 @@
 	if err != nil {
 		return en, err
 	}
+	if en, err = moved(hg, en); err != nil {
+		return en, err
+	}
 	return en.Return(co.Returning)
 }
+
+// moved records what moved to and from the shelf.
+func moved(hg *holding, en escrow.Entry) (escrow.Entry, error) {
+	co := hg.pool.Counts()
+	en, err := en.Arm(co.Loose)
+	if err != nil {
+		return en, err
+	}
+	return en.Shelve(co.Shelving)
+}
--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -31,6 +31,8 @@
 	row     feed.Row
 	changed chan struct{}
 	known   bool
+	// lostAt is when the feed was lost, or zero.
+	lostAt time.Time
 }
 
 // NewConfig returns a follower without a configuration.
@@ -95,8 +97,24 @@
 	}
 }
 
-// Lost does nothing: what is in force stays in force.
-func (configSink) Lost(time.Time) {}
+// Lost notes the time. What is in force stays in force.
+func (cs configSink) Lost(now time.Time) { cs.co.setLost(now) }
 
-// Regained does nothing.
-func (configSink) Regained(time.Time) {}
+// Regained ends the time of the loss.
+func (cs configSink) Regained(time.Time) { cs.co.setLost(time.Time{}) }
+
+func (co *Config) setLost(at time.Time) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.lostAt = at
+}
+
+// lostFor returns for how long the feed has been lost.
+func (co *Config) lostFor(now time.Time) time.Duration {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.lostAt.IsZero() {
+		return 0
+	}
+	return now.Sub(co.lostAt)
+}
--- a/internal/core/escrow/grant.go
+++ b/internal/core/escrow/grant.go
@@ -12,6 +12,12 @@
 	Seq    uint64   `json:"seq"`
 	Op     ident.Op `json:"op"`
 	Closed bool     `json:"closed,omitempty"`
+	// Shelved and Armed count the tokens that the holder put on its shelf and
+	// took from it. What lies there is not used before the store's clock shows
+	// ShelvedUntil, in milliseconds.
+	Shelved      ident.Tokens `json:"shelved,omitempty"`
+	Armed        ident.Tokens `json:"armed,omitempty"`
+	ShelvedUntil int64        `json:"shelvedUntil,omitempty"`
 	// ResolvedBy names the operator who settled the grant without evidence.
 	ResolvedBy ident.Operator `json:"resolvedBy,omitempty"`
 }
@@ -20,6 +26,16 @@
 // returned.
 func (gr GrantRow) Outstanding() ident.Tokens { return gr.Drawn - gr.Settled - gr.Returned }
 
+// Shelf returns the tokens that the holder has put aside.
+func (gr GrantRow) Shelf() ident.Tokens { return gr.Shelved - gr.Armed }
+
+// WithShelvedUntil returns a copy whose shelf is not used before the time of
+// the store's clock in milliseconds.
+func (gr GrantRow) WithShelvedUntil(at int64) GrantRow {
+	gr.ShelvedUntil = at
+	return gr
+}
+
 // WithOp returns a copy with the next sequence number and the operation id.
 func (gr GrantRow) WithOp(op ident.Op) GrantRow {
 	gr.Seq++
@@ -79,6 +95,42 @@
 	return nx.counted(en), nil
 }
 
+// Shelve puts outstanding tokens aside.
+func (en Entry) Shelve(amount ident.Tokens) (Entry, error) {
+	if amount < 0 {
+		return en, ErrAmount
+	}
+	if err := en.check(amount + en.Grant.Shelf()); err != nil {
+		return en, err
+	}
+	en.Grant.Shelved += amount
+	return en, nil
+}
+
+// Arm takes tokens from the shelf.
+func (en Entry) Arm(amount ident.Tokens) (Entry, error) {
+	if amount < 0 || amount > en.Grant.Shelf() {
+		return en, ErrAmount
+	}
+	en.Grant.Armed += amount
+	return en, nil
+}
+
+// Reclaim frees the shelf of a holder that is dead. It is proved to be unused
+// if the store's clock had not reached the time that the row names when the
+// holder was dead already.
+func (en Entry) Reclaim(now int64) (Entry, error) {
+	amount := en.Grant.Shelf()
+	if amount == 0 || now >= en.Grant.ShelvedUntil {
+		return en, nil
+	}
+	nx, err := en.Arm(amount)
+	if err != nil {
+		return en, err
+	}
+	return nx.Return(amount)
+}
+
 // Close closes a grant that has no outstanding tokens.
 func (en Entry) Close() (Entry, error) {
 	if en.Grant.Outstanding() != 0 {
--- a/internal/core/escrow/pool.go
+++ b/internal/core/escrow/pool.go
@@ -16,16 +16,27 @@
 	unsettled atomic.Int64
 	// returning is taken out of available and not yet confirmed as returned.
 	returning atomic.Int64
+	// shelving is taken out of available and not yet confirmed as shelved.
+	shelving atomic.Int64
+	shelf    atomic.Int64
+	// loose was taken from the shelf and is still shelved in the grant's row.
+	loose atomic.Int64
+	// borrowed came from another holder, who has charged it already.
+	borrowed atomic.Int64
 }
 
 // Counts is a reading of a pool's counters.
 type Counts struct {
-	Available, Reserved, Kept, Unsettled, Returning ident.Tokens
+	Available, Reserved, Kept, Unsettled, Returning, Shelving, Shelf ident.Tokens
+	// Loose is contained in the other counters.
+	Loose ident.Tokens
+	// Borrowed is contained in the other counters and not in the grant.
+	Borrowed ident.Tokens
 }
 
 // Sum returns the outstanding amount that the counters add up to.
 func (co Counts) Sum() ident.Tokens {
-	return co.Available + co.Reserved + co.Kept + co.Unsettled + co.Returning
+	return co.Available + co.Reserved + co.Kept + co.Unsettled + co.Returning + co.Shelving + co.Shelf - co.Borrowed
 }
 
 // Counts reads the counters one after the other.
@@ -36,6 +47,10 @@
 		Kept:      ident.Tokens(po.kept.Load()),
 		Unsettled: ident.Tokens(po.unsettled.Load()),
 		Returning: ident.Tokens(po.returning.Load()),
+		Shelving:  ident.Tokens(po.shelving.Load()),
+		Shelf:     ident.Tokens(po.shelf.Load()),
+		Loose:     ident.Tokens(po.loose.Load()),
+		Borrowed:  ident.Tokens(po.borrowed.Load()),
 	}
 }
 
@@ -59,7 +74,8 @@
 	if extra := used - reserved; extra > 0 {
 		used = reserved + ident.Tokens(takeUpTo(&po.available, int64(extra)))
 	}
-	po.unsettled.Add(int64(used))
+	// What was borrowed is used first, because the lender has charged it.
+	po.unsettled.Add(int64(used) - takeUpTo(&po.borrowed, int64(used)))
 	po.reserved.Add(-int64(reserved))
 	if rest := reserved - used; rest > 0 {
 		po.available.Add(int64(rest))
@@ -92,10 +108,28 @@
 // many it took.
 func (po *Pool) Withdraw(amount ident.Tokens) ident.Tokens {
 	got := takeUpTo(&po.available, int64(amount))
+	// Borrowed tokens cannot be returned: the lender has charged them.
+	got -= takeUpTo(&po.borrowed, got)
 	po.returning.Add(got)
 	return ident.Tokens(got)
 }
 
+// Lend charges up to amount available tokens for use by another holder.
+func (po *Pool) Lend(amount ident.Tokens) ident.Tokens {
+	if amount <= 0 {
+		return 0
+	}
+	got := takeUpTo(&po.available, int64(amount))
+	po.unsettled.Add(got - takeUpTo(&po.borrowed, got))
+	return ident.Tokens(got)
+}
+
+// Borrow adds tokens that another holder lent.
+func (po *Pool) Borrow(amount ident.Tokens) {
+	po.borrowed.Add(int64(amount))
+	po.available.Add(int64(amount))
+}
+
 // Reinstate makes withdrawn tokens available again.
 func (po *Pool) Reinstate(amount ident.Tokens) {
 	po.returning.Add(-int64(amount))
@@ -108,6 +142,36 @@
 	po.returning.Add(-int64(returned))
 }
 
+// Shelve takes up to amount available tokens out for the shelf.
+func (po *Pool) Shelve(amount ident.Tokens) {
+	own := po.available.Load() - po.borrowed.Load()
+	po.shelving.Add(takeUpTo(&po.available, max(0, min(own, int64(amount)))))
+}
+
+// ConfirmShelf takes over what the table has recorded as shelved and armed.
+func (po *Pool) ConfirmShelf(shelved, armed ident.Tokens) {
+	po.shelving.Add(-int64(shelved))
+	po.shelf.Add(int64(shelved))
+	rest := int64(armed) - takeUpTo(&po.loose, int64(armed))
+	po.shelf.Add(-rest)
+	po.available.Add(rest)
+}
+
+// Loosen makes the shelf available before the table knows of it.
+func (po *Pool) Loosen() ident.Tokens {
+	got := po.shelf.Swap(0)
+	po.loose.Add(got)
+	po.available.Add(got)
+	return ident.Tokens(got)
+}
+
+// WithdrawShelf takes the shelf out for return.
+func (po *Pool) WithdrawShelf() {
+	got := po.shelf.Swap(0)
+	po.loose.Add(got)
+	po.returning.Add(got)
+}
+
 func take(co *atomic.Int64, n int64) bool {
 	for {
 		cur := co.Load()
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/entry"
+	"github.com/balsamwood/balsamwood/internal/adapt/peers"
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/serve"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
@@ -39,6 +41,7 @@
 	evStopped = meter.Event{Number: 9304, Level: slog.LevelInfo, Text: "direct router stopped"}
 	evOpening = meter.Event{Number: 9305, Level: slog.LevelWarn, Text: "the incarnation could not be registered yet"}
 	evHeld    = meter.Event{Number: 9306, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
+	evReclaim = meter.Event{Number: 9308, Level: slog.LevelWarn, Text: "escrow of earlier incarnations could not be reclaimed"}
 	evPrime   = meter.Event{Number: 9307, Level: slog.LevelWarn, Text: "no escrow could be drawn in advance"}
 )
 
@@ -62,6 +65,9 @@
 	// together draw one in advance. A total lasts for about 45 s of the users'
 	// days, so that a quarter covers 11 s.
 	primeParts = 4
+	// shelfHold is how long escrow on the shelf stays untouched after a write. A
+	// killed router is back within about 3 s and writes once a second.
+	shelfHold = 4 * time.Second
 	// holderTick is the time between two looks at the escrow. The rates follow
 	// the first seconds of a day.
 	holderTick = 500 * time.Millisecond
@@ -69,7 +75,7 @@
 
 // Escrow held in advance: the store may be away for 8 s, and what a router
 // holds when it is killed is lost to the account for good.
-var cover = escrow.Cover{Seconds: 14, Low: 10, Requests: 4, LowRequests: 4, Parts: 3}
+var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3}
 
 // Platform holds what a deployment's platform provides.
 type Platform struct {
@@ -79,6 +85,8 @@
 	DecodeConfig   follow.DecodeConfig
 	DecodeUpstream follow.DecodeUpstream
 	Terms          terms.Terms
+	// Clock returns a lower bound of the store's clock in milliseconds.
+	Clock func() (ms int64, ok bool)
 }
 
 // Router is a running router.
@@ -90,12 +98,16 @@
 	upstreams *follow.Upstreams
 	loops     []*follow.Loop
 	fleet     *follow.Fleet
+	ledger    *budget.Ledger
+	clock     func() (int64, bool)
 	holder    *budget.Holder
 	pool      *pool.Pool
 	service   *app.Service
 	entry     *entry.Server
 	ready     *serve.Server
+	peer      *serve.Server
 	ops       *serve.Server
+	gossip    *follow.Gossip
 
 	open    atomic.Bool
 	leaving atomic.Bool
@@ -110,9 +122,11 @@
 		follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me)),
 		follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me)),
 	}
-	ledger := budget.NewLedger(pf.Table, codec.Ledger())
-	ro.fleet = follow.NewFleet(ledger, set.VM, me)
-	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ledger, budget.WithTick(holderTick),
+	ro.ledger, ro.clock = budget.NewLedger(pf.Table, codec.Ledger()), pf.Clock
+	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
+	cl := peers.NewClient(ro.peerAddresses)
+	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, pf.Clock), budget.WithLenders(cl),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
 	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
@@ -129,6 +143,9 @@
 	if ro.ready, err = serve.New(set.Ready.Listen, mx); err != nil {
 		return nil, err
 	}
+	if ro.peer, err = serve.New(set.PeerListen, peers.Handler(ro.holder.Lend, ro.configs.Row)); err != nil {
+		return nil, err
+	}
 	ro.ops, err = serve.New(set.MetricsListen, serve.Ops(metrics, ro.readiness))
 	return ro, err
 }
@@ -151,6 +168,20 @@
 	return ac.Prepaid, co.Revision(), ok && ac.Metered
 }
 
+// peerAddresses returns where other routers answer: those that the store names,
+// or else the seeds of the settings.
+func (ro *Router) peerAddresses() []string {
+	known := ro.fleet.Peers()
+	if len(known) == 0 {
+		return slices.DeleteFunc(slices.Clone(ro.set.Seeds), func(addr string) bool { return addr == ro.set.PeerListen })
+	}
+	out := make([]string, 0, len(known))
+	for _, pe := range known {
+		out = append(out, pe.Address)
+	}
+	return out
+}
+
 // readiness is nil when requests can be served.
 func (ro *Router) readiness() error {
 	switch {
@@ -185,9 +216,9 @@
 	failed, fail := context.WithCancel(ctx)
 	defer fail()
 	var servers, workers sync.WaitGroup
-	errCh := make(chan error, 3)
+	errCh := make(chan error, 4)
 	servers.Go(func() { defer fail(); errCh <- ro.entry.Serve() })
-	for _, sv := range []*serve.Server{ro.ready, ro.ops} {
+	for _, sv := range []*serve.Server{ro.ready, ro.peer, ro.ops} {
 		servers.Go(func() { defer fail(); errCh <- sv.Serve() })
 	}
 	for _, lo := range ro.loops {
@@ -195,6 +226,7 @@
 	}
 	workers.Go(func() { ro.pool.Run(own) })
 	workers.Go(func() { ro.expire(own) })
+	workers.Go(func() { ro.gossip.Run(own) })
 	workers.Go(func() { ro.hold(own) })
 	<-failed.Done()
 	ro.leave()
@@ -202,6 +234,7 @@
 	workers.Wait()
 	ro.returnEscrow()
 	_ = ro.ready.Close()
+	_ = ro.peer.Close()
 	_ = ro.ops.Close()
 	servers.Wait()
 	close(errCh)
@@ -245,10 +278,42 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { _ = ro.holder.Run(ctx) })
 	workers.Go(func() { ro.prime(ctx) })
+	workers.Go(func() { ro.reclaim(ctx) })
 	workers.Go(func() { ro.fleet.Run(ctx) })
 	workers.Wait()
 }
 
+// reclaim frees the shelves of earlier incarnations on this VM. They are dead,
+// because this one has their addresses.
+func (ro *Router) reclaim(ctx context.Context) {
+	for {
+		changed := ro.configs.Changed()
+		if ro.configs.Load().Revision() > 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+	var refs []ident.BudgetRef
+	for _, ac := range ro.configs.Load().Accounts() {
+		refs = append(refs, ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid})
+	}
+	all, err := ro.ledger.Incarnations(ctx)
+	for _, in := range all {
+		if in.Row.VM != ro.set.VM || in.ID == ro.in || in.Row.State != escrow.Open {
+			continue
+		}
+		_, failed := ro.ledger.Reclaim(ctx, in.ID, refs, ro.clock, ro.met)
+		err = errors.Join(err, failed)
+	}
+	if err != nil {
+		ro.met.Log(evReclaim, slog.String("error", err.Error()))
+	}
+}
+
 // prime draws escrow for each account that the configuration adds.
 func (ro *Router) prime(ctx context.Context) {
 	done := map[ident.Account]bool{}
