budget: an ended router's statement closes its grants at another router

Cause: routers that get SIGTERM while they are cut from the store could not return their escrow. Change: such a router gives its final totals to two others, which close its grants as soon as they reach the store. A holder that is told of a shortage returns its shelf.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
@@ -21,6 +22,8 @@
 const (
 	lendPath   = "/v1/lend"
 	configPath = "/v1/config"
+
+	statementPath = "/v1/statement"
 	// maxBody bounds a loan's messages, and maxDocument a configuration.
 	maxBody     = 4 << 10
 	maxDocument = 8 << 20
@@ -31,6 +34,9 @@
 	// maxAsked bounds the routers that one request asks for escrow.
 	maxAsked = 4
 	idleEach = 2
+	// statementCopies is the number of routers that keep a statement, so that
+	// one may be lost.
+	statementCopies = 2
 )
 
 // loan is the request and the answer of a loan.
@@ -38,6 +44,8 @@
 	Account ident.Account `json:"account,omitempty"`
 	Budget  ident.Budget  `json:"budget,omitempty"`
 	Tokens  ident.Tokens  `json:"tokens"`
+	// Short says that the budget has no tokens left that could be drawn.
+	Short bool `json:"short,omitempty"`
 }
 
 // document is a configuration as the store has it.
@@ -47,9 +55,18 @@
 	Version uint64 `json:"version"`
 }
 
-// Handler serves other routers. lend charges tokens and returns how many,
-// newest returns the configuration in force.
-func Handler(lend func(rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens, newest func() (feed.Row, bool)) http.Handler {
+// Answers is what a router does for other routers.
+type Answers struct {
+	// Lend charges tokens and returns how many.
+	Lend func(rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
+	// Newest returns the configuration in force.
+	Newest func() (feed.Row, bool)
+	// Keep takes the last statement of a router that ends.
+	Keep func(st escrow.Statement)
+}
+
+// Handler serves other routers.
+func Handler(an Answers) http.Handler {
 	mx := http.NewServeMux()
 	mx.HandleFunc("POST "+lendPath, func(wr http.ResponseWriter, re *http.Request) {
 		var lo loan
@@ -57,12 +74,12 @@
 			http.Error(wr, "want account, budget and tokens above 0", http.StatusBadRequest)
 			return
 		}
-		lo.Tokens = lend(ident.BudgetRef{Account: lo.Account, Budget: lo.Budget}, lo.Tokens)
+		lo.Tokens = an.Lend(ident.BudgetRef{Account: lo.Account, Budget: lo.Budget}, lo.Tokens, lo.Short)
 		answer(wr, lo)
 	})
 	mx.HandleFunc("GET "+configPath, func(wr http.ResponseWriter, re *http.Request) {
 		after, err := strconv.ParseUint(re.FormValue("after"), 10, 64)
-		ro, ok := newest()
+		ro, ok := an.Newest()
 		switch {
 		case err != nil:
 			http.Error(wr, "want a version in after", http.StatusBadRequest)
@@ -72,6 +89,16 @@
 			answer(wr, document{Key: ro.Key, Value: ro.Value, Version: ro.Version})
 		}
 	})
+	mx.HandleFunc("POST "+statementPath, func(wr http.ResponseWriter, re *http.Request) {
+		var st escrow.Statement
+		err := json.NewDecoder(http.MaxBytesReader(wr, re.Body, maxDocument)).Decode(&st)
+		if err != nil || st.Incarnation == "" {
+			http.Error(wr, "want an incarnation with what it used", http.StatusBadRequest)
+			return
+		}
+		an.Keep(st)
+		wr.WriteHeader(http.StatusNoContent)
+	})
 	return mx
 }
 
@@ -93,7 +120,7 @@
 }
 
 // Borrow asks routers in random order until enough tokens came together.
-func (cl *Client) Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens {
+func (cl *Client) Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
 	peers := cl.peers()
 	var sum ident.Tokens
 	asked := 0
@@ -101,7 +128,7 @@
 		if asked++; asked > maxAsked || sum >= tokens || ctx.Err() != nil {
 			break
 		}
-		got, err := cl.borrow(ctx, peers[ix], loan{Account: rf.Account, Budget: rf.Budget, Tokens: tokens - sum})
+		got, err := cl.borrow(ctx, peers[ix], loan{Account: rf.Account, Budget: rf.Budget, Tokens: tokens - sum, Short: short})
 		if err == nil {
 			sum += got
 		}
@@ -130,6 +157,36 @@
 	return got.Tokens, nil
 }
 
+// Leave gives the statement of this router to others, and returns how many
+// have it.
+func (cl *Client) Leave(ctx context.Context, st escrow.Statement) int {
+	peers := cl.peers()
+	body, err := json.Marshal(st)
+	if err != nil {
+		return 0
+	}
+	kept := 0
+	for _, ix := range rand.Perm(len(peers)) {
+		if kept >= statementCopies || ctx.Err() != nil {
+			break
+		}
+		if cl.leave(ctx, peers[ix], body) == nil {
+			kept++
+		}
+	}
+	return kept
+}
+
+func (cl *Client) leave(ctx context.Context, addr string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+statementPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return cl.call(re, maxBody, nil)
+}
+
 // Newest asks one router for a configuration that is newer than the version.
 func (cl *Client) Newest(ctx context.Context, addr string, after uint64) (feed.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -102,7 +102,7 @@
 		// Other holders may be short of what is available here.
 		every = time.Duration(scale) * hd.opts.tick
 	}
-	du.look = co.Available > 0 && now.Sub(us.looked) >= every
+	du.look = hg.wanted.Swap(false) || co.Available > 0 && now.Sub(us.looked) >= every
 	if du.budget() {
 		hg.usage.looked = now
 	}
@@ -179,6 +179,7 @@
 		if en.Budget.Wanted > 0 || en.Budget.Free() < 0 {
 			// A lowered total takes back what is not reserved. Pieces that are too small for a request here add up elsewhere.
 			hg.pool.Withdraw(hg.pool.Available())
+			hg.pool.WithdrawShelf()
 		}
 		co := hg.pool.Counts()
 		due := du.settle || du.renew || co.Returning > 0
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -177,7 +177,7 @@
 			continue
 		}
 		if hd.away.Load() {
-			if hd.borrow(ctx, hg, tokens) {
+			if hd.borrow(ctx, hg, tokens, false) {
 				continue
 			}
 			return refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table is away").
@@ -189,7 +189,7 @@
 			asked = true
 			continue
 		}
-		if err != nil && hd.borrow(ctx, hg, tokens) {
+		if err != nil && hd.borrow(ctx, hg, tokens, errors.Is(err, escrow.ErrShort)) {
 			continue
 		}
 		if err != nil {
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -37,6 +37,8 @@
 	usage usage
 	// lastAsked is when other holders were last asked for escrow.
 	lastAsked time.Time
+	// wanted is set when another holder is short of this budget.
+	wanted atomic.Bool
 	// renewed is when the row was last sent with a time for the shelf, and
 	// shelvedUntil the latest such time.
 	renewed      time.Time
--- a/internal/app/budget/lend.go
+++ b/internal/app/budget/lend.go
@@ -14,8 +14,9 @@
 type Lenders interface {
 	// Borrow asks other holders for tokens until enough came together, and
 	// returns how many did. Tokens whose answer is lost are charged to the
-	// lender and used by nobody.
-	Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens
+	// lender and used by nobody. Short says that the budget has none left, so
+	// that the others are to return what they can spare.
+	Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
 }
 
 const (
@@ -29,24 +30,28 @@
 
 // borrow gets tokens from other holders. It reports whether the pool has
 // enough. The caller has the turn of the holding.
-func (hd *Holder) borrow(ctx context.Context, hg *holding, tokens ident.Tokens) bool {
+func (hd *Holder) borrow(ctx context.Context, hg *holding, tokens ident.Tokens, short bool) bool {
 	lack := tokens - hg.pool.Available()
 	if hd.opts.lenders == nil || lack <= 0 {
 		return lack <= 0
 	}
-	got := hd.opts.lenders.Borrow(ctx, hg.ref, lack*borrowAhead)
+	got := hd.opts.lenders.Borrow(ctx, hg.ref, lack*borrowAhead, short)
 	hg.pool.Borrow(got)
 	hd.opts.meter.Log(eventBorrowed, slog.String("budget", hg.ref.String()), slog.Int64("lack", int64(lack)), slog.Int64("got", int64(got)))
 	return hg.pool.Available() >= tokens
 }
 
 // Lend charges tokens of this holder for use by another one and returns how
-// many they are. It uses what is available and nothing from the shelf.
-func (hd *Holder) Lend(rf ident.BudgetRef, tokens ident.Tokens) ident.Tokens {
+// many they are. It uses what is available and nothing from the shelf. If the
+// budget is short, the shelf is returned to the table soon.
+func (hd *Holder) Lend(rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
 	hg := hd.index.find(rf)
 	if hg == nil || phase(hd.phase.Load()) != running {
 		return 0
 	}
 	hd.loosen(hg)
+	if short {
+		hg.wanted.Store(true)
+	}
 	return hg.pool.Lend(min(tokens, hg.pool.Available()/lendShare))
 }
--- a/internal/core/escrow/evidence.go
+++ b/internal/core/escrow/evidence.go
@@ -111,3 +111,10 @@
 		return slices.Contains(ev.gone, it)
 	})
 }
+
+// Statement is what an incarnation says of itself when it ends: it has used
+// these totals and uses nothing more.
+type Statement struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Used        []Use             `json:"used"`
+}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -54,8 +54,10 @@
 	// later may not be complete before the end.
 	refuseAfter = 2900 * time.Millisecond
 	// closeTime is kept at the end of the drain time for the return of escrow.
-	closeTime = 800 * time.Millisecond
-	leavePoll = 50 * time.Millisecond
+	closeTime = 500 * time.Millisecond
+	// statementTime bounds the handing over of the statement.
+	statementTime = 250 * time.Millisecond
+	leavePoll     = 50 * time.Millisecond
 	// expireEvery is the time between two looks for lapsed upstreams.
 	expireEvery = 200 * time.Millisecond
 	// typicalPrompt is the size of a request for which escrow is drawn before
@@ -108,6 +110,9 @@
 	peer      *serve.Server
 	ops       *serve.Server
 	gossip    *follow.Gossip
+	peers     *peers.Client
+
+	statements *budget.Statements
 
 	open    atomic.Bool
 	leaving atomic.Bool
@@ -125,6 +130,7 @@
 	ro.ledger, ro.clock = budget.NewLedger(pf.Table, codec.Ledger()), pf.Clock
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	cl := peers.NewClient(ro.peerAddresses)
+	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
 	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, pf.Clock), budget.WithLenders(cl),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
@@ -143,7 +149,9 @@
 	if ro.ready, err = serve.New(set.Ready.Listen, mx); err != nil {
 		return nil, err
 	}
-	if ro.peer, err = serve.New(set.PeerListen, peers.Handler(ro.holder.Lend, ro.configs.Row)); err != nil {
+	if ro.peer, err = serve.New(set.PeerListen, peers.Handler(peers.Answers{
+		Lend: ro.holder.Lend, Newest: ro.configs.Row, Keep: ro.statements.Keep,
+	})); err != nil {
 		return nil, err
 	}
 	ro.ops, err = serve.New(set.MetricsListen, serve.Ops(metrics, ro.readiness))
@@ -227,6 +235,7 @@
 	workers.Go(func() { ro.pool.Run(own) })
 	workers.Go(func() { ro.expire(own) })
 	workers.Go(func() { ro.gossip.Run(own) })
+	workers.Go(func() { ro.statements.Run(own) })
 	workers.Go(func() { ro.hold(own) })
 	<-failed.Done()
 	ro.leave()
@@ -351,7 +360,7 @@
 	ro.leaving.Store(true)
 	ro.entry.Leave()
 	ro.met.Log(evLeaving, slog.Int("connections", ro.entry.Open()), slog.Int("busy", ro.entry.Busy()))
-	last := began.Add(ro.set.Drain - closeTime)
+	last := began.Add(ro.set.Drain - closeTime - statementTime)
 	for {
 		now := time.Now()
 		if now.Sub(began) >= refuseAfter {
@@ -371,7 +380,11 @@
 	if !ro.open.Load() {
 		return
 	}
-	if err := ro.holder.Close(ctx); err != nil {
-		ro.met.Log(evHeld, slog.String("error", err.Error()))
+	err := ro.holder.Close(ctx)
+	if err == nil {
+		return
 	}
+	ctx, cancel = context.WithTimeout(context.Background(), statementTime)
+	defer cancel()
+	ro.met.Log(evHeld, slog.String("error", err.Error()), slog.Int("statements", ro.peers.Leave(ctx, ro.holder.Statement())))
 }
