direct: tell the charged tokens and the prepaid totals in the records

Change: charged tokens in each record of a request, totals in the record of a configuration, free, prepaid and held tokens in a refusal.

--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -230,8 +230,8 @@
 	case errors.Is(err, ErrUnknownBudget):
 		re = refuse.New(refuse.OverBudget, "budget %s was never topped up", hg.ref)
 	case errors.Is(err, escrow.ErrShort):
-		re = refuse.New(refuse.OverBudget, "%d tokens asked, %d free, %d held for other requests",
-			tokens, hg.seen.Free(), hg.seen.Granted)
+		re = refuse.New(refuse.OverBudget, "%d tokens asked, %d free of %d prepaid, %d held by %d routers",
+			tokens, hg.seen.Free(), hg.seen.Prepaid, hg.seen.Granted, hg.seen.Holders)
 		if hg.seen.Free()+hg.seen.Granted >= tokens {
 			re = re.WithRetryAt(until)
 		}
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -60,7 +60,9 @@
 	last   int64
 	events int64
 	first  time.Duration
-	status int
+	// charged is what the account pays.
+	charged ident.Tokens
+	status  int
 }
 
 // check finds the route and the account of the request.
@@ -117,7 +119,8 @@
 	}
 	if pr := rn.ask.Prompt; pr != nil {
 		output := ident.Tokens(rn.events) * max(1, rn.service.EventTokens)
-		hold.Settle(pr.Input + min(output, pr.MaxOutput))
+		rn.charged = pr.Input + min(output, pr.MaxOutput)
+		hold.Settle(rn.charged)
 	}
 }
 
@@ -229,6 +232,7 @@
 		slog.String("request", string(rn.ask.ID)), slog.String("route", rn.route.Name),
 		slog.String("account", string(rn.account.Name)), slog.String("service", string(rn.service.Name)),
 		slog.Uint64("revision", uint64(rn.conf.Revision())), slog.Int("sends", rn.sends), slog.Int("runs", rn.runs),
+		slog.Int64("charged", int64(rn.charged)),
 		slog.Duration("left", rn.deadline.Sub(rn.se.opts.clock.Now())),
 	}
 	return append(at, more...)
--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -79,7 +80,18 @@
 	close(co.changed)
 	co.changed = make(chan struct{})
 	co.meter.Log(evConfig, slog.Uint64("revision", uint64(next.Revision())), slog.Uint64("version", ro.Version),
-		slog.String("source", source), slog.Int("accounts", len(next.Accounts())))
+		slog.String("source", source), slog.Any("prepaid", totals(next)))
+}
+
+// totals returns the prepaid total of each account.
+func totals(co intent.Config) map[ident.Account]ident.Tokens {
+	out := map[ident.Account]ident.Tokens{}
+	for _, ac := range co.Accounts() {
+		if ac.Metered {
+			out[ac.Name] = ac.Prepaid
+		}
+	}
+	return out
 }
 
 // Sink returns the sink of the feed that holds the configuration.
