budget: bound what a router holds to its share, draw for routers that are cut off

Cause: routers held 16 s of their rate while others found nothing free (first refusal of an account at 18 s, 11 in 100 of its total never charged). Change: a holder has at most its share of what is free and returns the excess; a lender that reaches the store draws for the borrower.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -27,8 +27,9 @@
 	// maxBody bounds a loan's messages, and maxDocument a configuration.
 	maxBody     = 4 << 10
 	maxDocument = 8 << 20
-	// askTimeout bounds one call. Routers are less than a millisecond apart.
-	askTimeout = 60 * time.Millisecond
+	// askTimeout bounds one call. Routers are less than a millisecond apart, and
+	// a draw for another router takes two calls of 4 ms.
+	askTimeout = 100 * time.Millisecond
 	// configTimeout leaves time for a document of some 100 KB.
 	configTimeout = 300 * time.Millisecond
 	// maxAsked bounds the routers that one request asks for escrow.
@@ -58,7 +59,7 @@
 // Answers is what a router does for other routers.
 type Answers struct {
 	// Lend charges tokens and returns how many.
-	Lend func(rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
+	Lend func(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
 	// Newest returns the configuration in force.
 	Newest func() (feed.Row, bool)
 	// Keep takes the last statement of a router that ends.
@@ -74,7 +75,7 @@
 			http.Error(wr, "want account, budget and tokens above 0", http.StatusBadRequest)
 			return
 		}
-		lo.Tokens = an.Lend(ident.BudgetRef{Account: lo.Account, Budget: lo.Budget}, lo.Tokens, lo.Short)
+		lo.Tokens = an.Lend(re.Context(), ident.BudgetRef{Account: lo.Account, Budget: lo.Budget}, lo.Tokens, lo.Short)
 		answer(wr, lo)
 	})
 	mx.HandleFunc("GET "+configPath, func(wr http.ResponseWriter, re *http.Request) {
--- a/internal/app/budget/close.go
+++ b/internal/app/budget/close.go
@@ -72,7 +72,7 @@
 			return en, nil
 		}
 		hg.pool.Withdraw(hg.pool.Available())
-		hg.pool.WithdrawShelf()
+		hg.pool.WithdrawShelf(hg.pool.Counts().Shelf)
 		en, err := pending(hg, en)
 		if err != nil || en.Grant.Outstanding() > 0 {
 			return en, err
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -18,9 +18,6 @@
 	// holdersPerBatch scales the batch with the holders of a budget, because
 	// all of them write the same budget row.
 	holdersPerBatch = 16
-	// lookEvery is the longest time that spare escrow is kept without a look at
-	// the budget row. Each look is one read.
-	lookEvery = 10 * time.Second
 )
 
 // settleWithin is the longest time that a settlement waits for its batch.
@@ -97,7 +94,7 @@
 	du.settle = co.Returning > 0 || hg.doubt || co.Unsettled > 0 && (full || aged)
 	de := hd.demand(hg, us.typical, true, hg.seen)
 	du.ahead = us.lastUse.Equal(now) && co.Available < de.Low() && hd.opts.slicer.Slice(de) > 0
-	every := lookEvery
+	every := hd.opts.lookEvery
 	if de.Tight() {
 		// Other holders may be short of what is available here.
 		every = time.Duration(scale) * hd.opts.tick
@@ -179,7 +176,11 @@
 		if en.Budget.Wanted > 0 || en.Budget.Free() < 0 {
 			// A lowered total takes back what is not reserved. Pieces that are too small for a request here add up elsewhere.
 			hg.pool.Withdraw(hg.pool.Available())
-			hg.pool.WithdrawShelf()
+			hg.pool.WithdrawShelf(hg.pool.Counts().Shelf)
+		}
+		if over := hd.demand(hg, hg.usage.typical, true, en.Budget).Excess(); over > 0 {
+			over -= hg.pool.WithdrawShelf(over)
+			hg.pool.Withdraw(over)
 		}
 		co := hg.pool.Counts()
 		due := du.settle || du.renew || co.Returning > 0
--- a/internal/app/budget/lend.go
+++ b/internal/app/budget/lend.go
@@ -44,7 +44,7 @@
 // Lend charges tokens of this holder for use by another one and returns how
 // many they are. It uses what is available and nothing from the shelf. If the
 // budget is short, the shelf is returned to the table soon.
-func (hd *Holder) Lend(rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
+func (hd *Holder) Lend(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
 	hg := hd.index.find(rf)
 	if hg == nil || phase(hd.phase.Load()) != running {
 		return 0
@@ -53,5 +53,11 @@
 	if short {
 		hg.wanted.Store(true)
 	}
+	if !short && !hd.away.Load() && hg.pool.Available()/lendShare < tokens && hg.tryLock() {
+		// This holder reaches the table and can draw for the other one. A
+		// failure leaves what is available.
+		_ = hd.draw(ctx, hg, tokens*lendShare)
+		hg.unlock()
+	}
 	return hg.pool.Lend(min(tokens, hg.pool.Available()/lendShare))
 }
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -27,6 +27,7 @@
 	prepaid     Prepaid
 	shelf       shelf
 	lenders     Lenders
+	lookEvery   time.Duration
 }
 
 // shelf says how long escrow that is put aside stays there at least. It is off
@@ -56,6 +57,7 @@
 		idleAfter:   30 * time.Second,
 		batch:       64,
 		cover:       escrow.CoverFor,
+		lookEvery:   10 * time.Second,
 		prepaid:     func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 0, 0, false },
 	}
 	for _, apply := range opts {
@@ -150,3 +152,10 @@
 // WithLenders sets how other holders are asked for tokens when the table is
 // away or has none left. By default they are not asked.
 func WithLenders(le Lenders) Option { return func(op *options) { op.lenders = le } }
+
+// WithLook sets the longest time that spare escrow is kept without a look at
+// the budget row, which is one read. The default is 10 s, and the range is
+// 100 ms to 1 h.
+func WithLook(every time.Duration) Option {
+	return func(op *options) { op.lookEvery = min(max(every, 100*time.Millisecond), time.Hour) }
+}
--- a/internal/core/escrow/pool.go
+++ b/internal/core/escrow/pool.go
@@ -165,11 +165,13 @@
 	return ident.Tokens(got)
 }
 
-// WithdrawShelf takes the shelf out for return.
-func (po *Pool) WithdrawShelf() {
-	got := po.shelf.Swap(0)
+// WithdrawShelf takes up to amount tokens of the shelf out for return and
+// reports how many it took.
+func (po *Pool) WithdrawShelf(amount ident.Tokens) ident.Tokens {
+	got := takeUpTo(&po.shelf, int64(amount))
 	po.loose.Add(got)
 	po.returning.Add(got)
+	return ident.Tokens(got)
 }
 
 func take(co *atomic.Int64, n int64) bool {
--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -67,6 +67,9 @@
 	// LowRequests is the number of typical requests below which a holder draws
 	// ahead whatever its rate is.
 	LowRequests ident.Tokens
+	// Fair bounds what a holder has to its share of what is free, so that at
+	// least half of the unspent tokens can be drawn where they are needed.
+	Fair bool
 	// Parts is the number of equal parts into which a holder's share of the
 	// free tokens is divided, so that later draws still find something free.
 	Parts ident.Tokens
@@ -103,9 +106,29 @@
 		return de.Want
 	}
 	need := max(ident.Tokens(de.Rate*co.Seconds), de.Want*co.Requests)
+	if co.Fair {
+		need = min(need, de.fair())
+	}
 	return min(share, need-de.Available)
 }
 
+// fair returns what the holder may have without being unfair to others.
+func (de Demand) fair() ident.Tokens {
+	return max(2*de.Want, de.Free/ident.Tokens(max(1, de.Holders)))
+}
+
+// excessSlack is the factor by which a holder may exceed its fair share before
+// it returns the excess, so that small changes cause no writes.
+const excessSlack = 1.5
+
+// Excess returns how many of its available tokens the holder is to return.
+func (de Demand) Excess() ident.Tokens {
+	if !de.Cover.Fair || float64(de.Available) < excessSlack*float64(de.fair()) {
+		return 0
+	}
+	return de.Available - de.fair()
+}
+
 // Home draws for all holders of a budget, which then take from it by peer
 // transfer. It is kept for measurement.
 type Home struct{}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -70,6 +70,8 @@
 	// shelfHold is how long escrow on the shelf stays untouched after a write. A
 	// killed router is back within about 3 s and writes once a second.
 	shelfHold = 4 * time.Second
+	// lookEvery is the time between two looks at what is left of a budget.
+	lookEvery = 2 * time.Second
 	// holderTick is the time between two looks at the escrow. The rates follow
 	// the first seconds of a day.
 	holderTick = 500 * time.Millisecond
@@ -77,7 +79,7 @@
 
 // Escrow held in advance: the store may be away for 8 s, and what a router
 // holds when it is killed is lost to the account for good.
-var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3}
+var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3, Fair: true}
 
 // Platform holds what a deployment's platform provides.
 type Platform struct {
@@ -132,7 +134,7 @@
 	cl := peers.NewClient(ro.peerAddresses)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
-	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, pf.Clock), budget.WithLenders(cl),
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
 	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
