--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -67,9 +67,9 @@
 	// LowRequests is the number of typical requests below which a holder draws
 	// ahead whatever its rate is.
 	LowRequests ident.Tokens
-	// Fair bounds what a holder has to its share of what is free, so that at
-	// least half of the unspent tokens can be drawn where they are needed.
-	Fair bool
+	// Fair bounds what a holder has to so many times its share of what is free,
+	// so that tokens can be drawn where they are needed. Zero means no bound.
+	Fair float64
 	// Parts is the number of equal parts into which a holder's share of the
 	// free tokens is divided, so that later draws still find something free.
 	Parts ident.Tokens
@@ -106,7 +106,7 @@
 		return de.Want
 	}
 	need := max(ident.Tokens(de.Rate*co.Seconds), de.Want*co.Requests)
-	if co.Fair {
+	if co.Fair > 0 {
 		need = min(need, de.fair())
 	}
 	return min(share, need-de.Available)
@@ -114,7 +114,7 @@
 
 // fair returns what the holder may have without being unfair to others.
 func (de Demand) fair() ident.Tokens {
-	return max(2*de.Want, de.Free/ident.Tokens(max(1, de.Holders)))
+	return max(2*de.Want, ident.Tokens(de.Cover.Fair*float64(de.Free)/float64(max(1, de.Holders))))
 }
 
 // excessSlack is the factor by which a holder may exceed its fair share before
@@ -123,7 +123,7 @@
 
 // Excess returns how many of its available tokens the holder is to return.
 func (de Demand) Excess() ident.Tokens {
-	if !de.Cover.Fair || float64(de.Available) < excessSlack*float64(de.fair()) {
+	if de.Cover.Fair <= 0 || float64(de.Available) < excessSlack*float64(de.fair()) {
 		return 0
 	}
 	return de.Available - de.fair()
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -79,7 +79,7 @@
 
 // Escrow held in advance: the store may be away for 8 s, and what a router
 // holds when it is killed is lost to the account for good.
-var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3, Fair: true}
+var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3, Fair: 1.5}
 
 // Platform holds what a deployment's platform provides.
 type Platform struct {
