--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -34,6 +34,7 @@
 // without a store's clock.
 type shelf struct {
 	hold time.Duration
+	span time.Duration
 	now  func() (ms int64, ok bool)
 }
 
@@ -140,13 +141,12 @@
 func WithPrepaid(source Prepaid) Option { return func(op *options) { op.prepaid = source } }
 
 // WithShelf makes the holder put escrow that it does not need within the hold
-// time on a shelf, from which it takes nothing until that time has passed
-// without a write to the table. The shelf of a holder that is known to be dead
-// can be reclaimed within the hold time. now returns a lower bound of the
-// store's clock in milliseconds, and false while it is not known. By default
-// nothing is shelved.
-func WithShelf(hold time.Duration, now func() (ms int64, ok bool)) Option {
-	return func(op *options) { op.shelf = shelf{hold: hold, now: now} }
+// time on a shelf. Once that time has passed without a write to the table, the
+// shelf opens evenly over the span. What has not opened when a holder is known
+// to be dead can be reclaimed. now returns a lower bound of the store's clock in
+// milliseconds, and false while it is not known. By default nothing is shelved.
+func WithShelf(hold, span time.Duration, now func() (ms int64, ok bool)) Option {
+	return func(op *options) { op.shelf = shelf{hold: hold, span: span, now: now} }
 }
 
 // WithLenders sets how other holders are asked for tokens when the table is
--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -69,20 +69,29 @@
 	}
 	until := ms + hd.opts.shelf.hold.Milliseconds()
 	hg.shelvedUntil.Store(max(hg.shelvedUntil.Load(), until))
+	hg.shelved.Store(int64(min(hg.grant.val.Shelf(), en.Grant.Shelf())))
 	hg.renewed = hd.opts.clock.Now()
-	en.Grant = en.Grant.WithShelvedUntil(until)
+	en.Grant = en.Grant.WithShelvedUntil(until, hd.opts.shelf.span.Milliseconds())
 	return en
 }
 
-// loosen opens the shelf when no write has been sent for the hold time.
+// loosen takes from the shelf what has opened since the last write that may
+// have arrived. It reports whether there was any.
 func (hd *Holder) loosen(hg *holding) bool {
 	ms, ok := hd.opts.shelf.clock()
-	if !ok || ms < hg.shelvedUntil.Load() || hg.pool.Counts().Shelf == 0 {
+	if !ok {
 		return false
 	}
-	got := hg.pool.Loosen()
-	hd.opts.meter.Log(eventLoosened, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
-		slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", hg.shelvedUntil.Load()))
+	until := hg.shelvedUntil.Load()
+	open := escrow.Opened(ident.Tokens(hg.shelved.Load()), until, hd.opts.shelf.span.Milliseconds(), ms)
+	// Two requests that loosen at the same moment must not take the same part.
+	hg.loosening.Lock()
+	got := hg.pool.Loosen(max(0, open-hg.pool.Counts().Loose))
+	hg.loosening.Unlock()
+	if got > 0 {
+		hd.opts.meter.Log(eventLoosened, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
+			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", until))
+	}
 	return got > 0
 }
 
--- a/internal/core/escrow/grant.go
+++ b/internal/core/escrow/grant.go
@@ -13,11 +13,13 @@
 	Op     ident.Op `json:"op"`
 	Closed bool     `json:"closed,omitempty"`
 	// Shelved and Armed count the tokens that the holder put on its shelf and
-	// took from it. What lies there is not used before the store's clock shows
-	// ShelvedUntil, in milliseconds.
+	// took from it. The shelf opens evenly from the time ShelvedUntil of the
+	// store's clock over ShelfSpan, both in milliseconds, unless the row is
+	// written again.
 	Shelved      ident.Tokens `json:"shelved,omitempty"`
 	Armed        ident.Tokens `json:"armed,omitempty"`
 	ShelvedUntil int64        `json:"shelvedUntil,omitempty"`
+	ShelfSpan    int64        `json:"shelfSpan,omitempty"`
 	// ResolvedBy names the operator who settled the grant without evidence.
 	ResolvedBy ident.Operator `json:"resolvedBy,omitempty"`
 }
@@ -29,13 +31,25 @@
 // Shelf returns the tokens that the holder has put aside.
 func (gr GrantRow) Shelf() ident.Tokens { return gr.Shelved - gr.Armed }
 
-// WithShelvedUntil returns a copy whose shelf is not used before the time of
-// the store's clock in milliseconds.
-func (gr GrantRow) WithShelvedUntil(at int64) GrantRow {
-	gr.ShelvedUntil = at
+// WithShelvedUntil returns a copy whose shelf opens from the time of the store's
+// clock on, over the span, both in milliseconds.
+func (gr GrantRow) WithShelvedUntil(at, span int64) GrantRow {
+	gr.ShelvedUntil, gr.ShelfSpan = at, span
 	return gr
 }
 
+// Opened returns how much of a shelf may be used at the time now.
+func Opened(shelf ident.Tokens, until, span, now int64) ident.Tokens {
+	switch past := now - until; {
+	case past <= 0:
+		return 0
+	case past >= span:
+		return shelf
+	default:
+		return ident.Tokens(float64(shelf) * float64(past) / float64(span))
+	}
+}
+
 // WithOp returns a copy with the next sequence number and the operation id.
 func (gr GrantRow) WithOp(op ident.Op) GrantRow {
 	gr.Seq++
@@ -116,12 +130,12 @@
 	return en, nil
 }
 
-// Reclaim frees the shelf of a holder that is dead. It is proved to be unused
-// if the store's clock had not reached the time that the row names when the
-// holder was dead already.
+// Reclaim frees the part of the shelf that a holder cannot have used which was
+// dead when the store's clock showed now.
 func (en Entry) Reclaim(now int64) (Entry, error) {
-	amount := en.Grant.Shelf()
-	if amount == 0 || now >= en.Grant.ShelvedUntil {
+	gr := en.Grant
+	amount := gr.Shelf() - Opened(gr.Shelf(), gr.ShelvedUntil, gr.ShelfSpan, now)
+	if amount <= 0 {
 		return en, nil
 	}
 	nx, err := en.Arm(amount)
--- a/internal/core/escrow/pool.go
+++ b/internal/core/escrow/pool.go
@@ -157,9 +157,10 @@
 	po.available.Add(rest)
 }
 
-// Loosen makes the shelf available before the table knows of it.
-func (po *Pool) Loosen() ident.Tokens {
-	got := po.shelf.Swap(0)
+// Loosen makes up to amount tokens of the shelf available before the table
+// knows of it.
+func (po *Pool) Loosen(amount ident.Tokens) ident.Tokens {
+	got := takeUpTo(&po.shelf, int64(amount))
 	po.loose.Add(got)
 	po.available.Add(got)
 	return ident.Tokens(got)
--- /dev/null
+++ b/internal/core/escrow/shelf_test.go
@@ -0,0 +1,108 @@
+package escrow_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+)
+
+// TestReclaim guards against freeing a shelf that a dead holder may have used.
+func TestReclaim(t *testing.T) {
+	en := escrow.Entry{
+		Budget: escrow.BudgetRow{Prepaid: 100, Granted: 60, Holders: 1},
+		Grant:  escrow.GrantRow{Drawn: 60, Shelved: 50, Armed: 10, ShelvedUntil: 1000, ShelfSpan: 100},
+	}
+	for _, tc := range []struct {
+		name       string
+		now        int64
+		free, shel int64
+	}{
+		{"before the time", 999, 80, 0},
+		{"at the time", 1000, 80, 0},
+		{"a quarter has opened", 1025, 70, 10},
+		{"all has opened", 1100, 40, 40},
+		{"long after the time", 5000, 40, 40},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			nx, err := en.Reclaim(tc.now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]int64{tc.free, tc.shel}, []int64{int64(nx.Budget.Free()), int64(nx.Grant.Shelf())}); diff != "" {
+				t.Errorf("free and shelf (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestShelfBounds guards against a shelf of more than the grant holds.
+func TestShelfBounds(t *testing.T) {
+	en := escrow.Entry{Budget: escrow.BudgetRow{Prepaid: 100, Granted: 60}, Grant: escrow.GrantRow{Drawn: 60, Shelved: 50}}
+	if _, err := en.Shelve(11); err == nil {
+		t.Error("61 of 60 tokens were shelved")
+	}
+	if _, err := en.Arm(51); err == nil {
+		t.Error("51 of 50 tokens were taken from the shelf")
+	}
+	if _, err := en.Shelve(-1); err == nil {
+		t.Error("a negative amount was shelved")
+	}
+}
+
+// TestPoolShelf guards against tokens that appear or vanish when they move to
+// the shelf and back, with a table that learns of it later.
+func TestPoolShelf(t *testing.T) {
+	var po escrow.Pool
+	po.Credit(100)
+	po.Shelve(70)
+	po.ConfirmShelf(70, 0)
+	po.ConfirmShelf(0, 20)
+	if po.Reserve(51) {
+		t.Error("shelved tokens were reserved")
+	}
+	if got := po.Loosen(100); got != 50 {
+		t.Errorf("%d tokens were loosened, want 50", got)
+	}
+	po.ConfirmShelf(0, 50)
+	if diff := cmp.Diff(escrow.Counts{Available: 100}, po.Counts()); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+}
+
+// TestLoan guards against a loan that is charged twice or by nobody.
+func TestLoan(t *testing.T) {
+	var lender, borrower escrow.Pool
+	lender.Credit(100)
+	borrower.Borrow(lender.Lend(30))
+	if !borrower.Reserve(20) {
+		t.Fatal("borrowed tokens cannot be reserved")
+	}
+	borrower.Settle(20, 15)
+	borrower.Withdraw(100)
+	want := []escrow.Counts{{Available: 70, Unsettled: 30}, {}}
+	if diff := cmp.Diff(want, []escrow.Counts{lender.Counts(), borrower.Counts()}); diff != "" {
+		t.Errorf("counts of lender and borrower (-want +got):\n%s", diff)
+	}
+}
+
+// TestExcess guards against a holder that keeps what others need.
+func TestExcess(t *testing.T) {
+	co := escrow.Cover{Seconds: 16, Requests: 1, Fair: 1, Parts: 1}
+	for _, tc := range []struct {
+		name string
+		de   escrow.Demand
+		want int64
+	}{
+		{"within its share", escrow.Demand{Free: 1200, Holders: 12, Want: 10, Available: 100, Cover: co}, 0},
+		{"over its share", escrow.Demand{Free: 1200, Holders: 12, Want: 10, Available: 400, Cover: co}, 300},
+		{"two requests are kept", escrow.Demand{Free: 0, Holders: 12, Want: 100, Available: 250, Cover: co}, 0},
+		{"lowered total", escrow.Demand{Free: -500, Holders: 12, Want: 10, Available: 250, Cover: co}, 230},
+		{"no bound", escrow.Demand{Free: 0, Holders: 12, Want: 10, Available: 400}, 0},
+	} {
+		if got := int64(tc.de.Excess()); got != tc.want {
+			t.Errorf("%s: excess is %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/core/place/warm.go
+++ b/internal/core/place/warm.go
@@ -48,8 +48,9 @@
 	if val == 0 || val>>timeBits != tag {
 		return false
 	}
-	read := time.UnixMilli(int64(val & (1<<timeBits - 1)))
-	return now.Sub(read) < wa.life
+	// The time is kept modulo 2^40 ms, which is 34 years.
+	age := (uint64(now.UnixMilli()) - val) & (1<<timeBits - 1)
+	return age < uint64(wa.life.Milliseconds())
 }
 
 func (wa *Warm) place(prefix, upstream uint64) (*atomic.Uint64, uint64) {
--- /dev/null
+++ b/internal/fake/origin/origin.go
@@ -0,0 +1,245 @@
+// Package origin is a stand-in for an upstream that a router calls itself. It
+// answers plain requests and streams of events, records what it ran, and
+// misbehaves on demand. It is written from the published protocol.
+package origin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how one request fails.
+type Fault int
+
+const (
+	// None is a request that is answered.
+	None Fault = iota
+	// Shed answers that the request was not run.
+	Shed
+	// Fail runs the request and answers with status 500.
+	Fail
+	// Reset runs the request and closes the connection without an answer.
+	Reset
+	// Cut runs the request and breaks off in the middle of the answer.
+	Cut
+	// Extra answers and sends a second answer after it.
+	Extra
+	// Other answers with the id of another request.
+	Other
+	// Garbage sends bytes that are no answer.
+	Garbage
+	// Early answers before it has read the body, and reads on.
+	Early
+	// Hang runs the request and never answers.
+	Hang
+	// Encoded answers with an encoding that was not asked for.
+	Encoded
+)
+
+// Run is one request that was run.
+type Run struct {
+	ID, Method, Target, Body string
+	Header                   http.Header
+}
+
+// Origin is an upstream.
+type Origin struct {
+	ID     string
+	ls     net.Listener
+	events int
+	gap    time.Duration
+
+	mu      sync.Mutex
+	fault   func(id string) Fault
+	runs    []Run
+	arrived int
+	conns   map[net.Conn]bool
+	broken  chan string
+	done    sync.WaitGroup
+}
+
+// New starts an upstream on loopback whose streams have this many events, with
+// a gap between two of them.
+func New(id string, events int, gap time.Duration) (*Origin, error) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	or := &Origin{
+		ID: id, ls: ls, events: events, gap: gap, conns: map[net.Conn]bool{},
+		fault: func(string) Fault { return None }, broken: make(chan string, 64),
+	}
+	or.done.Go(or.accept)
+	return or, nil
+}
+
+// Addr returns IP:PORT.
+func (or *Origin) Addr() string { return or.ls.Addr().String() }
+
+// Fail installs a function that chooses the fault of each request by its id.
+func (or *Origin) Fail(fault func(id string) Fault) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.fault = fault
+}
+
+// Runs returns what was run so far.
+func (or *Origin) Runs() []Run {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return append([]Run(nil), or.runs...)
+}
+
+// Arrived returns the number of requests that arrived.
+func (or *Origin) Arrived() int {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return or.arrived
+}
+
+// Broken receives the id of each request whose connection was closed before
+// its answer was complete.
+func (or *Origin) Broken() <-chan string { return or.broken }
+
+// Close ends the upstream and all connections.
+func (or *Origin) Close() {
+	_ = or.ls.Close()
+	or.mu.Lock()
+	for nc := range or.conns {
+		_ = nc.Close()
+	}
+	or.mu.Unlock()
+	or.done.Wait()
+}
+
+func (or *Origin) accept() {
+	for {
+		nc, err := or.ls.Accept()
+		if err != nil {
+			return
+		}
+		or.mu.Lock()
+		or.conns[nc] = true
+		or.mu.Unlock()
+		or.done.Go(func() {
+			or.serve(nc)
+			_ = nc.Close()
+			or.mu.Lock()
+			delete(or.conns, nc)
+			or.mu.Unlock()
+		})
+	}
+}
+
+func (or *Origin) serve(nc net.Conn) {
+	br := bufio.NewReader(nc)
+	for {
+		re, err := http.ReadRequest(br)
+		if err != nil || !or.answer(nc, br, re) {
+			return
+		}
+	}
+}
+
+// answer serves one request and reports whether the connection goes on.
+func (or *Origin) answer(nc net.Conn, br *bufio.Reader, re *http.Request) bool {
+	id := re.Header.Get("Attempt-Id")
+	or.mu.Lock()
+	or.arrived++
+	fault := or.fault(id)
+	or.mu.Unlock()
+	if want := re.Header.Get("Expect-Instance"); want != or.ID {
+		_, _ = io.Copy(io.Discard, re.Body)
+		return or.write(nc, "421 Misdirected Request", id, "Instance-Id: "+or.ID+"\r\n", "")
+	}
+	if fault == Shed {
+		_, _ = io.Copy(io.Discard, re.Body)
+		return or.write(nc, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "")
+	}
+	if fault == Early {
+		or.write(nc, "200 OK", id, "Server-Stamp: s\r\n", "early")
+		_, _ = io.Copy(io.Discard, re.Body)
+		return true
+	}
+	body, err := io.ReadAll(re.Body)
+	if err != nil {
+		return false
+	}
+	or.mu.Lock()
+	or.runs = append(or.runs, Run{ID: id, Method: re.Method, Target: re.RequestURI, Body: string(body), Header: re.Header.Clone()})
+	or.mu.Unlock()
+	switch fault {
+	case Reset:
+		return false
+	case Fail:
+		return or.write(nc, "500 Internal Server Error", id, "Server-Stamp: s\r\n", "failed")
+	case Garbage:
+		_, _ = io.WriteString(nc, "\x00\x01 no answer\r\n\r\n")
+		return false
+	case Other:
+		return or.write(nc, "200 OK", "other", "Server-Stamp: s\r\n", "other")
+	case Encoded:
+		return or.write(nc, "200 OK", id, "Content-Encoding: gzip\r\n", "zipped")
+	case Hang:
+		_, _ = br.Peek(1)
+		or.tell(id)
+		return false
+	}
+	if re.Header.Get("Token-Counts") != "" {
+		return or.stream(nc, re, id, fault)
+	}
+	text := "answer to " + id
+	if fault == Cut {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text[:3])
+		return false
+	}
+	ok := or.write(nc, "200 OK", id, "Server-Stamp: s\r\nInstance-Load: 1,0,8\r\n", text)
+	if fault == Extra {
+		or.write(nc, "200 OK", id, "Server-Stamp: s\r\n", "extra")
+	}
+	return ok
+}
+
+func (or *Origin) write(nc net.Conn, status, id, fields, body string) bool {
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
+	return err == nil
+}
+
+// stream sends the events after the last one that the caller has.
+func (or *Origin) stream(nc net.Conn, re *http.Request, id string, fault Fault) bool {
+	from := 0
+	if last, err := strconv.Atoi(re.Header.Get("Last-Event-Id")); err == nil {
+		from = last + 1
+	}
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, or.ID)
+	for no := from; no < or.events && err == nil; no++ {
+		if fault == Cut && no >= or.events/2 {
+			_, _ = io.WriteString(nc, "7\r\nid: 99\n\r\n")
+			return false
+		}
+		ev := fmt.Sprintf("id: %d\ndata: %s\n\n", no, strings.Repeat("x", 10))
+		_, err = fmt.Fprintf(nc, "%x\r\n%s\r\n", len(ev), ev)
+		time.Sleep(or.gap)
+	}
+	if err == nil {
+		_, err = io.WriteString(nc, "0\r\n\r\n")
+	}
+	if err != nil {
+		or.tell(id)
+	}
+	return err == nil
+}
+
+func (or *Origin) tell(id string) {
+	select {
+	case or.broken <- id:
+	default:
+	}
+}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -67,9 +67,11 @@
 	// together draw one in advance. A total lasts for about 45 s of the users'
 	// days, so that a quarter covers 11 s.
 	primeParts = 4
-	// shelfHold is how long escrow on the shelf stays untouched after a write. A
-	// killed router is back within about 3 s and writes once a second.
-	shelfHold = 4 * time.Second
+	// shelfHold is how long escrow on the shelf stays untouched after a write.
+	// A killed router is back within about 3 s and writes once a second, and the
+	// shelf then opens as fast as it is used in an outage of 8 s.
+	shelfHold = 2500 * time.Millisecond
+	shelfSpan = 10 * time.Second
 	// lookEvery is the time between two looks at what is left of a budget.
 	lookEvery = 2 * time.Second
 	// holderTick is the time between two looks at the escrow. The rates follow
@@ -134,7 +136,7 @@
 	cl := peers.NewClient(ro.peerAddresses)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
-	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, shelfSpan, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
 	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
