--- /dev/null
+++ b/internal/adapt/entry/entry_test.go
@@ -0,0 +1,227 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/entry"
+	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/adapt/terms"
+	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/hop"
+)
+
+// handler records requests and refuses them.
+type handler struct {
+	mu   sync.Mutex
+	asks []hop.Ask
+	re   *refuse.Refusal
+	wait chan struct{}
+	gone chan struct{}
+}
+
+func (ha *handler) Serve(ctx context.Context, ask hop.Ask, _ hop.Request, _ hop.Reply) (bool, *refuse.Refusal) {
+	ha.mu.Lock()
+	ha.asks = append(ha.asks, ask)
+	ha.mu.Unlock()
+	if ha.wait != nil {
+		close(ha.wait)
+		<-ctx.Done()
+		close(ha.gone)
+	}
+	return false, ha.re
+}
+
+func serve(t *testing.T, ha *handler, limits intent.Limits) *entry.Server {
+	t.Helper()
+	sv, err := entry.New("127.0.0.1:0", ha, pool.New(terms.Default()), terms.Default(), func() intent.Limits { return limits })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = sv.Serve() }()
+	t.Cleanup(func() { _ = sv.Close() })
+	return sv
+}
+
+// talk sends raw bytes and returns the status codes of all answers until the
+// connection ends.
+func talk(t *testing.T, addr, raw string) []int {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	if _, err := io.WriteString(nc, raw); err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.(*net.TCPConn).CloseWrite()
+	var got []int
+	br := bufio.NewReader(nc)
+	for {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return got
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		got = append(got, resp.StatusCode)
+	}
+}
+
+const idField = "Balsamwood-Request: r1\r\n"
+
+// TestBadInput guards against requests hidden inside others and against input
+// beyond the limits: each gets one clear answer, and nothing is forwarded.
+func TestBadInput(t *testing.T) {
+	limits := intent.Limits{MaxHeader: 600, MaxBody: 50, HeaderTime: 200 * time.Millisecond, IdleTime: time.Second}
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\n" + idField + "\r\n"
+	for _, tc := range []struct {
+		name, raw string
+		want      int
+	}{
+		{"both framings", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + hidden, 400},
+		{"signed length", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Content-Length: +5\r\n\r\nhello" + hidden, 400},
+		{"encoding before chunks", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Transfer-Encoding: gzip, chunked\r\n\r\n" + hidden, 400},
+		{"space before the colon", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Content-Length : 5\r\n\r\nhello" + hidden, 400},
+		{"folded line", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "X: a\r\n b: c\r\n\r\n" + hidden, 400},
+		{"line without CR", "GET / HTTP/1.1\nHost: h\r\n" + idField + "\r\n" + hidden, 400},
+		{"malformed chunk", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + hidden, 400},
+		{"no host", "GET / HTTP/1.1\r\n" + idField + "\r\n", 400},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n" + idField + "\r\n", 400},
+		{"no id", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		{"two ids", "GET / HTTP/1.1\r\nHost: h\r\n" + idField + idField + "\r\n", 400},
+		{"malformed time", "GET / HTTP/1.1\r\nHost: h\r\n" + idField + "Balsamwood-Time-Left-Ms: soon\r\n\r\n", 400},
+		{"malformed tokens", "GET / HTTP/1.1\r\nHost: h\r\n" + idField + "Balsamwood-Tokens: 12\r\n\r\n", 400},
+		{"malformed parts", "GET / HTTP/1.1\r\nHost: h\r\n" + idField + "Balsamwood-Tokens: 1,2\r\nBalsamwood-Prompt-Parts: a\r\n\r\n", 400},
+		{"long header", "GET / HTTP/1.1\r\nHost: h\r\n" + idField + "X: " + strings.Repeat("x", 600) + "\r\n\r\n", 431},
+		{"long body", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Content-Length: 51\r\n\r\n" + strings.Repeat("x", 51), 413},
+		{"long body in chunks", "POST / HTTP/1.1\r\nHost: h\r\n" + idField + "Transfer-Encoding: chunked\r\n\r\n40\r\n" + strings.Repeat("x", 64) + "\r\n0\r\n\r\n", 413},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ha := &handler{re: refuse.New(refuse.NoUpstream, "none")}
+			sv := serve(t, ha, limits)
+			if diff := cmp.Diff([]int{tc.want}, talk(t, sv.Addr(), tc.raw)); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+			if len(ha.asks) != 0 {
+				t.Errorf("%d requests were forwarded", len(ha.asks))
+			}
+		})
+	}
+}
+
+// TestHeaderInTime guards against a caller that keeps a connection with half a
+// header.
+func TestHeaderInTime(t *testing.T) {
+	sv := serve(t, &handler{}, intent.Limits{HeaderTime: 50 * time.Millisecond})
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_, _ = io.WriteString(nc, "GET / HT")
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("answer %v, %v, want 408", resp, err)
+	}
+}
+
+// TestAsk guards against a path that is decoded, a body that is lost, and two
+// requests on one connection that are mixed up.
+func TestAsk(t *testing.T) {
+	ha := &handler{re: refuse.New(refuse.NoUpstream, "none")}
+	sv := serve(t, ha, intent.Limits{})
+	raw := "POST /a%2Fb/c?q=%20 HTTP/1.1\r\nHost: H.example\r\n" + idField +
+		"Authorization: Bearer k1\r\nBalsamwood-Tokens: 100,20\r\nBalsamwood-Prompt-Parts: a:60,b:40\r\nLast-Event-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" +
+		"GET /second HTTP/1.1\r\nHost: h\r\nBalsamwood-Request: r2\r\n\r\n"
+	if diff := cmp.Diff([]int{503, 503}, talk(t, sv.Addr(), raw)); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+	for ix := range ha.asks {
+		ha.asks[ix].Arrived = time.Time{}
+	}
+	want := []hop.Ask{
+		{ID: "r1", Host: "H.example", Path: "/a%2Fb/c", Key: "k1", After: 7, Prompt: &hop.Prompt{
+			Input: 100, MaxOutput: 20, Parts: []hop.Part{{ID: "a", Tokens: 60}, {ID: "b", Tokens: 40}},
+		}},
+		{ID: "r2", Host: "h", Path: "/second", After: -1},
+	}
+	if diff := cmp.Diff(want, ha.asks); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+}
+
+// TestStatus guards against a promise in a status code that the outcome does
+// not allow, and against a wait beyond a third of the time left.
+func TestStatus(t *testing.T) {
+	soon := time.Now().Add(time.Hour)
+	for _, tc := range []struct {
+		re     *refuse.Refusal
+		status int
+		wait   bool
+	}{
+		{refuse.New(refuse.NoUpstream, "x").WithRetryAt(soon), 503, true},
+		{refuse.New(refuse.OverBudget, "x"), 402, false},
+		{refuse.New(refuse.Unauthorized, "x"), 401, false},
+		{refuse.New(refuse.UnknownService, "x"), 404, false},
+		{refuse.New(refuse.TimedOut, "x"), 504, false},
+		{refuse.New(refuse.UpstreamFailed, "x").WithRetryAt(soon), 502, false},
+		{refuse.New(refuse.Cancelled, "x").WithOutcome(refuse.Unknown), 502, false},
+	} {
+		ha := &handler{re: tc.re}
+		sv := serve(t, ha, intent.Limits{})
+		nc, err := net.Dial("tcp", sv.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+idField+"Balsamwood-Time-Left-Ms: 3000\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var secs float64
+		_, _ = fmt.Sscan(resp.Header.Get("Retry-After"), &secs)
+		if resp.StatusCode != tc.status || (secs > 0) != tc.wait || secs > 1 {
+			t.Errorf("%s: status %d, wait %v s; want %d, a wait: %v", tc.re.Reason, resp.StatusCode, secs, tc.status, tc.wait)
+		}
+		_ = nc.Close()
+	}
+}
+
+// TestCallerLeaves guards against work for a caller that has closed its
+// connection while the upstream is silent.
+func TestCallerLeaves(t *testing.T) {
+	ha := &handler{re: refuse.New(refuse.Cancelled, "x"), wait: make(chan struct{}), gone: make(chan struct{})}
+	sv := serve(t, ha, intent.Limits{})
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+idField+"\r\n")
+	<-ha.wait
+	_ = nc.Close()
+	<-ha.gone
+}
+
+// TestLeave guards against a kept connection that outlives an announced end
+// without the caller being told.
+func TestLeave(t *testing.T) {
+	sv := serve(t, &handler{re: refuse.New(refuse.Leaving, "x")}, intent.Limits{})
+	sv.Leave()
+	request := "GET / HTTP/1.1\r\nHost: h\r\n" + idField + "\r\n"
+	if diff := cmp.Diff([]int{503}, talk(t, sv.Addr(), request+request)); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
--- a/internal/adapt/entry/read.go
+++ b/internal/adapt/entry/read.go
@@ -103,7 +103,10 @@
 		if strings.ContainsAny(line, "\r\x00") || strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") {
 			return fr, bad("malformed header line")
 		}
-		name, val, _ := strings.Cut(line, ":")
+		name, val, ok := strings.Cut(line, ":")
+		if !ok || !validName(name) {
+			return fr, bad("malformed header line")
+		}
 		val = strings.Trim(val, " \t")
 		switch strings.ToLower(name) {
 		case "host":
@@ -127,6 +130,17 @@
 	return fr, nil
 }
 
+// validName reports whether the name of a field is a token (RFC 9110, section
+// 5.6.2). Parsers differ in what they do with others.
+func validName(name string) bool {
+	for _, ch := range []byte(name) {
+		if ch <= ' ' || ch >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, ch) >= 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // maxTrailer bounds the fields after a body in chunks, which are dropped.
 const maxTrailer = 4 << 10
 
--- /dev/null
+++ b/internal/app/follow/loop_test.go
@@ -0,0 +1,265 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/place"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+var errDown = errors.New("down")
+
+// script is a feed that answers from a list of rows.
+type script struct {
+	mu      sync.Mutex
+	rows    []feed.Row
+	version uint64
+	down    bool
+	silent  bool
+	gone    bool
+	all     int
+}
+
+func (sc *script) set(change func(sc *script)) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	change(sc)
+}
+
+func (sc *script) All(context.Context) (feed.Batch, error) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.down {
+		return feed.Batch{}, errDown
+	}
+	sc.all++
+	sc.gone = false
+	return feed.Batch{Rows: append([]feed.Row(nil), sc.rows...), Version: sc.version}, nil
+}
+
+func (sc *script) Changes(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-ctx.Done():
+	}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	switch {
+	case sc.down:
+		return feed.Batch{}, errDown
+	case sc.gone:
+		return feed.Batch{}, feed.ErrHistory
+	}
+	ba := feed.Batch{Version: sc.version}
+	for _, ro := range sc.rows {
+		if ro.Version > after && !sc.silent {
+			ba.Rows = append(ba.Rows, ro)
+		}
+	}
+	return ba, nil
+}
+
+// decode reads the revision of a configuration from the row's value.
+func decode(ro feed.Row) (intent.Config, bool, error) {
+	var rev ident.Revision
+	if _, err := fmt.Sscan(string(ro.Value), &rev); err != nil {
+		return intent.Config{}, false, err
+	}
+	return intent.New(rev, intent.Limits{}), true, nil
+}
+
+func row(version uint64, value string) feed.Row {
+	return feed.Row{Key: "config", Value: []byte(value), Version: version}
+}
+
+func follower(t *testing.T, sc *script) *follow.Config {
+	co := follow.NewConfig(decode, meter.Nop{})
+	lo := follow.NewLoop("configuration", sc, co.Sink())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); lo.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return co
+}
+
+// TestConfigNeverReverts guards against an older configuration that comes into
+// force from a store that answers an older state, or from another router.
+func TestConfigNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := &script{rows: []feed.Row{row(10, "4")}, version: 10}
+		co := follower(t, sc)
+		time.Sleep(3 * time.Second)
+		co.Offer(row(12, "6"), "peer")
+		var got []ident.Revision
+		for _, offer := range []feed.Row{row(11, "5"), row(12, "9"), row(13, "3"), row(14, "broken")} {
+			co.Offer(offer, "peer")
+			got = append(got, co.Load().Revision())
+		}
+		sc.set(func(sc *script) { sc.version, sc.gone = 9, true })
+		time.Sleep(10 * time.Second)
+		got = append(got, co.Load().Revision())
+		if diff := cmp.Diff([]ident.Revision{6, 6, 6, 6, 6}, got); diff != "" {
+			t.Errorf("revisions in force (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestChangeInTime guards against a change that takes longer than the two
+// seconds that are allowed: while the feed works, after its history is lost,
+// and while it leaves changes out without an error.
+func TestChangeInTime(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		spoil  func(sc *script)
+		within time.Duration
+	}{
+		{"feed works", func(*script) {}, 2 * time.Second},
+		{"history lost", func(sc *script) { sc.gone = true }, 2 * time.Second},
+		{"feed leaves changes out", func(sc *script) { sc.silent = true }, 8 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := &script{rows: []feed.Row{row(10, "4")}, version: 10}
+				co := follower(t, sc)
+				time.Sleep(3 * time.Second)
+				sc.set(func(sc *script) {
+					tc.spoil(sc)
+					sc.rows, sc.version = []feed.Row{row(11, "5")}, 11
+				})
+				time.Sleep(tc.within)
+				if got := co.Load().Revision(); got != 5 {
+					t.Errorf("revision %d is in force after %s, want 5", got, tc.within)
+				}
+			})
+		})
+	}
+}
+
+// TestGossip guards against a router that the store turns away and that does
+// not learn a newer configuration from others, and against questions while the
+// store answers.
+func TestGossip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := &script{rows: []feed.Row{row(10, "4")}, version: 10}
+		co := follower(t, sc)
+		asked := 0
+		gs := follow.NewGossip(co, func() []string { return []string{"a", "b", "c"} },
+			func(_ context.Context, addr string, after uint64) (feed.Row, bool, error) {
+				asked++
+				if addr == "a" {
+					return feed.Row{}, false, errDown
+				}
+				return row(20, "7"), after < 20, nil
+			})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); gs.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		calm := asked
+		sc.set(func(sc *script) { sc.down = true })
+		time.Sleep(2 * time.Second)
+		if co.Load().Revision() != 7 || calm != 0 {
+			t.Errorf("revision %d after the loss, %d questions before it", co.Load().Revision(), calm)
+		}
+		cancel()
+		<-done
+	})
+}
+
+func decodeUpstream(ro feed.Row) (place.Upstream, error) {
+	if string(ro.Value) == "broken" {
+		return place.Upstream{}, errors.New("broken")
+	}
+	return place.Upstream{ID: ident.Upstream(ro.Key), Service: "s", Address: string(ro.Value)}, nil
+}
+
+func ids(us *follow.Upstreams) []string {
+	out := []string{}
+	for _, up := range us.Load().Upstreams() {
+		out = append(out, string(up.ID))
+	}
+	return out
+}
+
+// TestLapsed guards against dropping live upstreams whose entries lapsed while
+// the store was away, against keeping those that do not come back, and against
+// keeping one that is removed without an outage.
+func TestLapsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
+	us.Whole(feed.Batch{Version: 3, Rows: []feed.Row{
+		{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("2"), Version: 2}, {Key: "c", Value: []byte("3"), Version: 3},
+	}}, now)
+	us.Changed(feed.Batch{Version: 4, Rows: []feed.Row{{Key: "c", Version: 4, Gone: true}}}, now)
+	got := [][]string{ids(us)}
+	us.Lost(now)
+	now = now.Add(5 * time.Second)
+	us.Regained(now)
+	us.Whole(feed.Batch{Version: 9}, now)
+	got = append(got, ids(us))
+	us.Changed(feed.Batch{Version: 10, Rows: []feed.Row{{Key: "b", Value: []byte("2"), Version: 10}}}, now.Add(time.Second))
+	us.Expire(now.Add(1900 * time.Millisecond))
+	got = append(got, ids(us))
+	us.Expire(now.Add(2100 * time.Millisecond))
+	got = append(got, ids(us))
+	want := [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"b"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("upstreams (-want +got):\n%s", diff)
+	}
+}
+
+// TestForeignEntry guards against an entry of another writer that hides the
+// others or names an upstream.
+func TestForeignEntry(t *testing.T) {
+	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
+	us.Whole(feed.Batch{Version: 2, Rows: []feed.Row{
+		{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("broken"), Version: 2},
+	}}, time.Unix(1000, 0))
+	if diff := cmp.Diff([]string{"a"}, ids(us)); diff != "" {
+		t.Errorf("upstreams (-want +got):\n%s", diff)
+	}
+}
+
+type incarnations []budget.Incarnation
+
+func (in incarnations) Incarnations(context.Context) ([]budget.Incarnation, error) { return in, nil }
+
+// TestFleet guards against counting a VM once for each start of its router,
+// and against peers that have ended.
+func TestFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inc := func(vm ident.VM, opened int64, st escrow.State) budget.Incarnation {
+			return budget.Incarnation{ID: ident.Incarnation(fmt.Sprint(vm, opened)), Row: escrow.IncarnationRow{
+				VM: vm, Opened: opened, State: st, Address: fmt.Sprint(vm, ":", opened),
+			}}
+		}
+		fl := follow.NewFleet(incarnations{
+			inc("a", 1, escrow.Open), inc("b", 2, escrow.Open), inc("b", 3, escrow.Open), inc("c", 4, escrow.Closing),
+		}, "a", meter.Nop{})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); fl.Run(ctx) }()
+		<-fl.Known()
+		if diff := cmp.Diff([]follow.Peer{{VM: "b", Address: "b:3"}}, fl.Peers()); diff != "" || fl.Routers() != 2 {
+			t.Errorf("%d routers, peers (-want +got):\n%s", fl.Routers(), diff)
+		}
+		cancel()
+		<-done
+	})
+}
