--- /dev/null
+++ b/internal/adapt/peers/peers_test.go
@@ -0,0 +1,109 @@
+package peers_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/core/escrow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+)
+
+var ref = ident.BudgetRef{Account: "desk", Budget: "prepaid"}
+
+// router answers other routers and records what they ask.
+type router struct {
+	has   ident.Tokens
+	asked []ident.Tokens
+	short bool
+	kept  []escrow.Statement
+}
+
+func (ro *router) start(t *testing.T) string {
+	t.Helper()
+	sv := httptest.NewServer(peers.Handler(peers.Answers{
+		Lend: func(_ context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
+			ro.asked, ro.short = append(ro.asked, tokens), short
+			got := min(tokens, ro.has)
+			if rf != ref {
+				got = 0
+			}
+			ro.has -= got
+			return got
+		},
+		Newest: func() (feed.Row, bool) { return feed.Row{Key: "k", Value: []byte{0, 1}, Version: 8}, true },
+		Keep:   func(st escrow.Statement) { ro.kept = append(ro.kept, st) },
+	}))
+	t.Cleanup(sv.Close)
+	return strings.TrimPrefix(sv.URL, "http://")
+}
+
+// TestBorrow guards against asking for more than is lacking once others have
+// lent, and against a router that is gone.
+func TestBorrow(t *testing.T) {
+	one, two := &router{has: 60}, &router{has: 100}
+	addrs := []string{one.start(t), two.start(t), "127.0.0.1:1"}
+	cl := peers.NewClient(func() []string { return addrs })
+	if got := cl.Borrow(t.Context(), ref, 120, true); got != 120 {
+		t.Errorf("%d tokens borrowed, want 120", got)
+	}
+	if left := one.has + two.has; left != 40 || !one.short || !two.short {
+		t.Errorf("%d tokens are left, want 40; short: %v %v", left, one.short, two.short)
+	}
+}
+
+// TestNewest guards against a configuration that is passed on changed, or to a
+// router that has it.
+func TestNewest(t *testing.T) {
+	addr := (&router{}).start(t)
+	cl := peers.NewClient(nil)
+	ro, ok, err := cl.Newest(t.Context(), addr, 7)
+	if diff := cmp.Diff(feed.Row{Key: "k", Value: []byte{0, 1}, Version: 8}, ro); diff != "" || !ok || err != nil {
+		t.Errorf("%v %v, row (-want +got):\n%s", ok, err, diff)
+	}
+	if _, ok, err := cl.Newest(t.Context(), addr, 8); ok || err != nil {
+		t.Errorf("a known configuration was passed on: %v %v", ok, err)
+	}
+}
+
+// TestStatement guards against a statement that reaches nobody while routers
+// are left, or is changed on its way.
+func TestStatement(t *testing.T) {
+	one, two := &router{}, &router{}
+	addrs := []string{"127.0.0.1:1", one.start(t), two.start(t)}
+	cl := peers.NewClient(func() []string { return addrs })
+	st := escrow.Statement{Incarnation: "r1", Used: []escrow.Use{{Account: "desk", Budget: "prepaid", Tokens: 7}}}
+	if kept := cl.Leave(t.Context(), st); kept != 2 {
+		t.Errorf("%d routers keep the statement, want 2", kept)
+	}
+	if diff := cmp.Diff([][]escrow.Statement{{st}, {st}}, [][]escrow.Statement{one.kept, two.kept}); diff != "" {
+		t.Errorf("statements (-want +got):\n%s", diff)
+	}
+}
+
+// TestBadCalls guards against input that lends or keeps anything by mistake.
+func TestBadCalls(t *testing.T) {
+	ro := &router{has: 10}
+	base := "http://" + ro.start(t)
+	for _, tc := range []struct{ path, body string }{
+		{"/v1/lend", "{"}, {"/v1/lend", `{"tokens":-5}`}, {"/v1/lend", `{"tokens":0}`}, {"/v1/statement", "{}"},
+	} {
+		resp, err := http.Post(base+tc.path, "application/json", strings.NewReader(tc.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s %s: status %d, want 400", tc.path, tc.body, resp.StatusCode)
+		}
+	}
+	if len(ro.asked) != 0 || len(ro.kept) != 0 {
+		t.Error("a malformed call had an effect")
+	}
+}
--- /dev/null
+++ b/internal/core/shape/names_test.go
@@ -0,0 +1,37 @@
+package shape_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// platformNames are names of the users' platform on the wire.
+var platformNames = regexp.MustCompile(`\b(rows-tx|rows-get|rows-feed|blob-put|blob-get|Prompt-Prefix|Token-Counts|Attempt-Id|` +
+	`Deadline-Ms|Expect-Instance|Instance-Load|Not-Executed|Request-Priority|Kv-From|Kv-Fetch|Kv-Backup|Pin-Ms|SinceRev|IfRev|` +
+	`ApiKeys|MaxAttempts|GapAimMs|LatencyGoalMs|RouteType|PlatformStore|ContractParams|RetrySlack)\b`)
+
+// TestPlatformNames guards against names of the users' platform that leak out
+// of the folder platform into the product. Tests and stand-ins speak them.
+func TestPlatformNames(t *testing.T) {
+	root := filepath.Join("..", "..", "..")
+	for _, dir := range []string{"internal", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
+				strings.Contains(filepath.ToSlash(path), "internal/fake/") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			if name := platformNames.Find(data); name != nil {
+				t.Errorf("%s names %s of the platform", path, name)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/core/shape/shape_test.go
+++ b/internal/core/shape/shape_test.go
@@ -66,6 +66,10 @@
 }
 
 func permitted(area, to string) bool {
+	if to == module+"platform" {
+		// Only the command line composes programs with the platform.
+		return area == "role" || area == "bench"
+	}
 	if rest, ok := strings.CutPrefix(to, module+"internal/"); ok {
 		target, _, _ := strings.Cut(rest, "/")
 		for _, ar := range allowed[area] {
--- a/internal/fake/opstor/store.go
+++ b/internal/fake/opstor/store.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -180,6 +181,8 @@
 			wr.WriteHeader(http.StatusTooManyRequests)
 			return
 		case Silent:
+			// The end of a connection is noticed once its request was read.
+			_, _ = io.Copy(io.Discard, re.Body)
 			<-re.Context().Done()
 			return
 		}
