--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -93,7 +93,6 @@
 	st       *place.Station
 	unread   ident.Tokens
 	began    time.Time
-	answered bool
 	prompted bool
 }
 
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -148,9 +148,9 @@
 }
 
 var (
-	notSent = fmt.Errorf("%w: refused", hop.ErrNotSent)
-	notRun  = fmt.Errorf("%w: full", hop.ErrNotRun)
-	broken  = fmt.Errorf("%w: reset", hop.ErrBroken)
+	errNotSent = fmt.Errorf("%w: refused", hop.ErrNotSent)
+	errNotRun  = fmt.Errorf("%w: full", hop.ErrNotRun)
+	errBroken  = fmt.Errorf("%w: reset", hop.ErrBroken)
 )
 
 // TestRepeat guards against a request that runs twice though it may not, is
@@ -159,7 +159,7 @@
 func TestRepeat(t *testing.T) {
 	ok := act{status: 200}
 	whole := act{status: 200, events: []int64{0, 1, 2}, end: io.EOF}
-	cut := act{status: 200, events: []int64{0, 1}, end: broken}
+	cut := act{status: 200, events: []int64{0, 1}, end: errBroken}
 	rest := act{status: 200, events: []int64{2}, end: io.EOF}
 	for _, tc := range []struct {
 		name, path string
@@ -171,14 +171,14 @@
 		charged    ident.Tokens
 	}{
 		{"served", "/once/", []act{ok}, 1, nil, "", "", 100},
-		{"once: not sent goes elsewhere", "/once/", []act{{err: notSent}, ok}, 2, nil, "", "", 100},
-		{"once: not run goes elsewhere", "/once/", []act{{err: notRun}, ok}, 2, nil, "", "", 100},
-		{"once: unknown ends", "/once/", []act{{err: broken}, ok}, 1, nil, refuse.UpstreamFailed, refuse.Unknown, 100},
+		{"once: not sent goes elsewhere", "/once/", []act{{err: errNotSent}, ok}, 2, nil, "", "", 100},
+		{"once: not run goes elsewhere", "/once/", []act{{err: errNotRun}, ok}, 2, nil, "", "", 100},
+		{"once: unknown ends", "/once/", []act{{err: errBroken}, ok}, 1, nil, refuse.UpstreamFailed, refuse.Unknown, 100},
 		{"once: failure is passed on", "/once/", []act{{status: 500}}, 1, nil, "", "", 100},
-		{"once: nobody takes it", "/once/", []act{{err: notRun}}, 3, nil, refuse.NoUpstream, refuse.NotRun, 0},
-		{"idempotent: unknown is repeated", "/idem/", []act{{err: broken}, ok}, 2, nil, "", "", 100},
+		{"once: nobody takes it", "/once/", []act{{err: errNotRun}}, 3, nil, refuse.NoUpstream, refuse.NotRun, 0},
+		{"idempotent: unknown is repeated", "/idem/", []act{{err: errBroken}, ok}, 2, nil, "", "", 100},
 		{"idempotent: failure is repeated", "/idem/", []act{{status: 500}, ok}, 2, nil, "", "", 100},
-		{"idempotent: two runs at most", "/idem/", []act{{err: broken}}, 2, nil, refuse.UpstreamFailed, refuse.Unknown, 100},
+		{"idempotent: two runs at most", "/idem/", []act{{err: errBroken}}, 2, nil, refuse.UpstreamFailed, refuse.Unknown, 100},
 		{"stream served", "/stream/", []act{whole}, 1, []int64{0, 1, 2}, "", "", 115},
 		{"stream cut is not repeated", "/stream/", []act{cut, rest}, 1, []int64{0, 1}, refuse.UpstreamFailed, refuse.Unknown, 110},
 		{"stream resumed", "/resume/", []act{cut, rest}, 2, []int64{0, 1, 2}, "", "", 115},
@@ -219,7 +219,7 @@
 // TestResumeFrom guards against a resumed stream that begins at another event.
 func TestResumeFrom(t *testing.T) {
 	se := newSetup(t, 3, 10)
-	ca := &caller{script: []act{{status: 200, events: []int64{4, 5}, end: broken}, {status: 200, events: []int64{6}, end: io.EOF}}}
+	ca := &caller{script: []act{{status: 200, events: []int64{4, 5}, end: errBroken}, {status: 200, events: []int64{6}, end: io.EOF}}}
 	as := ask("/resume/")
 	as.After = 3
 	if _, re := se.svc.Serve(t.Context(), as, ca, ca); re != nil {
@@ -261,7 +261,7 @@
 	se := newSetup(t, 3, 2)
 	sends := 0
 	for range 10 {
-		ca := &caller{script: []act{{err: broken}}}
+		ca := &caller{script: []act{{err: errBroken}}}
 		_, _ = se.svc.Serve(t.Context(), ask("/idem/"), ca, ca)
 		sends += len(ca.attempts)
 	}
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -71,7 +71,9 @@
 
 // WithRetries sets the constructor of the retry allowance of a service. By
 // default nothing is repeated.
-func WithRetries(make func() Retries) Option { return func(op *options) { op.retries = make } }
+func WithRetries(newRetries func() Retries) Option {
+	return func(op *options) { op.retries = newRetries }
+}
 
 // Service is the use case. Serve may be called from several goroutines.
 type Service struct {
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -23,9 +23,9 @@
 	// lapseGrace is how long after the end of an outage an entry may still
 	// come back: upstreams that live write it within about two seconds.
 	lapseGrace = 2 * time.Second
-	// outageMin is the shortest loss of the feed after which entries can have
+	// minOutage is the shortest loss of the feed after which entries can have
 	// lapsed. They lapse after three missed writes of 1.2 s each.
-	outageMin = 1500 * time.Millisecond
+	minOutage = 1500 * time.Millisecond
 )
 
 // DecodeUpstream decodes an entry.
@@ -109,7 +109,7 @@
 func (us *Upstreams) Regained(now time.Time) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	if now.Sub(us.lostAt) >= outageMin {
+	if now.Sub(us.lostAt) >= minOutage {
 		us.graceUntil = now.Add(lapseGrace)
 	}
 }
--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -1,9 +1,14 @@
 package cmdln
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"sync"
+	"syscall"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
@@ -87,7 +92,28 @@
 	if err != nil {
 		return err
 	}
-	return ro.Run(en.ctx)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ctx, cancel := context.WithCancel(en.ctx)
+	var reloads sync.WaitGroup
+	reloads.Go(func() { dc.reload(ctx, hup, ro) })
+	err = ro.Run(ctx)
+	cancel()
+	reloads.Wait()
+	return err
+}
+
+// reload reads the settings again at each signal.
+func (dc directCmd) reload(ctx context.Context, hup <-chan os.Signal, ro *direct.Router) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			ro.Reload(conf.LoadDirect(dc.Settings))
+		}
+	}
 }
 
 func newMeter(wr io.Writer, lo conf.Log, vm ident.VM) *stats.Meter {
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -28,6 +28,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/retry"
+	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/store"
@@ -35,14 +36,16 @@
 
 // Events of the program.
 var (
-	evStarted = meter.Event{Number: 9301, Level: slog.LevelInfo, Text: "direct router started"}
-	evReady   = meter.Event{Number: 9302, Level: slog.LevelInfo, Text: "direct router is ready"}
-	evLeaving = meter.Event{Number: 9303, Level: slog.LevelInfo, Text: "direct router is leaving"}
-	evStopped = meter.Event{Number: 9304, Level: slog.LevelInfo, Text: "direct router stopped"}
-	evOpening = meter.Event{Number: 9305, Level: slog.LevelWarn, Text: "the incarnation could not be registered yet"}
-	evHeld    = meter.Event{Number: 9306, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
-	evReclaim = meter.Event{Number: 9308, Level: slog.LevelWarn, Text: "escrow of earlier incarnations could not be reclaimed"}
-	evPrime   = meter.Event{Number: 9307, Level: slog.LevelWarn, Text: "no escrow could be drawn in advance"}
+	evStarted     = meter.Event{Number: 9301, Level: slog.LevelInfo, Text: "direct router started"}
+	evReady       = meter.Event{Number: 9302, Level: slog.LevelInfo, Text: "direct router is ready"}
+	evLeaving     = meter.Event{Number: 9303, Level: slog.LevelInfo, Text: "direct router is leaving"}
+	evStopped     = meter.Event{Number: 9304, Level: slog.LevelInfo, Text: "direct router stopped"}
+	evOpening     = meter.Event{Number: 9305, Level: slog.LevelWarn, Text: "the incarnation could not be registered yet"}
+	evHeld        = meter.Event{Number: 9306, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
+	evReclaim     = meter.Event{Number: 9308, Level: slog.LevelWarn, Text: "escrow of earlier incarnations could not be reclaimed"}
+	evReloaded    = meter.Event{Number: 9309, Level: slog.LevelInfo, Text: "settings reloaded"}
+	evBadSettings = meter.Event{Number: 9310, Level: slog.LevelError, Text: "new settings cannot be used, those before stay in force"}
+	evPrime       = meter.Event{Number: 9307, Level: slog.LevelWarn, Text: "no escrow could be drawn in advance"}
 )
 
 const (
@@ -118,13 +121,15 @@
 
 	statements *budget.Statements
 
+	// seeds are the addresses of other routers in the settings in force.
+	seeds   *snap.Cell[[]string]
 	open    atomic.Bool
 	leaving atomic.Bool
 }
 
 // New composes a router and listens.
 func New(set conf.Direct, me meter.Meter, metrics http.Handler, pf Platform) (*Router, error) {
-	ro := &Router{set: set, met: me, in: ident.NewIncarnation(), pool: pool.New(pf.Terms)}
+	ro := &Router{set: set, met: me, in: ident.NewIncarnation(), pool: pool.New(pf.Terms), seeds: snap.NewCell(set.Seeds)}
 	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
 	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
 	ro.loops = []*follow.Loop{
@@ -180,12 +185,23 @@
 	return ac.Prepaid, co.Revision(), ok && ac.Metered
 }
 
+// Reload takes over the settings that can change while the router runs: the
+// seeds. An error says why the new settings cannot be used.
+func (ro *Router) Reload(set conf.Direct, err error) {
+	if err != nil {
+		ro.met.Log(evBadSettings, slog.String("error", err.Error()))
+		return
+	}
+	ro.seeds.Store(set.Seeds)
+	ro.met.Log(evReloaded, slog.Any("seeds", set.Seeds))
+}
+
 // peerAddresses returns where other routers answer: those that the store names,
 // or else the seeds of the settings.
 func (ro *Router) peerAddresses() []string {
 	known := ro.fleet.Peers()
 	if len(known) == 0 {
-		return slices.DeleteFunc(slices.Clone(ro.set.Seeds), func(addr string) bool { return addr == ro.set.PeerListen })
+		return slices.DeleteFunc(slices.Clone(ro.seeds.Load()), func(addr string) bool { return addr == ro.set.PeerListen })
 	}
 	out := make([]string, 0, len(known))
 	for _, pe := range known {
