bench/edge, demo: direct routers as real processes, one of them killed

Change: the demo runs the direct path as well and counts what its stand-ins recorded; TestKilledRouter checks overspend, second runs, false refusals and that the total can be used after a kill.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -86,7 +86,7 @@
 		trent: newAccount("trentside", "drafts", config.WeighOverspend, 100_000),
 		small: newAccount("small-firm", "trial", config.WeighOverspend, 2_000),
 	}
-	if err := dm.run(ctx); err != nil {
+	if err := errors.Join(dm.run(ctx), dm.direct(ctx, bin, dir, log)); err != nil {
 		return errors.Join(err, de.Close())
 	}
 	return dm.finish(ctx)
--- /dev/null
+++ b/internal/bench/demo/direct.go
@@ -0,0 +1,36 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/balsamwood/balsamwood/internal/bench/edge"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+)
+
+// direct runs the path without sidecars: direct routers between an operator's
+// store and upstreams, one of them killed on the way.
+func (dm *demo) direct(ctx context.Context, bin, dir string, log io.Writer) error {
+	st, err := edge.New(ctx, bin, dir, log)
+	if err != nil {
+		return err
+	}
+	dm.printf("started 2 direct routers on an operator's store")
+	st.Questions(ctx, 10)
+	st.Vouchers(ctx, 5, 0)
+	if err := st.Kill(ctx, 0); err != nil {
+		return errors.Join(err, st.Close())
+	}
+	dm.printf("killed one of them, it is back")
+	st.Questions(ctx, 120)
+	re, err := st.Audit()
+	dm.printf("direct path: served=%d refused=%d unknown=%d, %d of %d prepaid tokens left", re.Served, re.Refused, re.Unknown, re.Free, edge.Prepaid)
+	dm.tally.Served += re.Served
+	dm.tally.Refused += re.Refused
+	dm.tally.Unknown += re.Unknown
+	dm.tally.OverspentTokens += ident.Tokens(re.OverspentTokens)
+	dm.tally.DuplicateActions += re.DuplicateActions
+	dm.tally.FalseNotRun += re.FalseNotRun
+	return errors.Join(err, st.Close())
+}
--- /dev/null
+++ b/internal/bench/edge/edge_test.go
@@ -0,0 +1,45 @@
+package edge_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/bench/edge"
+	"github.com/balsamwood/balsamwood/internal/bench/faults"
+)
+
+// TestKilledRouter guards against overspend, a second run or a false refusal
+// when real direct routers are killed, and against a total that cannot be used
+// afterwards.
+func TestKilledRouter(t *testing.T) {
+	bin := t.TempDir()
+	if err := faults.Build(t.Context(), bin); err != nil {
+		t.Fatal(err)
+	}
+	st, err := edge.New(t.Context(), bin, t.TempDir(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = st.Close() })
+	st.Questions(t.Context(), 10)
+	st.Vouchers(t.Context(), 10, 5)
+	if err := st.Kill(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	st.Questions(t.Context(), 200)
+	got, err := st.Audit()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Free > edge.Prepaid/2 {
+		t.Errorf("%d of %d tokens could not be used after one kill", got.Free, edge.Prepaid)
+	}
+	if got.Served == 0 || got.Refused == 0 || got.Unknown != 2 {
+		t.Errorf("served %d, refused %d, unknown %d; want some, some, and the 2 lost answers", got.Served, got.Refused, got.Unknown)
+	}
+	want := edge.Result{Served: got.Served, Refused: got.Refused, Unknown: got.Unknown, Free: got.Free}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("faults (-want +got):\n%s", diff)
+	}
+}
