retry: share the reserve among all routers of the fleet

Change: the share follows the number of routers that the store names, with room for half as many again.

--- a/internal/adapt/conf/direct.go
+++ b/internal/adapt/conf/direct.go
@@ -45,7 +45,8 @@
 	// Slack is the number of further sends that all routers together may make
 	// within a window. Default: 50.
 	Slack float64 `yaml:"slack" rule:"min=0,max=100000"`
-	// Routers is the number of routers that share the slack. Default: 16.
+	// Routers is the least number of routers that the slack is shared among; a
+	// larger fleet shares it among all. Default: 16.
 	Routers int `yaml:"routers" rule:"min=1,max=100000"`
 }
 
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -145,10 +145,7 @@
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
 	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
-		app.WithRetries(func() app.Retries {
-			return retry.NewBudget(retry.WithRatio(set.Retries.Ratio),
-				retry.WithReserve(int(set.Retries.Slack)/set.Retries.Routers))
-		}))
+		app.WithRetries(ro.newRetries))
 	var err error
 	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.Terms, ro.limits); err != nil {
 		return nil, err
@@ -167,6 +164,12 @@
 	return ro, err
 }
 
+// newRetries returns the retry allowance of one service.
+func (ro *Router) newRetries() app.Retries {
+	re := ro.set.Retries
+	return retry.NewBudget(retry.WithRatio(re.Ratio), retry.WithReserve(retry.Share(int(re.Slack), ro.fleet.Routers(), re.Routers)))
+}
+
 // belief gives the use case what the followers know.
 type belief struct{ ro *Router }
 
