--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -84,8 +84,8 @@
 	plain   *place.Plain
 	retries *snap.Cell[map[ident.Service]Retries]
 	seed    maphash.Seed
-	// end is when the process ends, in Unix milliseconds, or zero.
-	end atomic.Int64
+	// end is when the process ends, or nil.
+	end atomic.Pointer[time.Time]
 }
 
 // New returns a service.
@@ -102,12 +102,12 @@
 
 // Leave makes the service refuse all streams, and the other requests shortly
 // before the end of the process, because they may not be complete by then.
-func (se *Service) Leave(end time.Time) { se.end.Store(end.UnixMilli()) }
+func (se *Service) Leave(end time.Time) { se.end.Store(&end) }
 
 // tooLate reports whether a request of the route may outlast the process.
 func (se *Service) tooLate(ro intent.Route, now time.Time) bool {
 	end := se.end.Load()
-	return end != 0 && (ro.Kind == intent.Stream || now.Add(lastCall).UnixMilli() > end)
+	return end != nil && (ro.Kind == intent.Stream || now.Add(lastCall).After(*end))
 }
 
 // Serve answers one request. It returns nil if the reply is complete, or else
--- a/internal/core/place/station.go
+++ b/internal/core/place/station.go
@@ -44,12 +44,25 @@
 	// reported is the last load from an answer, sent the own requests since.
 	reported atomic.Pointer[report]
 	sent     atomic.Int64
-	// suspect is the Unix time in milliseconds until which the upstream is
-	// avoided, and failures counts failed sends without a success in between.
+	// suspect is the time until which the upstream is avoided, and failures
+	// counts failed sends without a success in between.
 	suspect  atomic.Int64
 	failures atomic.Int64
-	// heard is when the last byte arrived, in Unix milliseconds.
+	// heard is when the last byte arrived.
 	heard atomic.Int64
+	// base is the first time that was seen. Other times are kept as
+	// milliseconds since then, so that a step of the time of day has no effect.
+	base atomic.Pointer[time.Time]
+}
+
+// millis returns the time as kept in the other fields, which is never zero.
+func (st *state) millis(now time.Time) int64 {
+	base := st.base.Load()
+	if base == nil {
+		st.base.CompareAndSwap(nil, &now)
+		base = st.base.Load()
+	}
+	return now.Sub(*base).Milliseconds() + 1
 }
 
 type report struct {
@@ -91,14 +104,15 @@
 func (st *Station) Done() { st.state.inFlight.Add(-1) }
 
 // Heard records that bytes arrived from the upstream.
-func (st *Station) Heard(now time.Time) { st.state.heard.Store(now.UnixMilli()) }
+func (st *Station) Heard(now time.Time) { st.state.heard.Store(st.state.millis(now)) }
 
 // Silent returns how long no byte has arrived since the given time.
 func (st *Station) Silent(since, now time.Time) time.Duration {
-	if at := time.UnixMilli(st.state.heard.Load()); at.After(since) {
-		since = at
+	silent := now.Sub(since)
+	if at := st.state.heard.Load(); at != 0 {
+		silent = min(silent, time.Duration(st.state.millis(now)-at)*time.Millisecond)
 	}
-	return now.Sub(since)
+	return silent
 }
 
 // Reported records the load that an answer told.
@@ -125,12 +139,12 @@
 func (st *Station) Failed(now time.Time) time.Duration {
 	times := min(st.state.failures.Add(1), 4)
 	pause := min(suspectFor<<(times-1), maxSuspect)
-	st.state.suspect.Store(now.Add(pause).UnixMilli())
+	st.state.suspect.Store(st.state.millis(now.Add(pause)))
 	return pause
 }
 
 // Suspect reports whether the upstream is avoided.
-func (st *Station) Suspect(now time.Time) bool { return now.UnixMilli() < st.state.suspect.Load() }
+func (st *Station) Suspect(now time.Time) bool { return st.state.millis(now) < st.state.suspect.Load() }
 
 // InFlight returns the own requests at the upstream.
 func (st *Station) InFlight() int { return int(st.state.inFlight.Load()) }
