direct: try again to reclaim; say what could not be read or applied

Cause: the read-through: a successor whose first read failed never reclaimed the shelf, and errors of the fleet's list and of statements were swallowed.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -130,6 +130,8 @@
 			break
 		}
 		got, err := cl.borrow(ctx, peers[ix], loan{Account: rf.Account, Budget: rf.Budget, Tokens: tokens - sum, Short: short})
+		// A router that does not answer lends nothing; the caller records how
+		// much came together.
 		if err == nil {
 			sum += got
 		}
--- a/internal/app/budget/statement.go
+++ b/internal/app/budget/statement.go
@@ -12,11 +12,14 @@
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
-var eventStatement = meter.Event{Number: 3008, Level: slog.LevelInfo, Text: "escrow of an ended router closed by its statement"}
+var (
+	eventStatement = meter.Event{Number: 3008, Level: slog.LevelInfo, Text: "escrow of an ended router closed by its statement"}
+	eventKept      = meter.Event{Number: 3009, Level: slog.LevelWarn, Text: "a statement of an ended router cannot be applied yet"}
+)
 
 const (
 	// statementEvery is the time between two tries to apply kept statements.
-	statementEvery = 500 * time.Millisecond
+	statementEvery = time.Second
 	// maxStatements bounds the statements that one router keeps.
 	maxStatements = 256
 )
@@ -89,7 +92,8 @@
 		ss.kept = nil
 		ss.mu.Unlock()
 		for _, st := range todo {
-			if ss.ledger.Settle(ctx, st, ss.meter) != nil {
+			if err := ss.ledger.Settle(ctx, st, ss.meter); err != nil {
+				ss.meter.Log(eventKept, slog.String("incarnation", string(st.Incarnation)), slog.String("error", err.Error()))
 				ss.Keep(st)
 			}
 		}
--- a/internal/app/follow/fleet.go
+++ b/internal/app/follow/fleet.go
@@ -14,7 +14,10 @@
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
-var evFleet = meter.Event{Number: 5131, Level: slog.LevelInfo, Text: "routers of the fleet counted"}
+var (
+	evFleet     = meter.Event{Number: 5131, Level: slog.LevelInfo, Text: "routers of the fleet counted"}
+	evFleetLost = meter.Event{Number: 5132, Level: slog.LevelWarn, Text: "routers of the fleet could not be read, those known stay in use"}
+)
 
 const (
 	// fleetDelay is the wait before the first look, so that routers that start
@@ -71,13 +74,18 @@
 
 // Run looks at the rows until ctx ends.
 func (fl *Fleet) Run(ctx context.Context) {
-	pause := fleetDelay
+	pause, lost := fleetDelay, false
 	for sleep(ctx, pause) {
 		pause = fleetEvery/2 + rand.N(fleetEvery)
-		if err := fl.look(ctx); err != nil {
+		err := fl.look(ctx)
+		if err != nil {
 			fl.meter.Count("fleetErrors", "", "", 1)
 			pause = fleetDelay
 		}
+		if err != nil && !lost {
+			fl.meter.Log(evFleetLost, slog.Int("routers", fl.count.Load()), slog.String("error", err.Error()))
+		}
+		lost = err != nil
 	}
 }
 
--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -47,6 +47,7 @@
 			}
 			ro, _ := gs.config.Row()
 			newer, ok, err := gs.ask(ctx, peers[ix], ro.Version)
+			// One that does not answer is no news; the next round asks others.
 			if err == nil && ok {
 				gs.config.Offer(newer, peers[ix])
 			}
--- a/internal/core/place/warm.go
+++ b/internal/core/place/warm.go
@@ -33,14 +33,6 @@
 	at.Store(tag<<timeBits | uint64(now.UnixMilli())&(1<<timeBits-1))
 }
 
-// Forget removes the prefix of the upstream.
-func (wa *Warm) Forget(prefix, upstream uint64) {
-	at, tag := wa.place(prefix, upstream)
-	if old := at.Load(); old>>timeBits == tag {
-		at.CompareAndSwap(old, 0)
-	}
-}
-
 // Has reports whether the upstream has probably kept the prefix.
 func (wa *Warm) Has(prefix, upstream uint64, now time.Time) bool {
 	at, tag := wa.place(prefix, upstream)
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -77,6 +77,8 @@
 	shelfSpan = 10 * time.Second
 	// lookEvery is the time between two looks at what is left of a budget.
 	lookEvery = 2 * time.Second
+	// reclaimTries bounds the tries to reclaim, by which time a shelf is open.
+	reclaimTries = 40
 	// holderTick is the time between two looks at the escrow. The rates follow
 	// the first seconds of a day.
 	holderTick = 500 * time.Millisecond
@@ -292,90 +294,6 @@
 	}
 }
 
-// hold registers the incarnation, draws escrow for every account, and then
-// keeps it up to date.
-func (ro *Router) hold(ctx context.Context) {
-	for {
-		err := ro.holder.Open(ctx)
-		if err == nil {
-			break
-		}
-		ro.met.Log(evOpening, slog.String("error", err.Error()))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(openPause):
-		}
-	}
-	var workers sync.WaitGroup
-	workers.Go(func() { _ = ro.holder.Run(ctx) })
-	workers.Go(func() { ro.prime(ctx) })
-	workers.Go(func() { ro.reclaim(ctx) })
-	workers.Go(func() { ro.fleet.Run(ctx) })
-	workers.Wait()
-}
-
-// reclaim frees the shelves of earlier incarnations on this VM. They are dead,
-// because this one has their addresses.
-func (ro *Router) reclaim(ctx context.Context) {
-	for {
-		changed := ro.configs.Changed()
-		if ro.configs.Load().Revision() > 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-	var refs []ident.BudgetRef
-	for _, ac := range ro.configs.Load().Accounts() {
-		refs = append(refs, ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid})
-	}
-	all, err := ro.ledger.Incarnations(ctx)
-	for _, in := range all {
-		if in.Row.VM != ro.set.VM || in.ID == ro.in || in.Row.State != escrow.Open {
-			continue
-		}
-		_, failed := ro.ledger.Reclaim(ctx, in.ID, refs, ro.clock, ro.met)
-		err = errors.Join(err, failed)
-	}
-	if err != nil {
-		ro.met.Log(evReclaim, slog.String("error", err.Error()))
-	}
-}
-
-// prime draws escrow for each account that the configuration adds.
-func (ro *Router) prime(ctx context.Context) {
-	done := map[ident.Account]bool{}
-	for {
-		changed := ro.configs.Changed()
-		co := ro.configs.Load()
-		if co.Revision() > 0 && ro.open.CompareAndSwap(false, true) {
-			ro.met.Log(evReady, slog.Uint64("revision", uint64(co.Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
-		}
-		routers := ro.fleet.Routers()
-		for _, ac := range co.Accounts() {
-			if done[ac.Name] || !ac.Metered || routers == 0 {
-				continue
-			}
-			rf := ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid}
-			typical := max(typicalPrompt, ac.Prepaid/(primeParts*ident.Tokens(routers)*cover.Requests))
-			if err := ro.holder.Prime(ctx, rf, min(typical, ac.Prepaid)); err != nil {
-				ro.met.Log(evPrime, slog.String("account", string(ac.Name)), slog.String("error", err.Error()))
-			}
-			done[ac.Name] = true
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-ro.fleet.Known():
-		}
-	}
-}
-
 // leave announces the end, goes on serving while callers still come, and waits
 // for the requests in flight.
 func (ro *Router) leave() {
@@ -396,18 +314,3 @@
 	}
 	_ = ro.entry.Close()
 }
-
-func (ro *Router) returnEscrow() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-	defer cancel()
-	if !ro.open.Load() {
-		return
-	}
-	err := ro.holder.Close(ctx)
-	if err == nil {
-		return
-	}
-	ctx, cancel = context.WithTimeout(context.Background(), statementTime)
-	defer cancel()
-	ro.met.Log(evHeld, slog.String("error", err.Error()), slog.Int("statements", ro.peers.Leave(ctx, ro.holder.Statement())))
-}
