bench/edge: let the stand-ins speak for operator and callers

Change: the operator's writes and a caller are part of the stand-ins, and the role's tests use them as well.

--- a/internal/bench/edge/edge.go
+++ b/internal/bench/edge/edge.go
@@ -31,6 +31,7 @@
 	readyTime = 20 * time.Second
 	readyPoll = 20 * time.Millisecond
 	callTime  = 5 * time.Second
+	host      = "desk.example"
 	account   = "desk"
 	key       = "demo-key"
 	// Prepaid is the total of the account, which covers a hundred questions.
@@ -99,23 +100,17 @@
 	if err != nil {
 		return nil, err
 	}
-	st.store.Put("servers", id, map[string]any{"Service": service, "Address": or.Addr(), "Zone": "z", "Slots": 8, "State": "ready"})
+	st.store.Register(id, service, or.Addr())
 	return or, nil
 }
 
 func (st *Stand) configure() {
-	route := func(prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"Name": prefix, "Hostname": "desk.example", "Prefix": prefix, "RouteType": kind, "TimeoutMs": 5000,
-			"LatencyGoalMs": 500, "Service": service, "MaxAttempts": 1,
-		}
-	}
-	st.store.Put("op", "config", map[string]any{
-		"Version": 1, "Routes": []any{route("/question/", "stream", "llm"), route("/voucher/", "non_idempotent", "app")},
-		"Services": []any{
-			map[string]any{"Name": "llm", "Backend": map[string]any{"Slots": 8, "Stride": perEvent}}, map[string]any{"Name": "app"},
-		},
-		"Tenants": []any{map[string]any{"Name": account, "ApiKeys": []string{key}, "Prepaid": Prepaid}},
+	st.store.Configure(1, opstor.Site{
+		Host:     host,
+		Routes:   []opstor.Route{{Prefix: "/question/", Kind: "stream", Service: "llm"}, {Prefix: "/voucher/", Kind: "non_idempotent", Service: "app"}},
+		Engines:  []string{"llm"},
+		Services: []string{"app"}, EventTokens: perEvent,
+		Accounts: []opstor.Account{{Name: account, Key: key, Prepaid: Prepaid}},
 	})
 }
 
@@ -197,33 +192,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	st.next++
-	id := fmt.Sprintf("r%06d", st.next)
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+st.nodes[no].addr+path, strings.NewReader("body"))
-	if err != nil {
-		st.result.Unknown++
-		return
-	}
-	re.Host = "desk.example"
-	re.Header.Set("Attempt-Id", id)
-	re.Header.Set("Authorization", "Bearer "+key)
-	re.Header.Set("Deadline-Ms", "5000")
+	ca := origin.Call{ID: fmt.Sprintf("r%06d", st.next), Host: host, Path: path, Key: key}
 	if tokens {
-		re.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", prompt, output))
-	}
-	resp, err := http.DefaultClient.Do(re)
-	if err != nil {
-		st.result.Unknown++
-		return
+		ca.Prompt, ca.Output = prompt, output
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	status, body, err := ca.Send(ctx, st.nodes[no].addr)
 	switch {
-	case err != nil || resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout:
+	case err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
 		st.result.Unknown++
-	case resp.StatusCode != http.StatusOK:
+	case status != http.StatusOK:
 		st.result.Refused++
-		st.notRun[id] = true
-	case tokens && strings.Count(string(body), "id: ") != events:
+		st.notRun[ca.ID] = true
+	case tokens && strings.Count(body, "id: ") != events:
 		st.result.Unknown++
 	default:
 		st.result.Served++
--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -71,22 +69,17 @@
 		si.t.Fatal(err)
 	}
 	si.t.Cleanup(or.Close)
-	si.store.Put("servers", id, map[string]any{"Service": service, "Address": or.Addr(), "Zone": "z", "Slots": 8, "State": "ready"})
+	si.store.Register(id, service, or.Addr())
 	return or
 }
 
 func (si *site) configure(version int, key string, total int) {
-	route := func(prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"Name": prefix, "Hostname": "h.example", "Prefix": prefix, "RouteType": kind, "TimeoutMs": 5000,
-			"LatencyGoalMs": 500, "Service": service, "MaxAttempts": 1,
-		}
-	}
-	si.store.Put("op", "config", map[string]any{
-		"Version":  version,
-		"Routes":   []any{route("/draft/", "stream", "llm"), route("/voucher/", "non_idempotent", "app")},
-		"Services": []any{map[string]any{"Name": "llm", "Backend": map[string]any{"Slots": 8, "Stride": 5}}, map[string]any{"Name": "app"}},
-		"Tenants":  []any{map[string]any{"Name": "desk", "ApiKeys": []string{key}, "Prepaid": total}},
+	si.store.Configure(version, opstor.Site{
+		Host:     "h.example",
+		Routes:   []opstor.Route{{Prefix: "/draft/", Kind: "stream", Service: "llm"}, {Prefix: "/voucher/", Kind: "non_idempotent", Service: "app"}},
+		Engines:  []string{"llm"},
+		Services: []string{"app"}, EventTokens: 5,
+		Accounts: []opstor.Account{{Name: "desk", Key: key, Prepaid: total}},
 	})
 }
 
@@ -140,30 +133,14 @@
 }
 
 // call sends one request and returns the status and the body.
-func (si *site) call(no *node, id, path, key, tokens string) (int, string) {
+func (si *site) call(no *node, id, path, key string, prompt int) (int, string) {
 	si.t.Helper()
-	re, err := http.NewRequest(http.MethodPost, "http://"+no.set.Listen+path, strings.NewReader("body"))
-	if err != nil {
-		si.t.Fatal(err)
-	}
-	re.Host = "h.example"
-	re.Header.Set("Attempt-Id", id)
-	re.Header.Set("Authorization", "Bearer "+key)
-	re.Header.Set("Deadline-Ms", "5000")
-	if tokens != "" {
-		re.Header.Set("Token-Counts", tokens)
-		re.Header.Set("Prompt-Prefix", "aa:60,bb:40")
-	}
-	resp, err := http.DefaultClient.Do(re)
+	ca := origin.Call{ID: id, Host: "h.example", Path: path, Key: key, Prompt: prompt, Output: 50}
+	status, body, err := ca.Send(si.t.Context(), no.set.Listen)
 	if err != nil {
 		return 0, err.Error()
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
-		si.t.Fatal(err)
-	}
-	return resp.StatusCode, string(body)
+	return status, body
 }
 
 // TestPath guards against a path that does not serve as a whole: a stream, a
@@ -174,11 +151,11 @@
 	one, two := si.routers[0], si.routers[1]
 	var got []string
 	note := func(status int, body string) { got = append(got, fmt.Sprint(status, " ", strings.Count(body, "id: "))) }
-	note(si.call(one, "a1", "/draft/x", "k1", "100,50"))
-	note(si.call(two, "a2", "/voucher/x", "k1", ""))
-	note(si.call(two, "a3", "/voucher/x", "wrong", ""))
-	note(si.call(one, "a4", "/none/", "k1", ""))
-	note(si.call(one, "a5", "/draft/x", "k1", "20000,50"))
+	note(si.call(one, "a1", "/draft/x", "k1", 100))
+	note(si.call(two, "a2", "/voucher/x", "k1", 0))
+	note(si.call(two, "a3", "/voucher/x", "wrong", 0))
+	note(si.call(one, "a4", "/none/", "k1", 0))
+	note(si.call(one, "a5", "/draft/x", "k1", 20000))
 	if diff := cmp.Diff([]string{"200 4", "200 0", "401 0", "404 0", "402 0"}, got); diff != "" {
 		t.Errorf("answers (-want +got):\n%s", diff)
 	}
@@ -192,7 +169,7 @@
 func TestNeverTwice(t *testing.T) {
 	si := newSite(t, 1)
 	si.app.Fail(func(string) origin.Fault { return origin.Reset })
-	status, _ := si.call(si.routers[0], "v1", "/voucher/x", "k1", "")
+	status, _ := si.call(si.routers[0], "v1", "/voucher/x", "k1", 0)
 	if runs := len(si.app.Runs()); status != http.StatusBadGateway || runs != 1 {
 		t.Errorf("status %d after %d runs, want 502 after one", status, runs)
 	}
@@ -205,7 +182,7 @@
 	si := newSite(t, 2)
 	served := 0
 	for no := range 200 {
-		status, _ := si.call(si.routers[no%2], fmt.Sprint("b", no), "/draft/x", "k1", "100,50")
+		status, _ := si.call(si.routers[no%2], fmt.Sprint("b", no), "/draft/x", "k1", 100)
 		if status == http.StatusOK {
 			served++
 		}
@@ -216,7 +193,7 @@
 	}
 	si.configure(2, "k1", 2*prepaid)
 	si.await("the raised total is in force", func() bool {
-		status, _ := si.call(si.routers[0], "b-more", "/draft/x", "k1", "100,50")
+		status, _ := si.call(si.routers[0], "b-more", "/draft/x", "k1", 100)
 		return status == http.StatusOK
 	})
 }
@@ -227,7 +204,7 @@
 	si.configure(2, "k2", prepaid)
 	for _, no := range si.routers {
 		si.await("the key is revoked", func() bool {
-			status, _ := si.call(no, "r", "/voucher/x", "k1", "")
+			status, _ := si.call(no, "r", "/voucher/x", "k1", 0)
 			return status == http.StatusUnauthorized
 		})
 	}
@@ -236,7 +213,7 @@
 // TestOrderlyEnd guards against an end that keeps escrow of the budget.
 func TestOrderlyEnd(t *testing.T) {
 	si := newSite(t, 1)
-	if status, _ := si.call(si.routers[0], "e1", "/draft/x", "k1", "100,50"); status != http.StatusOK {
+	if status, _ := si.call(si.routers[0], "e1", "/draft/x", "k1", 100); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
 	si.routers[0].end(t)
