--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -174,7 +174,8 @@
 func (hd *Holder) planFor(du duty) plan {
 	return func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
 		if en.Budget.Wanted > 0 || en.Budget.Free() < 0 {
-			// A lowered total takes back what is not reserved. Pieces that are too small for a request here add up elsewhere.
+			// A lowered total takes back what is not reserved, and pieces that
+			// are too small for a request here add up elsewhere.
 			hg.pool.Withdraw(hg.pool.Available())
 			hg.pool.WithdrawShelf(hg.pool.Counts().Shelf)
 		}
