budget: take from the shelf only with the turn of the holding

Cause: found in the read-through. Lend opened the shelf without the turn, so that tokens could be taken between the reading of the shelf for a write and its new time; a successor would have taken them for unused. Change: Lend opens the shelf only if it gets the turn. The state of the shelf belongs to the turn, so that its lock and two atomics are gone; the race detector sees whoever breaks the rule. No test makes the interleaving. Tests of the packages passed under the race detector.

--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,11 +42,10 @@
 	// renewed is when the row was last sent with a time for the shelf, and
 	// shelvedUntil the latest such time.
 	renewed      time.Time
-	shelvedUntil atomic.Int64
+	shelvedUntil int64
 	// shelved is the smallest shelf that the row may have now, because a write
 	// without an answer may have arrived or not.
-	shelved   atomic.Int64
-	loosening sync.Mutex
+	shelved ident.Tokens
 	// asking is set while they are asked. A holder that is short itself has
 	// nothing to release, and two that ask each other must not wait.
 	asking atomic.Bool
@@ -143,7 +141,7 @@
 	hg.pool.ConfirmShelf(ro.val.Shelved-old.val.Shelved, ro.val.Armed-old.val.Armed)
 	hg.pool.Credit(ro.val.Drawn - old.val.Drawn)
 	hg.grant, hg.issued = ro, nil
-	hg.shelved.Store(int64(ro.val.Shelf()))
+	hg.shelved = ro.val.Shelf()
 	return true
 }
 
--- a/internal/app/budget/lend.go
+++ b/internal/app/budget/lend.go
@@ -49,14 +49,16 @@
 	if hg == nil || phase(hd.phase.Load()) != running {
 		return 0
 	}
-	hd.loosen(hg)
 	if short {
 		hg.wanted.Store(true)
 	}
-	if !short && !hd.away.Load() && hg.pool.Available()/lendShare < tokens && hg.tryLock() {
-		// This holder reaches the table and can draw for the other one. A
-		// failure leaves what is available.
-		_ = hd.draw(ctx, hg, tokens*lendShare)
+	if hg.tryLock() {
+		hd.loosen(hg)
+		if !short && !hd.away.Load() && hg.pool.Available()/lendShare < tokens {
+			// This holder reaches the table and can draw for the other one. A
+			// failure leaves what is available.
+			_ = hd.draw(ctx, hg, tokens*lendShare)
+		}
 		hg.unlock()
 	}
 	return hg.pool.Lend(min(tokens, hg.pool.Available()/lendShare))
--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -68,29 +68,27 @@
 		return en
 	}
 	until := ms + hd.opts.shelf.hold.Milliseconds()
-	hg.shelvedUntil.Store(max(hg.shelvedUntil.Load(), until))
-	hg.shelved.Store(int64(min(hg.grant.val.Shelf(), en.Grant.Shelf())))
+	hg.shelvedUntil = max(hg.shelvedUntil, until)
+	hg.shelved = min(hg.grant.val.Shelf(), en.Grant.Shelf())
 	hg.renewed = hd.opts.clock.Now()
 	en.Grant = en.Grant.WithShelvedUntil(until, hd.opts.shelf.span.Milliseconds())
 	return en
 }
 
 // loosen takes from the shelf what has opened since the last write that may
-// have arrived. It reports whether there was any.
+// have arrived. It reports whether there was any. The caller has the turn:
+// between the reading of the shelf for a write and its new time, nothing may be
+// taken, because a successor would take it for unused.
 func (hd *Holder) loosen(hg *holding) bool {
 	ms, ok := hd.opts.shelf.clock()
 	if !ok {
 		return false
 	}
-	until := hg.shelvedUntil.Load()
-	open := escrow.Opened(ident.Tokens(hg.shelved.Load()), until, hd.opts.shelf.span.Milliseconds(), ms)
-	// Two requests that loosen at the same moment must not take the same part.
-	hg.loosening.Lock()
+	open := escrow.Opened(hg.shelved, hg.shelvedUntil, hd.opts.shelf.span.Milliseconds(), ms)
 	got := hg.pool.Loosen(max(0, open-hg.pool.Counts().Loose))
-	hg.loosening.Unlock()
 	if got > 0 {
 		hd.opts.meter.Log(eventLoosened, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
-			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", until))
+			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", hg.shelvedUntil))
 	}
 	return got > 0
 }
