update: cut off a node between two reads in its test

Cause: TestPartitionedNode cut the node and accepted three revisions at the moment of a read of both followers (2 s after the start, with a read each second). The order of goroutines at one instant is not fixed, so that the peer could follow revision 2 before 4, and the node logged 4003 once more. Ruled out: a fault of the watcher; each revision it followed was newer. Change: the cut begins half a second after a read. The expected events are the same.

--- a/internal/app/update/watch_test.go
+++ b/internal/app/update/watch_test.go
@@ -213,7 +213,8 @@
 }
 
 // TestPartitionedNode guards against a node that is cut off from the table and
-// misses what its peers follow.
+// misses what its peers follow. The cut falls between two reads: at the moment
+// of a read, the peer may see any of the three revisions first.
 func TestPartitionedNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		me := newMemory()
@@ -222,7 +223,7 @@
 		defer stop()
 		near := start(ctx, &port{memory: me}, nil)
 		cut := start(ctx, &port{memory: me}, ask{near.Follower})
-		time.Sleep(2 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
 		cut.port.set(func(po *port) { po.down = true })
 		accept(t, me, 3)
 		time.Sleep(3 * time.Second)
