direct: charge a request only if a part of its answer was delivered

Cause: a prompt was charged as soon as an upstream may have worked on it. A request that failed without an event was charged, and so was the caller's next try. Ruled out: that the users count such prompts. Only callers that leave are counted lower; they stay charged for what they were sent. Change: a prompt is charged with the first delivered event, or with a whole answer that is no failure of the upstream.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -162,6 +162,7 @@
 		return fmt.Errorf("%w: status %d", hop.ErrBroken, an.Status())
 	}
 	rn.status = an.Status()
+	rn.delivered = rn.status < serverError
 	rn.first = rn.se.opts.clock.Now().Sub(rn.ask.Arrived)
 	if err := rn.rp.Whole(an, body); err != nil {
 		return refuse.New(refuse.Cancelled, "the answer could not be delivered: %v", err).WithOutcome(refuse.Unknown)
@@ -211,7 +212,7 @@
 // begin starts the caller's stream with the header of the first upstream.
 func (ex *exchange) begin(an hop.Answer, now time.Time) error {
 	rn := ex.rn
-	rn.begun, rn.status = true, an.Status()
+	rn.begun, rn.delivered, rn.status = true, true, an.Status()
 	rn.first = now.Sub(rn.ask.Arrived)
 	rn.se.opts.meter.Observe("firstEvent", "route", rn.route.Name, rn.first)
 	rn.se.engines.Read(ex.st, rn.demand.Prompt, now)
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -57,6 +57,9 @@
 	demand   place.Demand
 
 	begun bool
+	// delivered says that the caller got a part of an answer that is no failure
+	// of the upstream.
+	delivered bool
 	// sends counts the sends, runs those that the upstream may have worked on.
 	sends, runs int
 	// last is the last event that was delivered, events how many were.
@@ -118,10 +121,11 @@
 	return hold, nil
 }
 
-// settle charges the prompt once if any upstream may have worked on it, and
-// the tokens of the events that were delivered.
+// settle charges the prompt once if any part of an answer was delivered, and
+// the tokens of the events that were. A request that failed without one is free,
+// because the caller's next try is charged.
 func (rn *run) settle(hold budget.Hold) {
-	if rn.runs == 0 {
+	if !rn.delivered {
 		hold.Release()
 		return
 	}
