hedge: reach the table through other routers

Cause: a router that is cut off from the store, or turned away by it, had only its own escrow and loans, although other routers reached the store. Ruled out: loans alone; a lender that reaches the store draws for one request at a time, and settlements of the router that is cut off wait. Change: a table with several ways to it. A call that takes three times the usual time goes through another router as well; the conditions of a commit let it take effect once, and a condition that another way may have changed is reported as uncertain, so that the operation id is read back.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -1,5 +1,6 @@
 // Package peers lets routers help each other without the platform's store:
-// they lend escrow and pass on the newest configuration. The calls are JSON
+// they lend escrow, pass on the newest configuration, and make calls on the table
+// for a router that is cut off from it. The calls are JSON
 // over HTTP.
 package peers
 
@@ -17,6 +18,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
 const (
@@ -64,6 +66,8 @@
 	Newest func() (feed.Row, bool)
 	// Keep takes the last statement of a router that ends.
 	Keep func(st escrow.Statement)
+	// Table is the table as this router reaches it by itself.
+	Table store.Table
 }
 
 // Handler serves other routers.
@@ -100,6 +104,7 @@
 		an.Keep(st)
 		wr.WriteHeader(http.StatusNoContent)
 	})
+	mx.HandleFunc("POST "+tablePath, serveTable(an.Table))
 	return mx
 }
 
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -23,6 +23,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	app "github.com/balsamwood/balsamwood/internal/app/direct"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/app/hedge"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
@@ -138,9 +139,10 @@
 		follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me)),
 		follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me)),
 	}
-	ro.ledger, ro.clock = budget.NewLedger(pf.Table, codec.Ledger()), pf.Clock
-	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	cl := peers.NewClient(ro.peerAddresses)
+	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
+	ro.ledger, ro.clock = budget.NewLedger(table, codec.Ledger()), pf.Clock
+	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
 	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, shelfSpan, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
@@ -158,7 +160,7 @@
 		return nil, err
 	}
 	if ro.peer, err = serve.New(set.PeerListen, peers.Handler(peers.Answers{
-		Lend: ro.holder.Lend, Newest: ro.configs.Row, Keep: ro.statements.Keep,
+		Lend: ro.holder.Lend, Newest: ro.configs.Row, Keep: ro.statements.Keep, Table: table.Own(),
 	})); err != nil {
 		return nil, err
 	}
