budget: hold escrow by use, keep little of it at hand

Tokens were also lost by loans: a lender drew for the borrower, whose call had timed out by then, and what was borrowed ahead stayed unused. Ruled out: more escrow in advance with equal shares (Seconds 30 and 60: no change), fewer requests at hand alone (no change). Change: a holder draws what it is expected to use, up to half of what is free, and returns what exceeds twice that. 1 s of use is at hand, the rest on the shelf, whose row is written five times a second and opens 0.5 s after the last write, 1.3 times as fast as the recent use; a request that lacks tokens arms them with one write. While a budget lasts for less than 12 s, 0.3 s of use are at hand and the shelf opens after 2.2 s. A request waits for the shelf if it opens in time. The time by which a predecessor was dead counts from the start of the process. Loans are no larger than what lacks, and nothing is lent once the borrower has given up. Nothing is drawn before the first request.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -34,9 +34,11 @@
 	askTimeout = 100 * time.Millisecond
 	// configTimeout leaves time for a document of some 100 KB.
 	configTimeout = 300 * time.Millisecond
-	// maxAsked bounds the routers that one request asks for escrow.
-	maxAsked = 4
-	idleEach = 2
+	// maxAsked bounds the routers that one request asks for escrow, and
+	// borrowTime the time that it takes to do so.
+	maxAsked   = 12
+	borrowTime = 200 * time.Millisecond
+	idleEach   = 2
 	// statementCopies is the number of routers that keep a statement, so that
 	// one may be lost.
 	statementCopies = 2
@@ -127,6 +129,8 @@
 
 // Borrow asks routers in random order until enough tokens came together.
 func (cl *Client) Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
+	ctx, cancel := context.WithTimeout(ctx, borrowTime)
+	defer cancel()
 	peers := cl.peers()
 	var sum ident.Tokens
 	asked := 0
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -18,6 +18,9 @@
 	// holdersPerBatch scales the batch with the holders of a budget, because
 	// all of them write the same budget row.
 	holdersPerBatch = 16
+	// lookPerHolding scales the time between two looks at a budget with the
+	// budgets of the holder, so that the reads have a bound.
+	lookPerHolding = 50 * time.Millisecond
 )
 
 // settleWithin is the longest time that a settlement waits for its batch.
@@ -93,13 +96,13 @@
 	aged := now.Sub(us.lastSent) >= settleWithin(hg.weight())
 	du.settle = co.Returning > 0 || hg.doubt || co.Unsettled > 0 && (full || aged)
 	de := hd.demand(hg, us.typical, true, hg.seen)
-	du.ahead = us.lastUse.Equal(now) && co.Available < de.Low() && hd.opts.slicer.Slice(de) > 0
-	every := hd.opts.lookEvery
+	du.ahead = us.lastUse.Equal(now) && de.Available < de.Low() && hd.opts.slicer.Slice(de) > 0
+	every := max(hd.opts.lookEvery, time.Duration(hd.index.len())*lookPerHolding)
 	if de.Tight() {
 		// Other holders may be short of what is available here.
 		every = time.Duration(scale) * hd.opts.tick
 	}
-	du.look = hg.wanted.Swap(false) || co.Available > 0 && now.Sub(us.looked) >= every
+	du.look = hg.wanted.Swap(false) || de.Available > 0 && now.Sub(us.looked) >= every
 	if du.budget() {
 		hg.usage.looked = now
 	}
@@ -166,7 +169,10 @@
 // intend prepares the commit of one duty.
 func (hd *Holder) intend(ctx context.Context, du duty) (intent, error) {
 	if du.budget() {
-		return hd.prepare(ctx, du.hg, hd.planFor(du))
+		in, err := hd.prepare(ctx, du.hg, hd.planFor(du))
+		if err != nil || len(in.writes) > 0 || !du.renew {
+			return in, err
+		}
 	}
 	return hd.renewal(ctx, du.hg, du.arm)
 }
@@ -179,12 +185,12 @@
 			hg.pool.Withdraw(hg.pool.Available())
 			hg.pool.WithdrawShelf(hg.pool.Counts().Shelf)
 		}
-		if over := hd.demand(hg, hg.usage.typical, true, en.Budget).Excess(); over > 0 {
+		if over := hd.opts.slicer.Excess(hd.demand(hg, hg.usage.typical, true, en.Budget)); over > 0 {
 			over -= hg.pool.WithdrawShelf(over)
 			hg.pool.Withdraw(over)
 		}
 		co := hg.pool.Counts()
-		due := du.settle || du.renew || co.Returning > 0
+		due := du.settle || du.renew || co.Returning > 0 || du.look && co.Unsettled > 0
 		amount := ident.Tokens(0)
 		if du.ahead && en.Budget.Wanted == 0 {
 			amount = hd.opts.slicer.Slice(hd.demand(hg, hg.usage.typical, true, en.Budget))
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -177,14 +177,16 @@
 			continue
 		}
 		if hd.away.Load() {
-			if hd.borrow(ctx, hg, tokens, false) {
+			if hd.borrow(ctx, hg, tokens, false) || hd.awaitShelf(ctx, hg, tokens) {
 				continue
 			}
 			return refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table is away").
 				WithRetryAt(now.Add(hd.opts.refuseFor))
 		}
-		err := hd.draw(ctx, hg, tokens)
-		hd.noteAway(err)
+		err := hd.secure(ctx, hg, tokens)
+		if hd.noteAway(err); hd.away.Load() {
+			continue
+		}
 		if errors.Is(err, escrow.ErrShort) && !asked && hd.ask(ctx, hg, tokens) {
 			asked = true
 			continue
@@ -198,6 +200,25 @@
 	}
 }
 
+// secure gets what the request lacks from the shelf or else from what is free.
+func (hd *Holder) secure(ctx context.Context, hg *holding, tokens ident.Tokens) error {
+	lack := tokens - hg.pool.Available()
+	if _, ok := hd.opts.shelf.clock(); ok && hg.pool.Counts().Shelf >= lack {
+		return hd.arm(ctx, hg, lack)
+	}
+	return hd.draw(ctx, hg, tokens)
+}
+
+// awaitShelf waits until the shelf has opened for the request, if that is
+// before the reservation times out.
+func (hd *Holder) awaitShelf(ctx context.Context, hg *holding, tokens ident.Tokens) bool {
+	opens, ok := hd.opensIn(hg, tokens-hg.pool.Available())
+	if end, bound := ctx.Deadline(); !ok || bound && hd.opts.clock.Now().Add(opens).After(end) {
+		return false
+	}
+	return pause(ctx, opens) == nil
+}
+
 // noteAway notes from the result of a call whether the table answers.
 func (hd *Holder) noteAway(err error) {
 	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) {
--- a/internal/app/budget/index.go
+++ b/internal/app/budget/index.go
@@ -3,6 +3,7 @@
 import (
 	"hash/maphash"
 	"maps"
+	"sync/atomic"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
@@ -16,6 +17,7 @@
 type index struct {
 	seed  maphash.Seed
 	cells [shards]*snap.Cell[map[ident.BudgetRef]*holding]
+	count atomic.Int64
 }
 
 func newIndex() *index {
@@ -44,9 +46,15 @@
 		next[rf] = fresh
 		return next, true
 	})
+	if now[rf] == fresh {
+		ix.count.Add(1)
+	}
 	return now[rf]
 }
 
+// len returns the number of holdings.
+func (ix *index) len() int { return int(ix.count.Load()) }
+
 func (ix *index) all() []*holding {
 	var hgs []*holding
 	for _, ce := range ix.cells {
--- a/internal/app/budget/lend.go
+++ b/internal/app/budget/lend.go
@@ -19,14 +19,9 @@
 	Borrow(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
 }
 
-const (
-	// borrowAhead is how many times what it lacks a holder borrows, so that the
-	// next request need not ask again.
-	borrowAhead = 2
-	// lendShare is the part of its available tokens that a holder lends at most
-	// in one go: it may be short next.
-	lendShare = 2
-)
+// lendShare is the part of its available tokens that a holder lends at most in
+// one go: it may be short next.
+const lendShare = 2
 
 // borrow gets tokens from other holders. It reports whether the pool has
 // enough. The caller has the turn of the holding.
@@ -35,15 +30,17 @@
 	if hd.opts.lenders == nil || lack <= 0 {
 		return lack <= 0
 	}
-	got := hd.opts.lenders.Borrow(ctx, hg.ref, lack*borrowAhead, short)
+	// Nothing is borrowed ahead, because what is not used cannot be returned.
+	got := hd.opts.lenders.Borrow(ctx, hg.ref, lack, short)
 	hg.pool.Borrow(got)
 	hd.opts.meter.Log(eventBorrowed, slog.String("budget", hg.ref.String()), slog.Int64("lack", int64(lack)), slog.Int64("got", int64(got)))
 	return hg.pool.Available() >= tokens
 }
 
 // Lend charges tokens of this holder for use by another one and returns how
-// many they are. It uses what is available and nothing from the shelf. If the
-// budget is short, the shelf is returned to the table soon.
+// many they are. If the budget is short, the rest of the shelf is returned to
+// the table soon. Nothing is lent once ctx has ended, because the answer would
+// be lost.
 func (hd *Holder) Lend(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens {
 	hg := hd.index.find(rf)
 	if hg == nil || phase(hd.phase.Load()) != running {
@@ -54,12 +51,14 @@
 	}
 	if hg.tryLock() {
 		hd.loosen(hg)
-		if !short && !hd.away.Load() && hg.pool.Available()/lendShare < tokens {
-			// This holder reaches the table and can draw for the other one. A
-			// failure leaves what is available.
-			_ = hd.draw(ctx, hg, tokens*lendShare)
+		if lack := tokens*lendShare - hg.pool.Available(); lack > 0 && !hd.away.Load() && hg.pool.Counts().Shelf > 0 {
+			// A failure leaves what is available.
+			_ = hd.arm(ctx, hg, lack)
 		}
 		hg.unlock()
 	}
+	if ctx.Err() != nil {
+		return 0
+	}
 	return hg.pool.Lend(min(tokens, hg.pool.Available()/lendShare))
 }
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -14,7 +14,7 @@
 	clock       clock.Clock
 	meter       meter.Meter
 	address     func() string
-	slicer      escrow.Slicer[escrow.Demand]
+	slicer      escrow.Returner[escrow.Demand]
 	newOp       func() ident.Op
 	tick        time.Duration
 	drawTimeout time.Duration
@@ -30,12 +30,31 @@
 	lookEvery   time.Duration
 }
 
-// shelf says how long escrow that is put aside stays there at least. It is off
-// without a store's clock.
+// Shelf says how escrow is kept that a holder does not need at once. Its row is
+// written again and again while the table answers. Without a write it stays
+// closed for the hold time and then opens evenly.
+type Shelf struct {
+	// Renew is the time between two writes for a budget in use, and Hold the
+	// time for which its shelf stays closed after one.
+	Renew, Hold time.Duration
+	// IdleRenew and IdleHold are the same for a budget without use.
+	IdleRenew, IdleHold time.Duration
+	// Ready is the time for whose expected use tokens are kept off the shelf.
+	Ready time.Duration
+	// ScarceHold and ScarceReady stand for Hold and Ready while the budget lasts
+	// for less than Scarce: what is lost with a killed holder is then missed, and
+	// more so than what is not at hand in an outage.
+	Scarce, ScarceHold, ScarceReady time.Duration
+	// Opening is how many times faster than the recent use the shelf opens.
+	Opening float64
+	// MinSpan and MaxSpan bound the time in which it opens.
+	MinSpan, MaxSpan time.Duration
+}
+
+// shelf is off without a store's clock.
 type shelf struct {
-	hold time.Duration
-	span time.Duration
-	now  func() (ms int64, ok bool)
+	Shelf
+	now func() (ms int64, ok bool)
 }
 
 // Prepaid returns the prepaid total of a budget and the configuration that it
@@ -140,13 +159,12 @@
 // budget is created by its first draw. By default operators top budgets up.
 func WithPrepaid(source Prepaid) Option { return func(op *options) { op.prepaid = source } }
 
-// WithShelf makes the holder put escrow that it does not need within the hold
-// time on a shelf. Once that time has passed without a write to the table, the
-// shelf opens evenly over the span. What has not opened when a holder is known
-// to be dead can be reclaimed. now returns a lower bound of the store's clock in
-// milliseconds, and false while it is not known. By default nothing is shelved.
-func WithShelf(hold, span time.Duration, now func() (ms int64, ok bool)) Option {
-	return func(op *options) { op.shelf = shelf{hold: hold, span: span, now: now} }
+// WithShelf makes the holder put escrow that it does not need at once on a
+// shelf. What has not opened when a holder is known to be dead can be reclaimed.
+// now returns a lower bound of the store's clock in milliseconds, and false
+// while it is not known. By default nothing is shelved.
+func WithShelf(sh Shelf, now func() (ms int64, ok bool)) Option {
+	return func(op *options) { op.shelf = shelf{Shelf: sh, now: now} }
 }
 
 // WithLenders sets how other holders are asked for tokens when the table is
--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -17,21 +17,59 @@
 )
 
 const (
-	// renewEvery is the time between two writes that keep the shelf untouched.
-	renewEvery = time.Second
-	// renewMargin is added to the hold time for what is kept available: the
-	// shelf is opened that much later when writes take long.
-	renewMargin = 1500 * time.Millisecond
 	// shelfSlack is the share by which the available tokens may differ from the
 	// target before some are moved.
 	shelfSlack = 0.3
+	// inUse is how long a budget counts as in use after its last request.
+	inUse = 5 * time.Second
+	// maxRenewals is the number of grant rows that one holder writes in a second
+	// to keep shelves closed; with more budgets it writes each less often.
+	maxRenewals = 100
+	// renewPerHolder scales the time between two such writes with the holders of
+	// a budget, which share the write rate of its partition.
+	renewPerHolder = 10 * time.Millisecond
 )
 
+// pace returns the time between two writes of a holding's row, and how long its
+// shelf stays closed after one.
+func (hd *Holder) pace(hg *holding, now time.Time) (renew, hold time.Duration) {
+	sh := hd.opts.shelf
+	renew, hold = sh.Renew, sh.Hold
+	if hd.scarce(hg) {
+		hold = sh.ScarceHold
+	}
+	if now.Sub(hg.usage.lastUse) > inUse {
+		renew, hold = sh.IdleRenew, sh.IdleHold
+	}
+	least := max(time.Duration(hg.seen.Holders)*renewPerHolder, time.Duration(hd.index.len())*time.Second/maxRenewals)
+	if renew >= least || renew <= 0 {
+		return renew, hold
+	}
+	return least, time.Duration(float64(hold) * float64(least) / float64(renew))
+}
+
+// scarce reports whether the budget is used up soon.
+func (hd *Holder) scarce(hg *holding) bool {
+	lasts, ok := hg.usage.lasts(hg.seen.Prepaid - hg.seen.Settled)
+	return ok && lasts < hd.opts.shelf.Scarce
+}
+
+// span returns the time in which the shelf opens, in milliseconds.
+func (sh shelf) span(tokens ident.Tokens, rate float64) int64 {
+	open := sh.MaxSpan
+	if rate > 0 {
+		open = time.Duration(min(float64(tokens)/(sh.Opening*rate), open.Seconds()) * float64(time.Second))
+	}
+	return max(open, sh.MinSpan).Milliseconds()
+}
+
 // ready returns the tokens that are to be available without the shelf.
 func (hd *Holder) ready(hg *holding) ident.Tokens {
-	span := (hd.opts.shelf.hold + renewMargin).Seconds()
+	if hd.scarce(hg) {
+		return ident.Tokens(hg.usage.rate * hd.opts.shelf.ScarceReady.Seconds())
+	}
 	low := hd.opts.cover(hg.weight()).LowRequests * hg.usage.typical
-	return max(ident.Tokens(hg.usage.rate*span), low)
+	return max(ident.Tokens(hg.usage.rate*hd.opts.shelf.Ready.Seconds()), low)
 }
 
 // shelve decides what moves between the shelf and the available tokens. It
@@ -48,7 +86,8 @@
 		arm = min(want-co.Available, co.Shelf)
 	}
 	co = hg.pool.Counts()
-	due := co.Shelf > 0 && now.Sub(hg.renewed) >= renewEvery
+	every, _ := hd.pace(hg, now)
+	due := co.Shelf > 0 && now.Sub(hg.renewed) >= every
 	return arm, arm > 0 || co.Shelving > 0 || co.Loose > 0 || due
 }
 
@@ -67,11 +106,14 @@
 	if !ok || en.Grant.Shelf() == 0 {
 		return en
 	}
-	until := ms + hd.opts.shelf.hold.Milliseconds()
+	now := hd.opts.clock.Now()
+	_, hold := hd.pace(hg, now)
+	until, span := ms+hold.Milliseconds(), hd.opts.shelf.span(en.Grant.Shelf(), hg.usage.rate)
 	hg.shelvedUntil = max(hg.shelvedUntil, until)
+	hg.shelfSpan = max(hg.shelfSpan, span)
 	hg.shelved = min(hg.grant.val.Shelf(), en.Grant.Shelf())
-	hg.renewed = hd.opts.clock.Now()
-	en.Grant = en.Grant.WithShelvedUntil(until, hd.opts.shelf.span.Milliseconds())
+	hg.renewed = now
+	en.Grant = en.Grant.WithShelvedUntil(until, span)
 	return en
 }
 
@@ -84,7 +126,7 @@
 	if !ok {
 		return false
 	}
-	open := escrow.Opened(hg.shelved, hg.shelvedUntil, hd.opts.shelf.span.Milliseconds(), ms)
+	open := escrow.Opened(hg.shelved, hg.shelvedUntil, hg.shelfSpan, ms)
 	got := hg.pool.Loosen(max(0, open-hg.pool.Counts().Loose))
 	if got > 0 {
 		hd.opts.meter.Log(eventLoosened, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
@@ -93,6 +135,31 @@
 	return got > 0
 }
 
+// opensIn returns the time until the shelf has opened by so many tokens more
+// than were taken from it. It reports false if it never will.
+func (hd *Holder) opensIn(hg *holding, tokens ident.Tokens) (time.Duration, bool) {
+	ms, ok := hd.opts.shelf.clock()
+	want := hg.pool.Counts().Loose + tokens
+	if !ok || want > hg.shelved {
+		return 0, false
+	}
+	at := hg.shelvedUntil + int64(float64(hg.shelfSpan)*float64(want)/float64(max(1, hg.shelved))) + 1
+	return time.Duration(at-ms) * time.Millisecond, true
+}
+
+// arm takes from the shelf what a request lacks, which is one write of the
+// grant row. The caller has the turn.
+func (hd *Holder) arm(ctx context.Context, hg *holding, lack ident.Tokens) error {
+	return repeat(ctx, func() (bool, error) {
+		in, err := hd.renewal(ctx, hg, lack+hd.ready(hg))
+		if err != nil || len(in.writes) == 0 {
+			return err == nil, err
+		}
+		err = hd.conclude(hg, in, hd.ledger.table.Commit(ctx, in.writes...))
+		return err == nil, err
+	})
+}
+
 // Reclaim frees the shelves of an incarnation that is known to be dead, as far
 // as they are proved to be unused, and returns the tokens. The incarnation
 // draws no more grants afterwards. now returns the store's clock as WithShelf
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -53,6 +53,7 @@
 	}
 	bu.val = bu.val.WithPrepaid(total, rev)
 	hg.seen = bu.val
+	hg.usage.drained(hd.opts.clock.Now(), bu.val.Settled)
 	en := escrow.Entry{Budget: bu.val, Grant: hg.grant.val}
 	nx, err := pl(hg, en)
 	if err != nil || nx == en {
@@ -186,8 +187,12 @@
 		if err != nil || lack <= 0 {
 			return en, err
 		}
-		if en.Grant.Shelf() >= lack {
-			return en.Arm(lack)
+		// What the shelf has is not drawn from what is free.
+		if part := min(en.Grant.Shelf(), lack); part > 0 {
+			if en, err = en.Arm(part); err != nil || part == lack {
+				return en, err
+			}
+			lack -= part
 		}
 		if amount := hd.opts.slicer.Slice(hd.demand(hg, lack, false, en.Budget)); amount > 0 {
 			return en.Draw(amount)
--- a/internal/app/follow/fleet.go
+++ b/internal/app/follow/fleet.go
@@ -46,28 +46,18 @@
 	meter  meter.Meter
 	peers  *snap.Cell[[]Peer]
 	count  *snap.Cell[int]
-	known  chan struct{}
 }
 
 // NewFleet returns a fleet that is not known yet.
 func NewFleet(ledger Incarnations, own ident.VM, me meter.Meter) *Fleet {
 	return &Fleet{
-		ledger: ledger, own: own, meter: me, peers: snap.NewCell[[]Peer](nil), count: snap.NewCell(0), known: make(chan struct{}),
+		ledger: ledger, own: own, meter: me, peers: snap.NewCell[[]Peer](nil), count: snap.NewCell(0),
 	}
 }
 
 // Routers returns the number of routers, or zero while it is not known.
 func (fl *Fleet) Routers() int { return fl.count.Load() }
 
-// Known returns a channel that is closed once the fleet is known; it is nil
-// afterwards, so that a select waits for it only once.
-func (fl *Fleet) Known() <-chan struct{} {
-	if fl.count.Load() > 0 {
-		return nil
-	}
-	return fl.known
-}
-
 // Peers returns the other routers, the one that started last first. The slice
 // must not be changed.
 func (fl *Fleet) Peers() []Peer { return fl.peers.Load() }
@@ -108,9 +98,6 @@
 	if before := fl.count.Load(); before != len(seen) {
 		fl.meter.Log(evFleet, slog.Int("routers", len(seen)), slog.Int("before", before))
 		fl.count.Store(len(seen))
-		if before == 0 {
-			close(fl.known)
-		}
 	}
 	return nil
 }
--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -33,6 +33,14 @@
 // request, at most what is free, and nothing if the request does not fit.
 type Bounded[S Slicer[Demand]] struct{ Inner S }
 
+// Excess returns what the inner policy gives back.
+func (bo Bounded[S]) Excess(de Demand) ident.Tokens {
+	if re, ok := any(bo.Inner).(Returner[Demand]); ok {
+		return re.Excess(de)
+	}
+	return 0
+}
+
 // Slice returns the inner policy's slice within the bounds.
 func (bo Bounded[S]) Slice(de Demand) ident.Tokens {
 	if de.Want > de.Free {
@@ -67,12 +75,12 @@
 	// LowRequests is the number of typical requests below which a holder draws
 	// ahead whatever its rate is.
 	LowRequests ident.Tokens
-	// Fair bounds what a holder has to so many times its share of what is free,
-	// so that tokens can be drawn where they are needed. Zero means no bound.
-	Fair float64
 	// Parts is the number of equal parts into which a holder's share of the
 	// free tokens is divided, so that later draws still find something free.
 	Parts ident.Tokens
+	// Idle is the number of equal parts of a holder's share of the free tokens
+	// of which it keeps one without use. Zero means none.
+	Idle ident.Tokens
 }
 
 // CoverFor returns the cover of a client account's weight.
@@ -106,27 +114,45 @@
 		return de.Want
 	}
 	need := max(ident.Tokens(de.Rate*co.Seconds), de.Want*co.Requests)
-	if co.Fair > 0 {
-		need = min(need, de.fair())
-	}
 	return min(share, need-de.Available)
 }
 
-// fair returns what the holder may have without being unfair to others.
-func (de Demand) fair() ident.Tokens {
-	return max(2*de.Want, ident.Tokens(de.Cover.Fair*float64(de.Free)/float64(max(1, de.Holders))))
+// ByUse draws what the holder is expected to use within its cover, whatever the
+// number of holders: the requests of an account often reach few routers. The
+// rest of what is free is left to the others by Parts.
+type ByUse struct{}
+
+// Slice returns what lacks to the expected use, limited by the part.
+func (ByUse) Slice(de Demand) ident.Tokens {
+	return min(de.Free/max(1, de.Cover.Parts), de.need()-de.Available)
 }
 
-// excessSlack is the factor by which a holder may exceed its fair share before
+// need returns what a holder that draws by use is to have.
+func (de Demand) need() ident.Tokens {
+	need := max(ident.Tokens(de.Rate*de.Cover.Seconds), de.Want*de.Cover.Requests)
+	if de.Cover.Idle > 0 {
+		need = max(need, de.Free/(ident.Tokens(max(1, de.Holders))*de.Cover.Idle))
+	}
+	return need
+}
+
+// excessSlack is the factor by which a holder may exceed what it needs before
 // it returns the excess, so that small changes cause no writes.
-const excessSlack = 1.5
+const excessSlack = 2
 
-// Excess returns how many of its available tokens the holder is to return.
-func (de Demand) Excess() ident.Tokens {
-	if de.Cover.Fair <= 0 || float64(de.Available) < excessSlack*float64(de.fair()) {
-		return 0
+// Excess returns how many of its available tokens a holder that draws by use is
+// to return, because its rate has fallen.
+func (ByUse) Excess(de Demand) ident.Tokens {
+	if need := de.need(); de.Available > excessSlack*need {
+		return de.Available - need
 	}
-	return de.Available - de.fair()
+	return 0
+}
+
+// Returner is a Slicer that also decides what a holder gives back.
+type Returner[D any] interface {
+	Slicer[D]
+	Excess(de D) ident.Tokens
 }
 
 // Home draws for all holders of a budget, which then take from it by peer
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -46,7 +46,6 @@
 	evReclaim     = meter.Event{Number: 9308, Level: slog.LevelWarn, Text: "escrow of earlier incarnations could not be reclaimed"}
 	evReloaded    = meter.Event{Number: 9309, Level: slog.LevelInfo, Text: "settings reloaded"}
 	evBadSettings = meter.Event{Number: 9310, Level: slog.LevelError, Text: "new settings cannot be used, those before stay in force"}
-	evPrime       = meter.Event{Number: 9307, Level: slog.LevelWarn, Text: "no escrow could be drawn in advance"}
 )
 
 const (
@@ -64,30 +63,28 @@
 	leavePoll     = 50 * time.Millisecond
 	// expireEvery is the time between two looks for lapsed upstreams.
 	expireEvery = 200 * time.Millisecond
-	// typicalPrompt is the size of a request for which escrow is drawn before
-	// the first one has come.
-	typicalPrompt ident.Tokens = 10_000
-	// primeParts is the number of equal parts of a budget, of which all routers
-	// together draw one in advance. A total lasts for about 45 s of the users'
-	// days, so that a quarter covers 11 s.
-	primeParts = 4
-	// shelfHold is how long escrow on the shelf stays untouched after a write.
-	// A killed router is back within about 3 s and writes once a second, and the
-	// shelf then opens as fast as it is used in an outage of 8 s.
-	shelfHold = 2500 * time.Millisecond
-	shelfSpan = 10 * time.Second
 	// lookEvery is the time between two looks at what is left of a budget.
 	lookEvery = 2 * time.Second
 	// reclaimTries bounds the tries to reclaim, by which time a shelf is open.
 	reclaimTries = 40
-	// holderTick is the time between two looks at the escrow. The rates follow
-	// the first seconds of a day.
-	holderTick = 500 * time.Millisecond
+	// holderTick is the time between two looks at the escrow.
+	holderTick = 200 * time.Millisecond
 )
 
-// Escrow held in advance: the store may be away for 8 s, and what a router
-// holds when it is killed is lost to the account for good.
-var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 6, Parts: 3, Fair: 1.5}
+// cover is the escrow held in advance, because the store may be away for 8 s.
+var cover = escrow.Cover{Seconds: 16, Low: 12, Requests: 4, LowRequests: 1, Parts: 2, Idle: 8}
+
+// shelf keeps little of the escrow at hand: what is at hand or has opened when
+// a router is killed is lost to the account. A killed router is back after 1 to
+// 3 s. While the store is away for all routers, requests wait until the shelf
+// opens.
+var shelf = budget.Shelf{
+	Renew: 200 * time.Millisecond, Hold: 500 * time.Millisecond,
+	IdleRenew: time.Second, IdleHold: 2500 * time.Millisecond,
+	Ready: time.Second, Scarce: 12 * time.Second, ScarceHold: 2200 * time.Millisecond, ScarceReady: 300 * time.Millisecond,
+	Opening: 1.3,
+	MinSpan: 2 * time.Second, MaxSpan: 30 * time.Second,
+}
 
 // Platform holds what a deployment's platform provides.
 type Platform struct {
@@ -97,8 +94,9 @@
 	DecodeConfig   follow.DecodeConfig
 	DecodeUpstream follow.DecodeUpstream
 	Terms          terms.Terms
-	// Clock returns a lower bound of the store's clock in milliseconds.
-	Clock func() (ms int64, ok bool)
+	// Clock returns a lower bound of the store's clock in milliseconds, and Began
+	// an upper bound of it at the start of this process.
+	Clock, Began func() (ms int64, ok bool)
 }
 
 // Router is a running router.
@@ -111,7 +109,7 @@
 	loops     []*follow.Loop
 	fleet     *follow.Fleet
 	ledger    *budget.Ledger
-	clock     func() (int64, bool)
+	platform  Platform
 	holder    *budget.Holder
 	pool      *pool.Pool
 	service   *app.Service
@@ -141,11 +139,12 @@
 	}
 	cl := peers.NewClient(ro.peerAddresses)
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
-	ro.ledger, ro.clock = budget.NewLedger(table, codec.Ledger()), pf.Clock
+	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger()), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.Newest)
-	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelfHold, shelfSpan, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
+	ro.holder = budget.NewHolder(ro.in, set.VM, set.Domain, ro.ledger, budget.WithTick(holderTick), budget.WithShelf(shelf, pf.Clock), budget.WithLenders(cl), budget.WithLook(lookEvery),
+		budget.WithSlicer(escrow.ByUse{}),
 		budget.WithMeter(me), budget.WithCover(cover), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
 	ro.service = app.New(belief{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithWeight(set.Weight),
--- a/internal/role/direct/escrow.go
+++ b/internal/role/direct/escrow.go
@@ -12,8 +12,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
 
-// hold registers the incarnation, draws escrow for every account, and then
-// keeps it up to date.
+// hold registers the incarnation and then keeps its escrow up to date.
 func (ro *Router) hold(ctx context.Context) {
 	for {
 		err := ro.holder.Open(ctx)
@@ -29,7 +28,7 @@
 	}
 	var workers sync.WaitGroup
 	workers.Go(func() { _ = ro.holder.Run(ctx) })
-	workers.Go(func() { ro.prime(ctx) })
+	workers.Go(func() { ro.announce(ctx) })
 	workers.Go(func() { ro.reclaim(ctx) })
 	workers.Go(func() { ro.fleet.Run(ctx) })
 	workers.Wait()
@@ -38,16 +37,8 @@
 // reclaim frees the shelves of earlier incarnations on this VM. They are dead,
 // because this one has their addresses.
 func (ro *Router) reclaim(ctx context.Context) {
-	for {
-		changed := ro.configs.Changed()
-		if ro.configs.Load().Revision() > 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
+	if !ro.awaitConfig(ctx) {
+		return
 	}
 	var refs []ident.BudgetRef
 	for _, ac := range ro.configs.Load().Accounts() {
@@ -85,7 +76,7 @@
 	var failed error
 	var left []ident.Incarnation
 	for _, in := range *todo {
-		if _, err := ro.ledger.Reclaim(ctx, in, refs, ro.clock, ro.met); err != nil {
+		if _, err := ro.ledger.Reclaim(ctx, in, refs, ro.platform.Began, ro.met); err != nil {
 			failed = errors.Join(failed, err)
 			left = append(left, in)
 		}
@@ -94,32 +85,28 @@
 	return failed
 }
 
-// prime draws escrow for each account that the configuration adds.
-func (ro *Router) prime(ctx context.Context) {
-	done := map[ident.Account]bool{}
+// announce makes the router ready once a configuration is known. No escrow is
+// drawn before the first request of an account: its requests reach few routers,
+// and a draw takes two calls of 4 ms.
+func (ro *Router) announce(ctx context.Context) {
+	if ro.awaitConfig(ctx) {
+		ro.open.Store(true)
+		ro.met.Log(evReady, slog.Uint64("revision", uint64(ro.configs.Load().Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
+	}
+}
+
+// awaitConfig waits until a configuration is in force. It reports false if ctx
+// ends before.
+func (ro *Router) awaitConfig(ctx context.Context) bool {
 	for {
 		changed := ro.configs.Changed()
-		co := ro.configs.Load()
-		if co.Revision() > 0 && ro.open.CompareAndSwap(false, true) {
-			ro.met.Log(evReady, slog.Uint64("revision", uint64(co.Revision())), slog.Int("upstreams", ro.upstreams.Load().Len()))
-		}
-		routers := ro.fleet.Routers()
-		for _, ac := range co.Accounts() {
-			if done[ac.Name] || !ac.Metered || routers == 0 {
-				continue
-			}
-			rf := ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid}
-			typical := max(typicalPrompt, ac.Prepaid/(primeParts*ident.Tokens(routers)*cover.Requests))
-			if err := ro.holder.Prime(ctx, rf, min(typical, ac.Prepaid)); err != nil {
-				ro.met.Log(evPrime, slog.String("account", string(ac.Name)), slog.String("error", err.Error()))
-			}
-			done[ac.Name] = true
+		if ro.configs.Load().Revision() > 0 {
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-changed:
-		case <-ro.fleet.Known():
 		}
 	}
 }
