--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -39,14 +39,10 @@
 	lastAsked time.Time
 	// wanted is set when another holder is short of this budget.
 	wanted atomic.Bool
-	// renewed is when the row was last sent with a time for the shelf. Since a
-	// write without an answer may have arrived or not, shelvedUntil and
-	// shelfSpan are the largest that the row may have now, in milliseconds, and
-	// shelved is the smallest shelf.
-	renewed      time.Time
-	shelvedUntil int64
-	shelfSpan    int64
-	shelved      ident.Tokens
+	// renewed is when the row was last sent with a time for the shelf, and
+	// opening how the shelf opens by the row as it may be now.
+	renewed time.Time
+	opening opening
 	// asking is set while they are asked. A holder that is short itself has
 	// nothing to release, and two that ask each other must not wait.
 	asking atomic.Bool
@@ -142,7 +138,7 @@
 	hg.pool.ConfirmShelf(ro.val.Shelved-old.val.Shelved, ro.val.Armed-old.val.Armed)
 	hg.pool.Credit(ro.val.Drawn - old.val.Drawn)
 	hg.grant, hg.issued = ro, nil
-	hg.shelved, hg.shelvedUntil, hg.shelfSpan = ro.val.Shelf(), ro.val.ShelvedUntil, ro.val.ShelfSpan
+	hg.opening = openingOf(ro.val)
 	return true
 }
 
--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -109,11 +109,8 @@
 	now := hd.opts.clock.Now()
 	_, hold := hd.pace(hg, now)
 	until, span := ms+hold.Milliseconds(), hd.opts.shelf.span(en.Grant.Shelf(), hg.usage.rate)
-	hg.shelvedUntil = max(hg.shelvedUntil, until)
-	hg.shelfSpan = max(hg.shelfSpan, span)
-	hg.shelved = min(hg.grant.val.Shelf(), en.Grant.Shelf())
-	hg.renewed = now
 	en.Grant = en.Grant.WithShelvedUntil(until, span)
+	hg.opening, hg.renewed = hg.opening.WithWrite(openingOf(en.Grant)), now
 	return en
 }
 
@@ -126,11 +123,10 @@
 	if !ok {
 		return false
 	}
-	open := escrow.Opened(hg.shelved, hg.shelvedUntil, hg.shelfSpan, ms)
-	got := hg.pool.Loosen(max(0, open-hg.pool.Counts().Loose))
+	got := hg.pool.Loosen(max(0, hg.opening.at(ms)-hg.pool.Counts().Loose))
 	if got > 0 {
 		hd.opts.meter.Log(eventLoosened, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
-			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", hg.shelvedUntil))
+			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", hg.opening.until))
 	}
 	return got > 0
 }
@@ -139,12 +135,8 @@
 // than were taken from it. It reports false if it never will.
 func (hd *Holder) opensIn(hg *holding, tokens ident.Tokens) (time.Duration, bool) {
 	ms, ok := hd.opts.shelf.clock()
-	want := hg.pool.Counts().Loose + tokens
-	if !ok || want > hg.shelved {
-		return 0, false
-	}
-	at := hg.shelvedUntil + int64(float64(hg.shelfSpan)*float64(want)/float64(max(1, hg.shelved))) + 1
-	return time.Duration(at-ms) * time.Millisecond, true
+	at, will := hg.opening.when(hg.pool.Counts().Loose + tokens)
+	return time.Duration(at-ms) * time.Millisecond, ok && will
 }
 
 // arm takes from the shelf what a request lacks, which is one write of the
--- a/internal/app/budget/shelf_test.go
+++ b/internal/app/budget/shelf_test.go
@@ -74,7 +74,7 @@
 	sure bool
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t *testing.T, seed uint64, shelf budget.Shelf) *world {
 	tb := table.New()
 	wo := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), tb: tb, began: time.Now(), clean: tb.Client(),
@@ -294,7 +294,7 @@
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				wo := newWorld(t, seed)
+				wo := newWorld(t, seed, shelf)
 				for no := range shelfSteps {
 					wo.step()
 					wo.check(no)
@@ -314,8 +314,10 @@
 
 // shelfPair returns a world of two routers without faults whose first router
 // holds escrow, most of it on the shelf.
-func shelfPair(t *testing.T) (*world, *vm, *vm) {
-	wo := newWorld(t, 9)
+func shelfPair(t *testing.T) (*world, *vm, *vm) { return pairWith(t, shelf) }
+
+func pairWith(t *testing.T, sh budget.Shelf) (*world, *vm, *vm) {
+	wo := newWorld(t, 9, sh)
 	wo.sure = true
 	for _, ma := range wo.vms {
 		ma.cl.SetFaults(nil)
@@ -413,3 +415,157 @@
 		}
 	})
 }
+
+// busy makes the router use tokens for some seconds, so that its shelf opens
+// fast.
+func (ma *vm) busy(t *testing.T, seconds int) {
+	t.Helper()
+	for range seconds * 4 {
+		ho, err := ma.hd.Reserve(t.Context(), shelfRef, 4000, config.WeighRefusal)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ho.Settle(4000)
+		time.Sleep(250 * time.Millisecond)
+		ma.hd.Flush(t.Context())
+	}
+}
+
+// TestUncertainWrite guards against a router that opens its shelf by a row that
+// was replaced by a later write whose answer was lost.
+func TestUncertainWrite(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// pause lies between the last known write and the uncertain one, after
+		// so many seconds of use.
+		pause time.Duration
+		busy  int
+	}{
+		{"closed for longer", time.Second, 0},
+		// Without use the rate falls, and the span grows with it.
+		{"opens more slowly", 1900 * time.Millisecond, 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				long := shelf
+				long.MaxSpan = time.Minute
+				wo, first, _ := pairWith(t, long)
+				first.busy(t, tc.busy)
+				time.Sleep(tc.pause)
+				lost := true
+				first.cl.SetFaults(func(commit bool) table.Fault {
+					switch {
+					case !lost:
+						return table.Down
+					case commit:
+						lost = false
+						return table.Lost
+					}
+					return table.None
+				})
+				first.hd.Flush(t.Context())
+				first.cl.SetDown(true)
+				first.hd.Flush(t.Context())
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					for {
+						ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+						ho, err := first.hd.Reserve(ctx, shelfRef, 50, config.WeighRefusal)
+						cancel()
+						if err != nil {
+							break
+						}
+						ho.Settle(50)
+					}
+					// The router dies now.
+					wo.note(first)
+					ms, _ := wo.storeMs()
+					en := wo.entry(t, first.inc)
+					nx, err := en.Reclaim(ms)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if has := nx.Grant.Drawn - nx.Grant.Returned; has < wo.owes[first.inc] {
+						t.Fatalf("%d tokens were used, the ledger would keep %d", wo.owes[first.inc], has)
+					}
+				}
+			})
+		})
+	}
+}
+
+// entry returns the rows of a router's grant as the table has them.
+func (wo *world) entry(t *testing.T, inc ident.Incarnation) escrow.Entry {
+	t.Helper()
+	for _, hb := range wo.grants() {
+		if hb.Incarnation == inc {
+			return escrow.Entry{Budget: escrow.BudgetRow{Prepaid: 1 << 40, Granted: 1 << 30}, Grant: hb.Grant}
+		}
+	}
+	t.Fatal("no grant")
+	return escrow.Entry{}
+}
+
+// TestAwaitShelf guards against refusing a request for which the shelf opens in
+// time.
+func TestAwaitShelf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, first, _ := shelfPair(t)
+		first.busy(t, 4)
+		first.cl.SetDown(true)
+		first.hd.Flush(t.Context())
+		all := first.hd.Counts(shelfRef)
+		time.Sleep(shelfHold - 500*time.Millisecond)
+		began := time.Now()
+		if _, err := first.hd.Reserve(t.Context(), shelfRef, all.Available+100, config.WeighRefusal); err != nil {
+			t.Errorf("refused: %v", err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("waited %s", took)
+		}
+	})
+}
+
+// TestLendGivenUp guards against a loan that is charged although the borrower
+// no longer waits for it.
+func TestLendGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, first, _ := shelfPair(t)
+		first.busy(t, 2)
+		before := first.hd.Counts(shelfRef)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		got := first.hd.Lend(ctx, shelfRef, 500, false)
+		if after := first.hd.Counts(shelfRef); got != 0 || after.Unsettled != before.Unsettled {
+			t.Errorf("%d tokens lent, %d charged", got, after.Unsettled-before.Unsettled)
+		}
+	})
+}
+
+// TestScarce guards against a router that keeps much at hand of a budget that
+// is used up soon, and little of one that lasts.
+func TestScarce(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepaid ident.Tokens
+		seconds float64
+	}{
+		{"lasts", 10_000_000, 1},
+		{"used up soon", 400_000, 0.3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sh := shelf
+				sh.Scarce, sh.ScarceReady, sh.ScarceHold = 12*time.Second, 300*time.Millisecond, 2*shelfHold
+				wo, first, _ := pairWith(t, sh)
+				wo.prepaid, wo.revision = tc.prepaid, 2
+				first.busy(t, 14)
+				const rate = 16_000
+				co := first.hd.Counts(shelfRef)
+				if want := tc.seconds * rate; float64(co.Available) > 1.5*want+4000 || float64(co.Available) < want/2-4000 {
+					t.Errorf("%d tokens at hand, want about %.0f", co.Available, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -19,6 +19,8 @@
 	budget escrow.BudgetRow
 	// ops is the number of operations that the intent added to the issued ones.
 	ops int
+	// before is how the shelf opens if nothing is written.
+	before opening
 }
 
 // execute carries out the plan on the current rows. The caller has the turn.
@@ -88,6 +90,7 @@
 
 // encode adds the write of the grant row to the intent.
 func (hd *Holder) encode(hg *holding, in intent, en, nx escrow.Entry) (intent, error) {
+	in.before = hg.opening
 	if nx = hd.stamp(hg, nx); nx.Grant == en.Grant {
 		return in, nil
 	}
@@ -124,6 +127,7 @@
 	case errors.Is(err, store.ErrThrottled), errors.Is(err, store.ErrUnavailable):
 		// Nothing was written, and the row is as it was known.
 		hg.issued = hg.issued[:max(0, len(hg.issued)-in.ops)]
+		hg.opening = in.before
 	case errors.Is(err, store.ErrConflict):
 		// The row that failed the condition may be the grant: an earlier commit
 		// without an answer has arrived, or a recovery closed it.
