budget: retire the rows of routers that have ended

Cause: the row of each start of a router stayed in the table for good, and all routers read all of them every 8 s. A router that was killed while it ended, or whose successor was killed while it reclaimed, was not reclaimed again, because only open incarnations were looked at. A reclaim before the store's clock was known counted as done. Ruled out: moving held tokens to the budget row; held escrow stays visible by router until an operator resolves it. Change: after a reclaim, a statement or an orderly end the grants of which nothing is held and the incarnation are removed; with held tokens the incarnation is marked closed. Incarnations that are closing are reclaimed too, and a reclaim without a clock is an error and tried again. Shown by TestRetire; without the error for the missing clock its case fails. Before: rows grow by one incarnation a start. After: by those with held tokens.

--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -152,12 +152,17 @@
 	})
 }
 
+// errNoClock means that no answer of the store has told its clock yet.
+var errNoClock = errors.New("budget: the store's clock is not known")
+
 // Reclaim frees the shelves of an incarnation that is known to be dead, as far
 // as they are proved to be unused, and returns the tokens. The incarnation
-// draws no more grants afterwards. now returns the store's clock as WithShelf
+// draws no more grants afterwards, and its rows are retired. now returns the store's clock as WithShelf
 // has it.
 func (le *Ledger) Reclaim(ctx context.Context, inc ident.Incarnation, refs []ident.BudgetRef, now func() (int64, bool), me meter.Meter) (ident.Tokens, error) {
-	if err := le.setState(ctx, inc, escrow.Closing); err != nil {
+	if err := le.setState(ctx, inc, escrow.Closing); ended(err) {
+		return 0, nil
+	} else if err != nil {
 		return 0, err
 	}
 	var sum ident.Tokens
@@ -167,7 +172,7 @@
 		err := le.change(ctx, rf, inc, func(en escrow.Entry) (escrow.Entry, error) {
 			ms, ok := now()
 			if !ok {
-				return en, nil
+				return en, errNoClock
 			}
 			nx, err := en.Reclaim(ms)
 			freed, held = nx.Grant.Returned-en.Grant.Returned, nx.Grant.Outstanding()
@@ -184,5 +189,8 @@
 		me.Log(eventReclaimed, slog.String("incarnation", string(inc)), slog.String("budget", rf.String()),
 			slog.Int64("freed", int64(freed)), slog.Int64("held", int64(held)))
 	}
-	return sum, failed
+	if failed != nil {
+		return sum, failed
+	}
+	return sum, le.Retire(ctx, inc, refs)
 }
--- a/internal/app/budget/shelf_test.go
+++ b/internal/app/budget/shelf_test.go
@@ -569,3 +569,72 @@
 		})
 	}
 }
+
+// rows returns how many grants the table has, and how many incarnations that
+// have not ended.
+func (wo *world) rows(t *testing.T) (grants, incarnations int) {
+	t.Helper()
+	all, err := wo.ledger.Incarnations(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(wo.grants()), len(all)
+}
+
+// TestRetire guards against rows of ended routers that pile up, against held
+// escrow that is no longer shown, and against a reclaim that a kill of the
+// successor ended half way.
+func TestRetire(t *testing.T) {
+	refs := []ident.BudgetRef{shelfRef}
+	for _, tc := range []struct {
+		name    string
+		used    ident.Tokens
+		held    bool
+		noClock bool
+	}{
+		{"nothing held", 0, false, false},
+		{"nothing held, clock known late", 0, false, true},
+		{"use without settlement", 300, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wo, first, _ := shelfPair(t)
+				if tc.used > 0 {
+					ho, err := first.hd.Reserve(t.Context(), shelfRef, tc.used, config.WeighRefusal)
+					if err != nil {
+						t.Fatal(err)
+					}
+					ho.Settle(tc.used)
+				}
+				grants, incarnations := wo.rows(t)
+				if tc.noClock {
+					none := func() (int64, bool) { return 0, false }
+					if _, err := wo.ledger.Reclaim(t.Context(), first.inc, refs, none, meter.Nop{}); err == nil {
+						t.Error("reclaimed without a clock")
+					}
+				}
+				for range 2 {
+					if _, err := wo.ledger.Reclaim(t.Context(), first.inc, refs, wo.storeMs, meter.Nop{}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				gone := 1
+				if tc.held {
+					gone = 0
+				}
+				gotGrants, gotIncarnations := wo.rows(t)
+				if gotGrants != grants-gone || gotIncarnations != incarnations-1 {
+					t.Errorf("%d of %d grants and %d of %d incarnations left", gotGrants, grants, gotIncarnations, incarnations)
+				}
+				st := escrow.Statement{Incarnation: first.inc, Used: []escrow.Use{{Account: "desk", Budget: "prepaid", Tokens: tc.used}}}
+				if err := wo.ledger.Settle(t.Context(), st, meter.Nop{}); err != nil {
+					t.Errorf("statement after the reclaim: %v", err)
+				}
+				ba, err := wo.ledger.Balance(t.Context(), shelfRef)
+				if err != nil || ba.Settled != tc.used {
+					t.Errorf("%d tokens settled (%v), want %d", ba.Settled, err, tc.used)
+				}
+			})
+		})
+	}
+}
--- a/internal/app/budget/statement.go
+++ b/internal/app/budget/statement.go
@@ -40,12 +40,16 @@
 // Settle closes the grants of an incarnation by its statement. It can be
 // repeated.
 func (le *Ledger) Settle(ctx context.Context, st escrow.Statement, me meter.Meter) error {
-	if err := le.setState(ctx, st.Incarnation, escrow.Closing); err != nil {
+	if err := le.setState(ctx, st.Incarnation, escrow.Closing); ended(err) {
+		return nil
+	} else if err != nil {
 		return err
 	}
 	var freed, uncovered ident.Tokens
+	refs := make([]ident.BudgetRef, 0, len(st.Used))
 	for _, us := range st.Used {
 		rf := ident.BudgetRef{Account: us.Account, Budget: us.Budget}
+		refs = append(refs, rf)
 		err := le.change(ctx, rf, st.Incarnation, func(en escrow.Entry) (escrow.Entry, error) {
 			nx, over, err := en.Recover(us.Tokens)
 			freed += nx.Grant.Returned - en.Grant.Returned
@@ -58,7 +62,7 @@
 	}
 	me.Log(eventStatement, slog.String("incarnation", string(st.Incarnation)),
 		slog.Int64("freed", int64(freed)), slog.Int64("uncovered", int64(uncovered)))
-	return le.setState(ctx, st.Incarnation, escrow.Closed)
+	return le.Retire(ctx, st.Incarnation, refs)
 }
 
 // Statements keeps the statements of other routers until the table has them.
--- a/internal/role/direct/escrow.go
+++ b/internal/role/direct/escrow.go
@@ -68,7 +68,7 @@
 			return err
 		}
 		for _, in := range all {
-			if in.Row.VM == ro.set.VM && in.ID != ro.in && in.Row.State == escrow.Open {
+			if in.Row.VM == ro.set.VM && in.ID != ro.in && in.Row.State != escrow.Closed {
 				*todo = append(*todo, in.ID)
 			}
 		}
@@ -119,6 +119,9 @@
 		return
 	}
 	err := ro.holder.Close(ctx)
+	if err == nil {
+		err = ro.ledger.Retire(ctx, ro.in, nil)
+	}
 	if err == nil {
 		return
 	}
