--- a/internal/app/budget/shelf.go
+++ b/internal/app/budget/shelf.go
@@ -157,8 +157,8 @@
 
 // Reclaim frees the shelves of an incarnation that is known to be dead, as far
 // as they are proved to be unused, and returns the tokens. The incarnation
-// draws no more grants afterwards, and its rows are retired. now returns the store's clock as WithShelf
-// has it.
+// draws no more grants afterwards, and its rows are retired. now returns a time
+// of the store's clock, in milliseconds, at which the incarnation was dead.
 func (le *Ledger) Reclaim(ctx context.Context, inc ident.Incarnation, refs []ident.BudgetRef, now func() (int64, bool), me meter.Meter) (ident.Tokens, error) {
 	if err := le.setState(ctx, inc, escrow.Closing); ended(err) {
 		return 0, nil
--- a/internal/core/escrow/slice.go
+++ b/internal/core/escrow/slice.go
@@ -76,7 +76,8 @@
 	// ahead whatever its rate is.
 	LowRequests ident.Tokens
 	// Parts is the number of equal parts into which a holder's share of the
-	// free tokens is divided, so that later draws still find something free.
+	// free tokens is divided, or all of them for ByUse, so that later draws still
+	// find something free.
 	Parts ident.Tokens
 	// Idle is the number of equal parts of a holder's share of the free tokens
 	// of which it keeps one without use. Zero means none.
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -95,7 +95,8 @@
 	DecodeUpstream follow.DecodeUpstream
 	Terms          terms.Terms
 	// Clock returns a lower bound of the store's clock in milliseconds, and Began
-	// an upper bound of it at the start of this process.
+	// an upper bound of it at the first call to the store, which a router makes
+	// after it has taken its addresses.
 	Clock, Began func() (ms int64, ok bool)
 }
 
