role/direct: ports of the tests on an address of their own

Cause: TestPath failed once beside load with 'bind: address already in use'. The test picks a free port on 127.0.0.1 and closes it; another test process or an outgoing connection can take it before the router listens. Ruled out: two routers of one test with one port; each is picked anew. Change: the ports are on a loopback address that follows from the process id. Before: one failure in one run beside three other packages.

--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -41,9 +42,13 @@
 	done chan error
 }
 
+// freePort returns a free port on a loopback address of this process. On
+// 127.0.0.1 another process, or an outgoing connection, may take the port
+// before the router listens.
 func freePort(t *testing.T) string {
 	t.Helper()
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ls, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%250, pid>>8%256, 1+pid%254))
 	if err != nil {
 		t.Fatal(err)
 	}
