adapt/client, adapt/peers, platform: bound a read by its progress

With 1,800 routes the document has several hundred KB; on a link of 10 Mbit/s it took longer than the 300 ms of a call to another router and the 500 ms of a call to the store, so that each transfer was cut and begun again, which also filled the links.

Change: a read is given up when its header is late or no byte arrives for the stall timeout, and after 3 s (routers) or 5 s (store) in any case. Routers send each other the document compressed, once for each version.

The test fails with a limit of 300 ms for the whole call.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -4,6 +4,7 @@
 package client
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,6 +26,7 @@
 	dialTimeout       time.Duration
 	idleTimeout       time.Duration
 	disableKeepAlives bool
+	dial              func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Option configures a client.
@@ -42,6 +44,12 @@
 // default is 60 s.
 func WithIdleTimeout(d time.Duration) Option { return func(se *settings) { se.idleTimeout = d } }
 
+// WithDial sets the function that opens connections; the dial timeout then has no
+// effect. The default is TCP.
+func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(se *settings) { se.dial = dial }
+}
+
 // WithoutKeepAlives makes every request open its own connection. By default,
 // connections are reused. On a reused connection, net/http repeats a request that
 // it considers idempotent when the response is lost.
@@ -53,9 +61,12 @@
 	for _, opt := range opts {
 		opt(&se)
 	}
+	if se.dial == nil {
+		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: se.dialTimeout}).DialContext,
+			DialContext:         se.dial,
 			MaxIdleConnsPerHost: se.maxIdleConns,
 			IdleConnTimeout:     se.idleTimeout,
 			DisableCompression:  true,
--- /dev/null
+++ b/internal/adapt/peers/document_test.go
@@ -0,0 +1,154 @@
+package peers_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/client"
+	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+)
+
+// bigConfig is the row of a configuration with as many routes as an operator adds
+// at once.
+func bigConfig() feed.Row {
+	var sb strings.Builder
+	for no := range 1800 {
+		fmt.Fprintf(&sb, `{"Name":"r-%08x","Host":"host%d.example","Prefix":"/p%d/","Service":"s%d","TimeoutMs":15000},`, no*2654435761, no%40, no, no%3)
+	}
+	return feed.Row{Key: "config", Value: []byte(sb.String()), Version: 9}
+}
+
+// pipeListener accepts one end of each pipe that dial creates.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	wrap  func(nc net.Conn) net.Conn
+}
+
+func (pl *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	one, two := net.Pipe()
+	pl.conns <- pl.wrap(two)
+	return one, nil
+}
+
+func (pl *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case nc := <-pl.conns:
+		return nc, nil
+	case <-pl.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (pl *pipeListener) Close() error {
+	close(pl.done)
+	return nil
+}
+
+func (pl *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// slowConn writes a few bytes at a time, as many as limit in total.
+type slowConn struct {
+	net.Conn
+	chunk, limit int
+	pause        time.Duration
+}
+
+func (sc *slowConn) Write(data []byte) (int, error) {
+	written := 0
+	for len(data) > 0 {
+		if written >= sc.limit {
+			time.Sleep(time.Hour)
+		}
+		n, err := sc.Conn.Write(data[:min(sc.chunk, len(data))])
+		if written += n; err != nil {
+			return written, err
+		}
+		data = data[n:]
+		time.Sleep(sc.pause)
+	}
+	return written, nil
+}
+
+// TestFetchConfigSlowLink guards against a configuration that never arrives
+// because its transfer takes longer than the time limit of a call: while the store
+// refused a router, the router stayed on an old configuration. A transfer that
+// stalls, or that never ends, is given up.
+func TestFetchConfigSlowLink(t *testing.T) {
+	const all = 1 << 30
+	row := bigConfig()
+	for _, tc := range []struct {
+		name  string
+		conn  slowConn
+		ok    bool
+		after time.Duration
+	}{
+		{"fast link", slowConn{chunk: 1 << 20, limit: all}, true, 0},
+		{"slow link", slowConn{chunk: 1024, limit: all, pause: 50 * time.Millisecond}, true, time.Second},
+		{"link that stalls", slowConn{chunk: 512, limit: 4096, pause: 50 * time.Millisecond}, false, 300 * time.Millisecond},
+		{"a byte now and then", slowConn{chunk: 1, limit: all, pause: 250 * time.Millisecond}, false, 300 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pl := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{}), wrap: func(nc net.Conn) net.Conn {
+					sc := tc.conn
+					sc.Conn = nc
+					return &sc
+				}}
+				sv := &http.Server{Handler: peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }})}
+				go func() { _ = sv.Serve(pl) }()
+				cl := peers.NewClient(func() []string { return nil }, client.WithDial(pl.dial), client.WithoutKeepAlives())
+				start := time.Now()
+				got, ok, err := cl.FetchConfig(t.Context(), "router", 8)
+				took := time.Since(start)
+				_ = sv.Close()
+				// Writes that are still paused end before the test does.
+				time.Sleep(2 * time.Hour)
+				if ok != tc.ok || tc.ok != (err == nil) {
+					t.Fatalf("FetchConfig: %v, newer %v after %v", err, ok, took)
+				}
+				if diff := cmp.Diff(row, got); tc.ok && diff != "" {
+					t.Error(diff)
+				}
+				if took < tc.after || took > 4*time.Second {
+					t.Errorf("the call took %v, want %v to 4s", took, tc.after)
+				}
+			})
+		})
+	}
+}
+
+// TestFetchConfigCompressed guards against sending the same document uncompressed
+// to every router that the store refuses: the links are as slow as 10 Mbit/s.
+func TestFetchConfigCompressed(t *testing.T) {
+	row := bigConfig()
+	rec := httptest.NewRecorder()
+	re := httptest.NewRequest(http.MethodGet, "/v1/config?after=8", nil)
+	re.Header.Set("Accept-Encoding", "gzip")
+	peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }}).ServeHTTP(rec, re)
+	if got := rec.Body.Len(); got > len(row.Value)/4 {
+		t.Errorf("the response has %d bytes, want at most a quarter of %d", got, len(row.Value))
+	}
+}
+
+// TestFetchConfigNotNewer guards against taking the missing body of a response
+// without a document for an error.
+func TestFetchConfigNotNewer(t *testing.T) {
+	sv := httptest.NewServer(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return bigConfig(), true }}))
+	t.Cleanup(sv.Close)
+	_, ok, err := peers.NewClient(func() []string { return nil }).FetchConfig(t.Context(), strings.TrimPrefix(sv.URL, "http://"), 9)
+	if err != nil && !errors.Is(err, context.Canceled) || ok {
+		t.Errorf("FetchConfig: %v, newer %v", err, ok)
+	}
+}
