adapt/pool: bound responses without an end, skip late copies

Cause: the header of a response, its interim responses and the events of a stream without a number were read without a bound, so that an upstream in trouble could exhaust the memory of a router.

Change: 64 KiB up to the end of a header, 4 MiB for a body of unknown length, 1 MiB for events without a number; the body of a refusal is only read when its length is known. A response with the id of the request before on the same connection is skipped, and the connection is not used again. An event without a number no longer resets the number from which a stream is resumed.

--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,12 +34,48 @@
 	// maxIdle bounds the number of idle connections to one upstream.
 	maxIdle     = 32
 	readBufSize = 4 << 10
+	// maxHeadBytes bounds what is read before the header of a response is complete,
+	// with interim responses and second copies of the response before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge means that maxHeadBytes did not contain the header of a response.
+var errHeadTooLarge = errors.New("no header of a response within 64 KiB")
+
+// headLimiter bounds the bytes that are read from a connection while the header of
+// a response is read. The methods are called by one goroutine at a time.
+type headLimiter struct {
+	src     io.Reader
+	limited bool
+	left    int
+}
+
+// limit bounds what is read from now on to so many bytes.
+func (hl *headLimiter) limit(bytes int) { hl.limited, hl.left = true, bytes }
+
+// lift removes the bound.
+func (hl *headLimiter) lift() { hl.limited = false }
+
+// Read reads from the connection within the bound.
+func (hl *headLimiter) Read(buf []byte) (int, error) {
+	if !hl.limited {
+		return hl.src.Read(buf)
+	}
+	if hl.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := hl.src.Read(buf[:min(len(buf), hl.left)])
+	hl.left -= n
+	return n, err
+}
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	br *bufio.Reader
+	br   *bufio.Reader
+	head *headLimiter
+	// lastID is the id of the last request that was completed on the connection.
+	lastID string
 	// expiresAt is the time from which the idle connection must not be reused.
 	expiresAt time.Time
 	// fresh is true until a request on the connection has been completed.
@@ -64,7 +101,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufSize), fresh: true}, nil
+	hl := &headLimiter{src: nc}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, fresh: true}, nil
 }
 
 // stillIdle reports whether the connection is open and no byte has arrived on it
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -19,8 +19,15 @@
 	// maxBodyBytes bounds the body of a response that is not a stream, because the
 	// whole body is read into memory.
 	maxBodyBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
+	// maxUnsizedBodyBytes bounds a body whose length is not announced, which may
+	// have no end.
+	maxUnsizedBodyBytes = 4 << 20
+	// maxEventBytes bounds one event of a stream, and maxUnnumberedBytes all events
+	// of a stream that carry no number, such as comments.
+	maxEventBytes      = 1 << 20
+	maxUnnumberedBytes = 1 << 20
+	// maxDiscardBytes bounds a body that is read only to reuse the connection.
+	maxDiscardBytes = 64 << 10
 )
 
 // response is a response of an upstream on its connection.
@@ -33,6 +40,9 @@
 	// bodyWritten receives the result of writing the request body concurrently. It
 	// is nil if the body was written before.
 	bodyWritten chan error
+	// surplus says that a copy of the previous response was skipped. The connection
+	// is not reused, because further copies may follow.
+	surplus bool
 	// notRun says that the upstream reported that it did not run the request.
 	notRun bool
 	// complete says that the response was read to its end.
@@ -74,18 +84,28 @@
 }
 
 // readHeader reads the header and checks that the response belongs to the request.
+// Interim responses and late copies of the previous response are skipped.
 func (rsp *response) readHeader(rq Request) error {
+	rsp.conn.head.limit(maxHeadBytes)
+	defer rsp.conn.head.lift()
+	hn := rsp.pool.terms
 	for {
 		httpResp, err := http.ReadResponse(rsp.conn.br, &http.Request{Method: rq.Method})
 		if err != nil {
 			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
 		}
-		if httpResp.StatusCode >= http.StatusOK {
+		if httpResp.StatusCode < http.StatusOK {
+			continue
+		}
+		if !rsp.isCopy(httpResp, rq) {
 			rsp.httpResp = httpResp
 			break
 		}
+		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
+			return fmt.Errorf("%w: copy of the response before: %w", proxy.ErrIncomplete, err)
+		}
+		rsp.surplus = true
 	}
-	hn := rsp.pool.terms
 	got := rsp.httpResp.Header.Get(hn.RequestID)
 	refused := rsp.httpResp.Header.Get(hn.NotRun) != "" || rsp.httpResp.StatusCode == http.StatusMisdirectedRequest
 	switch {
@@ -103,14 +123,25 @@
 	return nil
 }
 
+// isCopy reports whether the response is a further copy of the one to the previous
+// request on the connection.
+func (rsp *response) isCopy(httpResp *http.Response, rq Request) bool {
+	id := httpResp.Header.Get(rsp.pool.terms.RequestID)
+	return id != "" && id != rq.ID && id == rsp.conn.lastID
+}
+
 // Body returns the complete body.
 func (rsp *response) Body(context.Context) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(rsp.httpResp.Body, maxBodyBytes+1))
+	limit := int64(maxBodyBytes)
+	if rsp.httpResp.ContentLength < 0 {
+		limit = maxUnsizedBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(rsp.httpResp.Body, limit+1))
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("%w: body: %w", proxy.ErrIncomplete, err)
-	case len(body) > maxBodyBytes:
-		return nil, fmt.Errorf("%w: the body exceeds %d bytes", proxy.ErrIncomplete, maxBodyBytes)
+	case int64(len(body)) > limit:
+		return nil, fmt.Errorf("%w: the body exceeds %d bytes", proxy.ErrIncomplete, limit)
 	}
 	rsp.complete = true
 	return body, nil
@@ -138,8 +169,8 @@
 	if rsp.closed {
 		return
 	}
-	if rsp.notRun && !rsp.complete {
-		_, err := io.Copy(io.Discard, io.LimitReader(rsp.httpResp.Body, maxEventBytes))
+	if size := rsp.httpResp.ContentLength; rsp.notRun && !rsp.complete && size >= 0 && size <= maxDiscardBytes {
+		_, err := io.Copy(io.Discard, rsp.httpResp.Body)
 		rsp.complete = err == nil
 	}
 	if !rsp.reusable() {
@@ -152,13 +183,14 @@
 		return
 	}
 	rsp.conn.fresh = false
+	rsp.conn.lastID = rsp.httpResp.Header.Get(rsp.pool.terms.RequestID)
 	rsp.conn.expiresAt = time.Now().Add(idleTimeout(rsp.httpResp.Header))
 	rsp.idleConns.put(rsp.conn)
 }
 
 // reusable reports whether the connection can be used for another request.
 func (rsp *response) reusable() bool {
-	if !rsp.complete || rsp.httpResp.Close || rsp.conn.br.Buffered() > 0 {
+	if !rsp.complete || rsp.surplus || rsp.httpResp.Close || rsp.conn.br.Buffered() > 0 {
 		return false
 	}
 	if rsp.httpResp.ContentLength < 0 && len(rsp.httpResp.TransferEncoding) == 0 {
@@ -191,6 +223,8 @@
 	buf  []byte
 	from int
 	to   int
+	// unnumbered counts the bytes of the events without a number.
+	unnumbered int
 }
 
 // eventBufSize is the initial size of the buffer for events.
@@ -207,7 +241,14 @@
 		if end := eventEnd(er.buf[er.from:er.to]); end > 0 {
 			data := er.buf[er.from : er.from+end]
 			er.from += end
-			return proxy.Event{Number: eventNumber(data), Data: data}, nil
+			ev := proxy.Event{Number: eventNumber(data), Data: data}
+			if ev.Number < 0 {
+				er.unnumbered += end
+			}
+			if er.unnumbered > maxUnnumberedBytes {
+				return proxy.Event{}, fmt.Errorf("events without a number exceed %d bytes", maxUnnumberedBytes)
+			}
+			return ev, nil
 		}
 		if er.from > 0 {
 			er.to = copy(er.buf, er.buf[er.from:er.to])
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -209,7 +209,8 @@
 		if err := rn.writer.WriteEvent(ev); err != nil {
 			return refuse.New(refuse.Cancelled, "cannot write an event to the caller: %v", err).WithOutcome(refuse.Unknown)
 		}
-		rn.lastEvent = ev.Number
+		// An event without a number, such as a comment, is no point to resume from.
+		rn.lastEvent = max(rn.lastEvent, ev.Number)
 		rn.eventsSent++
 	}
 }
