--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -22,6 +22,11 @@
 	// readIntervalPerHolding scales the time between two reads of a budget row
 	// with the number of budgets of the holder, to bound the rate of reads.
 	readIntervalPerHolding = 50 * time.Millisecond
+	// scarceReadPerHolder scales the time between two reads of the row of a budget
+	// whose free tokens are few with its holders, so that all of them together read
+	// and settle it at most 25 times a second. Each settlement of one holder can make
+	// those of others fail.
+	scarceReadPerHolder = 40 * time.Millisecond
 )
 
 // maxSettleDelay is the longest time that a settlement waits for its batch.
@@ -103,7 +108,7 @@
 	interval := max(hd.opts.readInterval, time.Duration(hd.index.len())*readIntervalPerHolding)
 	if de.ShareBelowRequest() {
 		// Other holders may be short of what is available here.
-		interval = time.Duration(scale) * hd.opts.flushInterval
+		interval = max(hd.opts.flushInterval, time.Duration(hg.budgetRow.Holders)*scarceReadPerHolder)
 	}
 	ft.readBudget = hg.wantedByOthers.Swap(false) || de.Available > 0 && now.Sub(us.lastRead) >= interval
 	if ft.usesBudgetRow() {
