core/place: learn the speeds of a service's engines; app/direct: log the escrow wait

Cause: the prefill rate of the users' first engines (40 tokens/ms) and the time of a request stood in the code; other deployments have engines of 57 tokens/ms, of unequal speeds, and services whose calls take 60 ms. Prompts of other routers that wait at an engine counted as little as running requests.

Change: a profile of each service holds the prefill rate, the mean uncached prompt and the mean time of a request, learned from responses; each upstream has a slowness relative to it. Waiting requests of other routers count as prompts until they must have been prefilled.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -36,10 +36,9 @@
 	if rn.route.Repeatable() && rn.runs+1 < rn.route.AttemptLimit {
 		defer rn.watchSilence(ep, start, cancel)()
 	}
-	ex := &exchange{rn: rn, ep: ep, uncached: uncached, start: start}
-	ep.Sent(uncached)
+	ex := &exchange{rn: rn, ep: ep, sent: ep.Sent(uncached, start)}
 	rn.sends++
-	defer ex.release()
+	defer func() { ex.sent.Done(rn.se.opts.clock.Now(), ex.complete) }()
 	rsp, err := rn.sender.Send(ctx, proxy.Attempt{
 		Upstream: proxy.Upstream{ID: ep.ID, Address: ep.Address}, Deadline: rn.deadline,
 		Account: rn.account.Name, Urgency: rn.urgency(), LastEvent: rn.lastEvent,
@@ -90,25 +89,11 @@
 
 // exchange is an attempt in progress.
 type exchange struct {
-	rn          *run
-	ep          *place.Endpoint
-	uncached    ident.Tokens
-	start       time.Time
-	prefillDone bool
-}
-
-// release removes the attempt from the load of the endpoint.
-func (ex *exchange) release() {
-	ex.markPrefilled()
-	ex.ep.Done()
-}
-
-// markPrefilled removes the prompt from the prefill load of the endpoint, once.
-func (ex *exchange) markPrefilled() {
-	if !ex.prefillDone {
-		ex.prefillDone = true
-		ex.ep.Prefilled(ex.uncached)
-	}
+	rn   *run
+	ep   *place.Endpoint
+	sent *place.Sent
+	// complete says that the upstream sent a complete response.
+	complete bool
 }
 
 // classify records what the result of the attempt proves about the request and
@@ -119,6 +104,7 @@
 	switch {
 	case err == nil:
 		rn.runs++
+		ex.complete = true
 		ex.ep.Succeeded()
 		return nil
 	case errors.As(err, &final):
@@ -194,7 +180,7 @@
 		}
 		now := rn.se.opts.clock.Now()
 		ex.ep.Received(now)
-		ex.markPrefilled()
+		ex.sent.FirstEvent(now)
 		if rn.lastEvent >= 0 && ev.Number != rn.lastEvent+1 && ev.Number >= 0 {
 			if ev.Number <= rn.lastEvent {
 				continue
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -69,6 +69,8 @@
 	// eventsSent counts the events that were sent to the caller.
 	lastEvent  int64
 	eventsSent int64
+	// escrowWait is the time that the reservation of tokens took.
+	escrowWait time.Duration
 	// timeToFirst is the time until the first event or the whole response.
 	timeToFirst time.Duration
 	// upstream is the upstream of the last attempt, occupied its estimated number
@@ -123,7 +125,9 @@
 		return budget.Hold{}, nil
 	}
 	rf := ident.BudgetRef{Account: rn.account.Name, Budget: Prepaid}
+	start := rn.se.opts.clock.Now()
 	hold, err := rn.se.reserver.Reserve(ctx, rf, rn.info.Prompt.MaxTokens(), rn.se.opts.preference)
+	rn.escrowWait = rn.se.opts.clock.Now().Sub(start)
 	if err != nil {
 		return budget.Hold{}, refuse.From(err)
 	}
@@ -264,7 +268,7 @@
 		slog.Uint64("revision", uint64(rn.conf.Revision())), slog.Int("sends", rn.sends), slog.Int("runs", rn.runs),
 		slog.Int64("charged", int64(rn.charged)),
 		slog.Duration("left", left), slog.String("upstream", string(rn.upstream)),
-		slog.Int("occupied", rn.occupied), slog.Int64("unread", int64(rn.uncached)),
+		slog.Int("occupied", rn.occupied), slog.Int64("unread", int64(rn.uncached)), slog.Duration("escrowWait", rn.escrowWait),
 	}
 	return append(at, more...)
 }
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -32,8 +32,9 @@
 // outlive changes of the description. Its methods are safe for concurrent use.
 type Endpoint struct {
 	Upstream
-	hash  uint64
-	state *state
+	hash    uint64
+	state   *state
+	profile *Profile
 }
 
 type state struct {
@@ -41,6 +42,10 @@
 	// of those that have not produced an event yet.
 	inFlight      atomic.Int64
 	prefillTokens atomic.Int64
+	// prefilling counts this router's requests that have not produced an event yet.
+	prefilling atomic.Int64
+	// slowness is the time of a prefill relative to that expected of the service.
+	slowness mean
 	// reported is the load from the last response that carried one, and
 	// sentSinceReport counts this router's requests since then.
 	reported        atomic.Pointer[report]
@@ -72,20 +77,26 @@
 type report struct {
 	occupied int
 	slots    int
-	at       time.Time
+	// waitingOthers is the number of waiting requests of other routers.
+	waitingOthers int
+	at            time.Time
 }
 
-// NewEndpoint returns an endpoint without requests in flight.
-func NewEndpoint(up Upstream) *Endpoint {
-	return &Endpoint{Upstream: up, hash: xxhash.Sum64String(string(up.ID)), state: &state{}}
+// NewEndpoint returns an endpoint without requests in flight. The profile is
+// shared by the endpoints of a service.
+func NewEndpoint(up Upstream, pf *Profile) *Endpoint {
+	return &Endpoint{Upstream: up, hash: xxhash.Sum64String(string(up.ID)), state: &state{}, profile: pf}
 }
 
 // WithUpstream returns an endpoint with another description that shares the
 // counters.
 func (ep *Endpoint) WithUpstream(up Upstream) *Endpoint {
-	return &Endpoint{Upstream: up, hash: ep.hash, state: ep.state}
+	return &Endpoint{Upstream: up, hash: ep.hash, state: ep.state, profile: ep.profile}
 }
 
+// Profile returns what was learned about the service of the upstream.
+func (ep *Endpoint) Profile() *Profile { return ep.profile }
+
 const (
 	// initialSuspectTime is how long an upstream is avoided after a failed send. It
 	// doubles with each consecutive failure up to maxSuspectTime.
@@ -96,18 +107,60 @@
 )
 
 // Sent counts the start of a request with the prompt tokens that the upstream has
-// to prefill.
-func (ep *Endpoint) Sent(tokens ident.Tokens) {
+// to prefill, and returns the request for the later steps.
+func (ep *Endpoint) Sent(tokens ident.Tokens, now time.Time) *Sent {
 	ep.state.inFlight.Add(1)
 	ep.state.sentSinceReport.Add(1)
-	ep.state.prefillTokens.Add(int64(tokens))
+	ep.state.prefilling.Add(1)
+	ahead := ep.state.prefillTokens.Add(int64(tokens))
+	if tokens > 0 {
+		ep.profile.recordSent(tokens)
+	}
+	return &Sent{ep: ep, tokens: tokens, ahead: ident.Tokens(ahead), at: now}
+}
+
+// Sent is a request that was sent to an upstream. It is used by one goroutine.
+type Sent struct {
+	ep *Endpoint
+	// tokens is the number of prompt tokens that the upstream has to prefill, and
+	// ahead the number of those and of the ones that the router had sent before.
+	tokens, ahead ident.Tokens
+	at            time.Time
+	prefilled     bool
 }
 
-// Prefilled counts the end of the prefill phase of a request.
-func (ep *Endpoint) Prefilled(tokens ident.Tokens) { ep.state.prefillTokens.Add(-int64(tokens)) }
+// FirstEvent counts the end of the prefill phase. Only the first call has an
+// effect.
+func (se *Sent) FirstEvent(now time.Time) {
+	if se.prefilled {
+		return
+	}
+	ep, took := se.ep, now.Sub(se.at)
+	if tokens := float64(se.tokens); tokens >= minMeasuredPrompt {
+		expected := float64(se.ahead) / ep.profile.PrefillRate()
+		ep.state.slowness.add(min(max(float64(took)/float64(time.Millisecond)/expected, minSlowness), maxSlowness), slownessWeight, slownessWeight)
+		ep.profile.recordPrefill(float64(se.ahead), took)
+	}
+	se.endPrefill()
+}
 
-// Done counts the end of a request.
-func (ep *Endpoint) Done() { ep.state.inFlight.Add(-1) }
+func (se *Sent) endPrefill() {
+	se.prefilled = true
+	se.ep.state.prefilling.Add(-1)
+	se.ep.state.prefillTokens.Add(-int64(se.tokens))
+}
+
+// Done counts the end of the request. complete says that the response was
+// complete.
+func (se *Sent) Done(now time.Time, complete bool) {
+	if !se.prefilled {
+		se.endPrefill()
+	}
+	se.ep.state.inFlight.Add(-1)
+	if complete {
+		se.ep.profile.recordDone(now.Sub(se.at))
+	}
+}
 
 // Received records that bytes arrived from the upstream, for any of its requests.
 func (ep *Endpoint) Received(now time.Time) { ep.state.lastReceived.Store(ep.state.millis(now)) }
@@ -124,7 +177,8 @@
 
 // Reported records the load that a response carried.
 func (ep *Endpoint) Reported(running, waiting, slots int, now time.Time) {
-	ep.state.reported.Store(&report{occupied: running + waiting, slots: slots, at: now})
+	others := max(0, waiting-int(ep.state.prefilling.Load()))
+	ep.state.reported.Store(&report{occupied: running + waiting, slots: slots, waitingOthers: others, at: now})
 	ep.state.sentSinceReport.Store(0)
 }
 
@@ -177,3 +231,15 @@
 	}
 	return max(1, ep.Slots)
 }
+
+// prefillMs returns the expected time, in milliseconds, to prefill so many tokens
+// at the upstream after the prompts that are waiting there.
+func (ep *Endpoint) prefillMs(tokens ident.Tokens, now time.Time) float64 {
+	rate := ep.profile.PrefillRate()
+	ms := float64(int64(tokens)+ep.state.prefillTokens.Load()) / rate
+	if re := ep.state.reported.Load(); re != nil && re.waitingOthers > 0 {
+		backlog := float64(re.waitingOthers) * ep.profile.MeanUncached() / rate
+		ms += max(0, backlog-float64(now.Sub(re.at))/float64(time.Millisecond))
+	}
+	return ms * ep.state.slowness.or(1)
+}
--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -10,15 +10,13 @@
 )
 
 const (
-	// prefillTokensPerMs is the prefill rate of an engine in prompt tokens per
-	// millisecond. The users' engines process 38 to 44.
-	prefillTokensPerMs = 40.0
 	// runningRequestMs is the delay that each running request causes to another
 	// one: it lengthens a decoding step by about 0.02 ms, and a response takes
 	// about 60 steps.
 	runningRequestMs = 1.2
-	// queuedRequestMs is the delay for each request beyond the slots of an engine.
-	queuedRequestMs = 60.0
+	// defaultEngineMs is the time of a whole request, in milliseconds, that is assumed
+	// until one was measured.
+	defaultEngineMs = 3000.0
 	// remoteDomainMs is the extra cost of an upstream in another failure domain:
 	// the network adds 0.3 ms each way, and bytes between domains are charged.
 	remoteDomainMs = 2.0
@@ -103,12 +101,12 @@
 // cost returns the expected delay in milliseconds, without the prefixes that
 // other routers probably sent to the engine.
 func (en *EnginePolicy) cost(ep *Endpoint, de Demand, now time.Time) float64 {
-	uncached := float64(de.Prompt.Input - en.cachedTokens(ep, de.Prompt, now))
-	cost := (uncached + float64(ep.state.prefillTokens.Load())) / prefillTokensPerMs
+	cost := ep.prefillMs(max(0, de.Prompt.Input-en.cachedTokens(ep, de.Prompt, now)), now)
 	occupied := ep.EstimatedRequests(now)
 	cost += runningRequestMs * float64(occupied)
 	if over := occupied - ep.capacity() + 1; over > 0 {
-		cost += queuedRequestMs * float64(over)
+		// A slot becomes free each time that one of the running requests ends.
+		cost += ep.profile.ServiceTime(defaultEngineMs) / float64(ep.capacity()) * float64(over)
 	}
 	if ep.Domain != de.Domain {
 		cost += remoteDomainMs
@@ -168,7 +166,7 @@
 			for _, pf := range pr.Shared {
 				shared += pf.Tokens
 			}
-			return cachedProbability[ix] * float64(shared) / prefillTokensPerMs
+			return cachedProbability[ix] * float64(shared) / ep.profile.PrefillRate()
 		}
 	}
 	return 0
--- a/internal/core/place/map.go
+++ b/internal/core/place/map.go
@@ -13,17 +13,26 @@
 type EndpointMap struct {
 	byID      map[ident.Upstream]*Endpoint
 	byService map[ident.Service][]*Endpoint
+	profiles  map[ident.Service]*Profile
 }
 
 // WithUpstreams returns a map of exactly these upstreams. An upstream whose
-// address changed starts with new counters, because it is another instance.
+// address or service changed starts with new counters, because it is another
+// instance. What was learned about a service is kept.
 func (mp EndpointMap) WithUpstreams(upstreams ...Upstream) EndpointMap {
-	next := EndpointMap{byID: make(map[ident.Upstream]*Endpoint, len(upstreams)), byService: map[ident.Service][]*Endpoint{}}
+	next := EndpointMap{
+		byID: make(map[ident.Upstream]*Endpoint, len(upstreams)), byService: map[ident.Service][]*Endpoint{},
+		profiles: make(map[ident.Service]*Profile, len(mp.profiles)),
+	}
+	maps.Copy(next.profiles, mp.profiles)
 	for _, up := range upstreams {
+		if next.profiles[up.Service] == nil {
+			next.profiles[up.Service] = NewProfile()
+		}
 		ep, ok := mp.byID[up.ID]
 		switch {
-		case !ok || ep.Address != up.Address:
-			ep = NewEndpoint(up)
+		case !ok || ep.Address != up.Address || ep.Service != up.Service:
+			ep = NewEndpoint(up, next.profiles[up.Service])
 		case ep.Upstream != up:
 			ep = ep.WithUpstream(up)
 		}
--- a/internal/core/place/plain.go
+++ b/internal/core/place/plain.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// fullLoadMs is the expected delay at an upstream whose slots are all occupied.
-// At lower loads the delay is proportional to the load. A call of a plain
-// service takes about 30 ms.
-const fullLoadMs = 30.0
+// defaultPlainMs is the time of a call of a plain service, in milliseconds, that is
+// assumed until one was measured.
+const defaultPlainMs = 30.0
 
 // PlainPolicy is the policy for plain services: it chooses the upstream with
 // the lowest load.
@@ -30,9 +29,11 @@
 	return pl.cheapest.Choose(list, de, now)
 }
 
-// plainCost returns the expected delay in milliseconds. Each request beyond the
-// slots of the upstream counts five times as much as one within them.
+// plainCost returns the expected delay in milliseconds. It is the time of a call
+// if all slots are occupied, and proportional to the load below. Each request
+// beyond the slots of the upstream counts five times as much as one within them.
 func plainCost(ep *Endpoint, de Demand, now time.Time) float64 {
+	fullLoadMs := ep.profile.ServiceTime(defaultPlainMs)
 	load := float64(ep.EstimatedRequests(now)) / float64(ep.capacity())
 	cost := fullLoadMs * load
 	if load >= 1 {
