app/budget: flush budgets on their own, use the rows of a conflict

Change: each budget has its own commit, eight at a time; a conflict carries the current rows, and the next attempt starts from them without two reads.

--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/config"
@@ -66,25 +68,66 @@
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
 	now := hd.opts.clock.Now()
-	var batch []flushTask
+	var batch, alone []flushTask
 	for _, hg := range hd.index.all() {
 		if !hg.tryLockRows() {
 			continue
 		}
 		ft := hd.planTask(hg, now)
-		if !ft.any() {
+		switch {
+		case !ft.any():
 			hg.unlockRows()
 			continue
+		case ft.usesBudgetRow() && hd.opts.flushParallelism > 0:
+			alone = append(alone, ft)
+			continue
 		}
 		if batch = append(batch, ft); len(batch) < holdingsPerCommit {
 			continue
 		}
 		if !hd.flushBatch(ctx, batch, now) {
+			hd.flushEach(ctx, alone, now)
 			return
 		}
 		batch = batch[:0]
 	}
+	var group sync.WaitGroup
+	group.Go(func() { hd.flushEach(ctx, alone, now) })
 	hd.flushBatch(ctx, batch, now)
+	group.Wait()
+}
+
+// flushEach writes each holding in a commit of its own, several at the same time,
+// and releases its rows lock. Requests that wait for the escrow of one budget do
+// not wait for the calls of others, and a conflict repeats one commit only.
+func (hd *Holder) flushEach(ctx context.Context, tasks []flushTask, now time.Time) {
+	var next atomic.Int64
+	var group sync.WaitGroup
+	for range min(hd.opts.flushParallelism, len(tasks)) {
+		group.Go(func() {
+			for no := int(next.Add(1)) - 1; no < len(tasks); no = int(next.Add(1)) - 1 {
+				hd.flushAlone(ctx, tasks[no], now)
+				tasks[no].hg.unlockRows()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// flushAlone writes one holding, unless the table does not respond. It reports
+// false if the table is unavailable.
+func (hd *Holder) flushAlone(ctx context.Context, ft flushTask, now time.Time) bool {
+	if hd.tableDown.Load() {
+		return false
+	}
+	err := hd.execute(ctx, ft.hg, hd.planFor(ft))
+	hd.recordTableDown(err)
+	if err != nil {
+		hd.opts.meter.Log(eventFlushFailed, slog.String("budget", ft.hg.ref.String()), slog.Any("error", err))
+	} else if ft.settle {
+		ft.hg.usage.recordSettlement(now, ft.hg.usage.requests)
+	}
+	return !errors.Is(err, store.ErrUnavailable)
 }
 
 // planTask decides what is due. The caller holds the rows lock of the holding.
@@ -132,13 +175,7 @@
 		return err == nil
 	}
 	for _, ft := range batch {
-		err := hd.execute(ctx, ft.hg, hd.planFor(ft))
-		if err != nil {
-			hd.opts.meter.Log(eventFlushFailed, slog.String("budget", ft.hg.ref.String()), slog.Any("error", err))
-		} else if ft.settle {
-			ft.hg.usage.recordSettlement(now, ft.hg.usage.requests)
-		}
-		if errors.Is(err, store.ErrUnavailable) {
+		if !hd.flushAlone(ctx, ft, now) {
 			return false
 		}
 	}
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -35,7 +35,10 @@
 	closing bool
 	// budgetRow is the last known state of the budget row.
 	budgetRow escrow.BudgetRow
-	usage     usage
+	// conflicting is the budget row that a conflict has just returned, or nil. The
+	// next attempt starts from it without a read.
+	conflicting *row[escrow.BudgetRow]
+	usage       usage
 	// lastReleaseRequest is when other holders were last asked to return
 	// escrow.
 	lastReleaseRequest time.Time
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -28,6 +28,8 @@
 	timeLock      timeLock
 	lenders       Lenders
 	readInterval  time.Duration
+	// flushParallelism is zero if budgets are flushed together.
+	flushParallelism int
 }
 
 // TimeLock configures the time lock on escrow that a holder does not need at once.
@@ -121,6 +123,14 @@
 	return func(op *options) { op.flushInterval = min(max(d, 10*time.Millisecond), 10*time.Second) }
 }
 
+// WithFlushParallelism makes each pass write the budgets in commits of their own,
+// n of them at the same time. That suits a table in which each budget has its own
+// partition and many holders write the same budgets. The default is 0, which
+// writes all budgets in as few commits as possible; the range is 0 to 64.
+func WithFlushParallelism(n int) Option {
+	return func(op *options) { op.flushParallelism = min(max(n, 0), 64) }
+}
+
 // WithDrawTimeout bounds how long a reservation waits for the table. The
 // default is 1 s, and the range is 10 ms to 10 s. With 500 ms, twice as many
 // requests were refused while 380 holders drew their first grants of one
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -27,6 +27,7 @@
 // lock. After a conflict or a lost response the plan runs again, on the rows that
 // were read back.
 func (hd *Holder) execute(ctx context.Context, hg *holding, pl plan) error {
+	hg.conflicting = nil
 	return retry(ctx, func() (bool, error) {
 		in, err := hd.prepare(ctx, hg, pl)
 		if err != nil || len(in.writes) == 0 {
@@ -45,7 +46,7 @@
 			return intent{}, err
 		}
 	}
-	bu, err := hd.ledger.budget(ctx, hg.ref)
+	bu, err := hd.loadBudget(ctx, hg)
 	if err != nil {
 		return intent{}, err
 	}
@@ -69,6 +70,16 @@
 	return hd.addGrantWrite(hg, in, en, nx)
 }
 
+// loadBudget returns the budget row that the last conflict returned, or else reads
+// it.
+func (hd *Holder) loadBudget(ctx context.Context, hg *holding) (row[escrow.BudgetRow], error) {
+	if ro := hg.conflicting; ro != nil {
+		hg.conflicting = nil
+		return *ro, nil
+	}
+	return hd.ledger.budget(ctx, hg.ref)
+}
+
 // prepareGrant prepares a change to the time lock. It writes only the grant row,
 // and reads nothing unless the state of that row is uncertain.
 func (hd *Holder) prepareGrant(ctx context.Context, hg *holding, unlock ident.Tokens) (intent, error) {
@@ -132,7 +143,7 @@
 	case errors.Is(err, store.ErrConflict):
 		// The row that failed the condition may be the grant row: an earlier commit
 		// without a response may have taken effect, or a recovery closed the grant.
-		hg.uncertain = true
+		hg.uncertain = !hd.adoptConflict(hg, in, err)
 	default:
 		hg.uncertain = true
 		return errors.Join(store.ErrUncertain, err)
@@ -140,6 +151,35 @@
 	return err
 }
 
+// adoptConflict takes over the budget row from a conflict whose other rows are as
+// they were known, so that nothing was written and nothing has to be read again.
+// It reports false if that is not certain.
+func (hd *Holder) adoptConflict(hg *holding, in intent, err error) bool {
+	var co *store.Conflict
+	if !errors.As(err, &co) {
+		return false
+	}
+	grant, known := co.Item(in.grant.key)
+	if known != hg.grant.exists() || grant.Version != hg.grant.version {
+		return false
+	}
+	if own, _ := co.Item(incarnationKey(hd.inc)); !known && own.Version != hd.row.Load() {
+		return false
+	}
+	item, known := co.Item(budgetKey(hg.ref))
+	if !known {
+		return false
+	}
+	val, decodeErr := hd.ledger.codecs.Budget.Decode(item.Value)
+	if decodeErr != nil {
+		return false
+	}
+	hg.conflicting = &row[escrow.BudgetRow]{key: item.Key, val: val, version: item.Version}
+	hg.issued = hg.issued[:max(0, len(hg.issued)-in.ops)]
+	hg.unlockSchedule = in.scheduleBefore
+	return true
+}
+
 // reread brings the holding up to date with its grant row.
 func (hd *Holder) reread(ctx context.Context, hg *holding) error {
 	ro, err := hd.ledger.grant(ctx, hg.ref, hd.inc)
--- a/internal/fake/table/table.go
+++ b/internal/fake/table/table.go
@@ -63,13 +63,25 @@
 	return found[:min(limit, len(found))]
 }
 
+// conflict returns the error for writes whose conditions do not hold, with their
+// current rows. The caller holds the lock.
+func (tb *Table) conflict(writes []store.Write) error {
+	co := &store.Conflict{}
+	for _, wr := range writes {
+		if it, ok := tb.rows[wr.Key]; ok {
+			co.Items = append(co.Items, it)
+		}
+	}
+	return co
+}
+
 func (tb *Table) commit(writes []store.Write) error {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.writes += int64(len(writes))
 	for _, wr := range writes {
 		if tb.rows[wr.Key].Version != wr.IfVersion {
-			return store.ErrConflict
+			return tb.conflict(writes)
 		}
 	}
 	for _, wr := range writes {
--- a/internal/port/store/table.go
+++ b/internal/port/store/table.go
@@ -24,6 +24,26 @@
 	ErrUncertain = errors.New("store: no response, the write may have been applied")
 )
 
+// Conflict is an ErrConflict with the current rows of the conditions, as far as the
+// table returned them. A row that does not exist is not among them.
+type Conflict struct{ Items []Item }
+
+// Error returns the text of ErrConflict.
+func (*Conflict) Error() string { return ErrConflict.Error() }
+
+// Unwrap returns ErrConflict.
+func (*Conflict) Unwrap() error { return ErrConflict }
+
+// Item returns the current row with the key and whether it is known.
+func (co *Conflict) Item(key string) (Item, bool) {
+	for _, it := range co.Items {
+		if it.Key == key {
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
 // Absent is the version of a row that does not exist.
 const Absent uint64 = 0
 
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -78,6 +78,8 @@
 	maxReclaimAttempts = 40
 	// flushInterval is the time between two flushes of the escrow holder.
 	flushInterval = 200 * time.Millisecond
+	// flushParallelism is the number of budgets that are flushed at the same time.
+	flushParallelism = 8
 )
 
 // headroom is the escrow held in advance. It has to last through outages of the
@@ -157,7 +159,7 @@
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.FetchConfig)
-	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger, budget.WithFlushInterval(flushInterval), budget.WithTimeLock(timeLock, pf.Clock), budget.WithLenders(cl), budget.WithReadInterval(budgetReadInterval),
+	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger, budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithTimeLock(timeLock, pf.Clock), budget.WithLenders(cl), budget.WithReadInterval(budgetReadInterval),
 		budget.WithGrantSizer(escrow.ByUse{}),
 		budget.WithMeter(me), budget.WithHeadroom(headroom), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
