app/budget: one lease a router instead of one lock write a budget

Cause: every first draw checked the row of the incarnation, which put the first draws of all routers and accounts into one partition of 300 transactions a second, and every renewal of time locks was one transaction over the partitions of all accounts of a router.

Change: a lease row in a partition of its own keeps all locked tokens of a router locked; it is not extended while tokens that unlocked by expiry are not recorded. First draws do not touch the row of the incarnation; what a late one draws for a dead router is returned ten seconds after the reclaim.

Ruled out: extending the lease before recording (TestLeaseAfterExpiry fails: 28,000 tokens used, none covered).

--- a/internal/adapt/codec/ledger.go
+++ b/internal/adapt/codec/ledger.go
@@ -14,5 +14,6 @@
 		Incarnation: JSON[escrow.IncarnationRow]{},
 		Closure:     JSON[escrow.ClosureRow]{},
 		Witness:     JSON[escrow.WitnessRow]{},
+		Lease:       JSON[escrow.LeaseRow]{},
 	}
 }
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -67,6 +67,10 @@
 	// The rows locks are held no longer than a request waits for one.
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
+	// Tokens that were unlocked by expiry keep the lease from being extended until
+	// this pass has recorded them.
+	hd.renewLease(ctx)
+	defer hd.renewLease(ctx)
 	now := hd.opts.clock.Now()
 	var batch, alone []flushTask
 	for _, hg := range hd.index.all() {
@@ -78,7 +82,7 @@
 		case !ft.any():
 			hg.unlockRows()
 			continue
-		case ft.usesBudgetRow() && hd.opts.flushParallelism > 0:
+		case hd.opts.flushParallelism > 0:
 			alone = append(alone, ft)
 			continue
 		}
@@ -86,15 +90,12 @@
 			continue
 		}
 		if !hd.flushBatch(ctx, batch, now) {
-			hd.flushEach(ctx, alone, now)
 			return
 		}
 		batch = batch[:0]
 	}
-	var group sync.WaitGroup
-	group.Go(func() { hd.flushEach(ctx, alone, now) })
 	hd.flushBatch(ctx, batch, now)
-	group.Wait()
+	hd.flushEach(ctx, alone, now)
 }
 
 // flushEach writes each holding in a commit of its own, several at the same time,
@@ -120,7 +121,7 @@
 	if hd.tableDown.Load() {
 		return false
 	}
-	err := hd.execute(ctx, ft.hg, hd.planFor(ft))
+	err := hd.executeTask(ctx, ft)
 	hd.recordTableDown(err)
 	if err != nil {
 		hd.opts.meter.Log(eventFlushFailed, slog.String("budget", ft.hg.ref.String()), slog.Any("error", err))
@@ -130,6 +131,21 @@
 	return !errors.Is(err, store.ErrUnavailable)
 }
 
+// executeTask carries out the task on the current rows.
+func (hd *Holder) executeTask(ctx context.Context, ft flushTask) error {
+	if ft.usesBudgetRow() || hd.opts.flushParallelism == 0 {
+		return hd.execute(ctx, ft.hg, hd.planFor(ft))
+	}
+	return retry(ctx, func() (bool, error) {
+		in, err := hd.prepareGrant(ctx, ft.hg, ft.unlock)
+		if err != nil || len(in.writes) == 0 {
+			return err == nil, err
+		}
+		err = hd.recordResult(ft.hg, in, hd.ledger.table.Commit(ctx, in.writes...))
+		return err == nil, err
+	})
+}
+
 // planTask decides what is due. The caller holds the rows lock of the holding.
 func (hd *Holder) planTask(hg *holding, now time.Time) flushTask {
 	hg.usage.observe(now, hg.requests.Load(), hg.requestedTokens.Load())
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -56,6 +56,7 @@
 	row        atomic.Uint64
 	index      *index
 	holdStates sync.Pool
+	lease      lease
 	// tableDown is set while the table does not respond. Requests then do not
 	// wait for it, and one read in each pass finds out when it responds again.
 	tableDown atomic.Bool
@@ -280,6 +281,9 @@
 	if err := sleep(ctx, rand.N(hd.opts.flushInterval)); err != nil {
 		return err
 	}
+	var leases sync.WaitGroup
+	defer leases.Wait()
+	leases.Go(func() { hd.runLease(ctx) })
 	tk := time.NewTicker(hd.opts.flushInterval)
 	defer tk.Stop()
 	for {
--- a/internal/app/budget/ledger.go
+++ b/internal/app/budget/ledger.go
@@ -22,6 +22,7 @@
 	Incarnation store.Codec[escrow.IncarnationRow]
 	Closure     store.Codec[escrow.ClosureRow]
 	Witness     store.Codec[escrow.WitnessRow]
+	Lease       store.Codec[escrow.LeaseRow]
 }
 
 // Ledger reads and writes the rows of all budgets in the table.
@@ -66,6 +67,8 @@
 
 func incarnationKey(inc ident.Incarnation) string { return "incarnation/" + string(inc) }
 
+func leaseKey(inc ident.Incarnation) string { return "lease/" + string(inc) + "/lock" }
+
 func closureKey(inc, side ident.Incarnation) string {
 	return closurePrefix(inc) + string(side)
 }
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -30,6 +30,8 @@
 	readInterval  time.Duration
 	// flushParallelism is zero if budgets are flushed together.
 	flushParallelism int
+	sharedLock       bool
+	uncheckedDraws   bool
 }
 
 // TimeLock configures the time lock on escrow that a holder does not need at once.
@@ -187,6 +189,16 @@
 	return func(op *options) { op.timeLock = timeLock{TimeLock: tl, now: now} }
 }
 
+// WithSharedLock extends the locks of all budgets with one write of a lease row,
+// instead of one write for each budget. By default each grant row is written.
+func WithSharedLock() Option { return func(op *options) { op.sharedLock = true } }
+
+// WithUncheckedDraws makes the first draw of a budget independent of the row of the
+// incarnation, which would put the first draws of all holders and budgets in one
+// partition. A draw that takes effect after the incarnation was retired leaves a
+// grant that Ledger.ReclaimLate returns. By default the row is checked.
+func WithUncheckedDraws() Option { return func(op *options) { op.uncheckedDraws = true } }
+
 // WithLenders sets the client that borrows tokens from other holders when the
 // table does not respond or the budget has no free tokens left. By default
 // nothing is borrowed.
--- a/internal/app/budget/retire.go
+++ b/internal/app/budget/retire.go
@@ -21,6 +21,9 @@
 		}
 		held = held || outstanding
 	}
+	if err := le.deleteLease(ctx, inc); err != nil {
+		return err
+	}
 	if held {
 		return le.setState(ctx, inc, escrow.Closed)
 	}
--- a/internal/app/budget/schedule.go
+++ b/internal/app/budget/schedule.go
@@ -10,18 +10,31 @@
 // milliseconds. It is immutable.
 type unlockSchedule struct {
 	until, span int64
-	locked      ident.Tokens
+	// slack is the time beyond the lease of the holder, in milliseconds.
+	slack  int64
+	locked ident.Tokens
 }
 
 func unlockScheduleOf(gr escrow.GrantRow) unlockSchedule {
-	return unlockSchedule{until: gr.LockedUntil, span: gr.UnlockSpan, locked: gr.Locked()}
+	return unlockSchedule{until: gr.LockedUntil, span: gr.UnlockSpan, slack: gr.LockSlack, locked: gr.Locked()}
 }
 
 // WithWrite returns a schedule that unlocks no token earlier than the schedules
 // before and after a write, because a write without a response may have taken
 // effect or not.
 func (us unlockSchedule) WithWrite(nx unlockSchedule) unlockSchedule {
-	return unlockSchedule{until: max(us.until, nx.until), span: max(us.span, nx.span), locked: min(us.locked, nx.locked)}
+	return unlockSchedule{
+		until: max(us.until, nx.until), span: max(us.span, nx.span), slack: max(us.slack, nx.slack), locked: min(us.locked, nx.locked),
+	}
+}
+
+// WithLease returns a schedule that unlocks no token before the lease of the holder
+// and the slack have ended. Zero means that there is no lease.
+func (us unlockSchedule) WithLease(until int64) unlockSchedule {
+	if until > 0 {
+		us.until = max(us.until, until+us.slack)
+	}
+	return us
 }
 
 // unlockedAt returns how many tokens have unlocked by expiry at the time ms.
--- a/internal/app/budget/timelock.go
+++ b/internal/app/budget/timelock.go
@@ -20,6 +20,11 @@
 	// availableTolerance is the share of the target by which the available tokens
 	// may differ from it before some are locked or unlocked.
 	availableTolerance = 0.3
+	// spanTolerance is the factor by which the span over which tokens unlock may
+	// differ from the one that fits the rate of use, and spanInterval the time between
+	// two writes for that reason.
+	spanTolerance = 2
+	spanInterval  = time.Second
 	// activeFor is how long a budget counts as in use after its last request.
 	activeFor = 5 * time.Second
 	// maxRenewalsPerSecond is the number of grant rows that one holder writes in
@@ -41,6 +46,9 @@
 	if now.Sub(hg.usage.lastUse) > activeFor {
 		renew, lockFor = tl.IdleRenewInterval, tl.IdleLockTime
 	}
+	if hd.opts.sharedLock {
+		return renew, lockFor
+	}
 	minRenew := max(time.Duration(hg.budgetRow.Holders)*renewIntervalPerHolder, time.Duration(hd.index.len())*time.Second/maxRenewalsPerSecond)
 	if renew >= minRenew || renew <= 0 {
 		return renew, lockFor
@@ -88,11 +96,34 @@
 		unlock = min(want-co.Available, co.Locked)
 	}
 	co = hg.pool.Counts()
-	interval, _ := hd.lockTiming(hg, now)
-	due := co.Locked > 0 && now.Sub(hg.lockRenewed) >= interval
+	due := co.Locked > 0 && hd.lockDue(hg, now)
 	return unlock, unlock > 0 || co.Locking > 0 || co.Unrecorded > 0 || due
 }
 
+// lockDue reports whether the grant row is to be written for its lock: to extend
+// it, or, if a lease extends it, because its terms have changed.
+func (hd *Holder) lockDue(hg *holding, now time.Time) bool {
+	interval, lockFor := hd.lockTiming(hg, now)
+	if !hd.opts.sharedLock {
+		return now.Sub(hg.lockRenewed) >= interval
+	}
+	span, wanted := hg.grant.val.UnlockSpan, hd.opts.timeLock.unlockSpan(hg.grant.val.Locked(), hg.usage.rate)
+	switch {
+	case hg.grant.val.LockSlack != hd.opts.timeLock.slack(lockFor):
+		return true
+	case max(span, wanted) > spanTolerance*min(span, wanted):
+		return now.Sub(hg.lockRenewed) >= spanInterval
+	default:
+		return false
+	}
+}
+
+// slack returns the time, in milliseconds, by which a lock is to last longer than
+// the lease.
+func (tl timeLock) slack(lockFor time.Duration) int64 {
+	return max(0, lockFor-tl.LockTime).Milliseconds()
+}
+
 // clock returns a lower bound of the store's clock in milliseconds, and false
 // while it is not known.
 func (tl timeLock) clock() (int64, bool) {
@@ -114,6 +145,9 @@
 	_, lockFor := hd.lockTiming(hg, now)
 	until, unlockSpan := ms+lockFor.Milliseconds(), hd.opts.timeLock.unlockSpan(en.Grant.Locked(), hg.usage.rate)
 	en.Grant = en.Grant.WithLockedUntil(until, unlockSpan)
+	if hd.opts.sharedLock {
+		en.Grant = en.Grant.WithLockSlack(hd.opts.timeLock.slack(lockFor))
+	}
 	hg.unlockSchedule, hg.lockRenewed = hg.unlockSchedule.WithWrite(unlockScheduleOf(en.Grant)), now
 	return en
 }
@@ -128,7 +162,10 @@
 	if !ok {
 		return false
 	}
-	got := hg.pool.UnlockExpired(max(0, hg.unlockSchedule.unlockedAt(ms)-hg.pool.Counts().Unrecorded))
+	got := hd.lease.unlock(func(until int64) ident.Tokens {
+		unlocked := hg.unlockSchedule.WithLease(until).unlockedAt(ms)
+		return hg.pool.UnlockExpired(max(0, unlocked-hg.pool.Counts().Unrecorded))
+	})
 	if got > 0 {
 		hd.opts.meter.Log(eventUnlockExpired, slog.String("budget", hg.ref.String()), slog.Int64("tokens", int64(got)),
 			slog.Int64("storeMs", ms), slog.Int64("shelvedUntil", hg.unlockSchedule.until))
@@ -141,7 +178,7 @@
 // reports false if they never will.
 func (hd *Holder) unlocksIn(hg *holding, tokens ident.Tokens) (time.Duration, bool) {
 	ms, ok := hd.opts.timeLock.clock()
-	at, will := hg.unlockSchedule.unlockTime(hg.pool.Counts().Unrecorded + tokens)
+	at, will := hg.unlockSchedule.WithLease(hd.lease.end()).unlockTime(hg.pool.Counts().Unrecorded + tokens)
 	return time.Duration(at-ms) * time.Millisecond, ok && will
 }
 
@@ -173,6 +210,10 @@
 	} else if err != nil {
 		return 0, err
 	}
+	leaseUntil, err := le.leaseUntil(ctx, inc)
+	if err != nil {
+		return 0, err
+	}
 	var sum ident.Tokens
 	var failed error
 	for _, rf := range refs {
@@ -182,7 +223,7 @@
 			if !ok {
 				return en, errNoClock
 			}
-			nx, err := en.Reclaim(ms)
+			nx, err := en.Reclaim(ms, leaseUntil)
 			freed, held = nx.Grant.Returned-en.Grant.Returned, nx.Grant.Outstanding()
 			return nx, err
 		})
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -23,21 +23,34 @@
 	scheduleBefore unlockSchedule
 }
 
+// maxImmediateHolders is the number of holders of a budget above which a commit is
+// not repeated at once after a conflict: the row has probably changed again.
+const maxImmediateHolders = 128
+
 // execute carries out the plan on the current rows. The caller holds the rows
 // lock. After a conflict or a lost response the plan runs again, on the rows that
 // were read back.
 func (hd *Holder) execute(ctx context.Context, hg *holding, pl plan) error {
-	hg.conflicting = nil
 	return retry(ctx, func() (bool, error) {
-		in, err := hd.prepare(ctx, hg, pl)
-		if err != nil || len(in.writes) == 0 {
-			return err == nil, err
+		hg.conflicting = nil
+		err := hd.executeOnce(ctx, hg, pl)
+		if hg.conflicting != nil {
+			// The row is current now and will not be after a pause.
+			err = hd.executeOnce(ctx, hg, pl)
 		}
-		err = hd.recordResult(hg, in, hd.ledger.table.Commit(ctx, in.writes...))
 		return err == nil, err
 	})
 }
 
+// executeOnce carries out the plan on the current rows, without a further attempt.
+func (hd *Holder) executeOnce(ctx context.Context, hg *holding, pl plan) error {
+	in, err := hd.prepare(ctx, hg, pl)
+	if err != nil || len(in.writes) == 0 {
+		return err
+	}
+	return hd.recordResult(hg, in, hd.ledger.table.Commit(ctx, in.writes...))
+}
+
 // prepare reads the rows and applies the plan. An intent without writes means
 // that nothing changes.
 func (hd *Holder) prepare(ctx context.Context, hg *holding, pl plan) (intent, error) {
@@ -118,7 +131,7 @@
 		wg.Mode, wg.Value = store.Delete, nil
 	}
 	in.writes = append(in.writes, wg)
-	if !old.exists() {
+	if !old.exists() && !hd.opts.uncheckedDraws {
 		in.writes = append(in.writes, store.Write{
 			Key: incarnationKey(hd.inc), IfVersion: hd.row.Load(), Mode: store.Check,
 		})
@@ -156,14 +169,14 @@
 // It reports false if that is not certain.
 func (hd *Holder) adoptConflict(hg *holding, in intent, err error) bool {
 	var co *store.Conflict
-	if !errors.As(err, &co) {
+	if !errors.As(err, &co) || hg.budgetRow.Holders > maxImmediateHolders {
 		return false
 	}
 	grant, known := co.Item(in.grant.key)
 	if known != hg.grant.exists() || grant.Version != hg.grant.version {
 		return false
 	}
-	if own, _ := co.Item(incarnationKey(hd.inc)); !known && own.Version != hd.row.Load() {
+	if own, _ := co.Item(incarnationKey(hd.inc)); !known && !hd.opts.uncheckedDraws && own.Version != hd.row.Load() {
 		return false
 	}
 	item, known := co.Item(budgetKey(hg.ref))
--- a/internal/core/escrow/grant.go
+++ b/internal/core/escrow/grant.go
@@ -22,6 +22,9 @@
 	// UnlockSpan is the time, in milliseconds, over which the locked tokens then
 	// unlock by expiry at a constant rate, unless the row is written again.
 	UnlockSpan int64 `json:"shelfSpan,omitempty"`
+	// LockSlack is the time, in milliseconds, by which the locked tokens stay locked
+	// beyond the lease of the holder.
+	LockSlack int64 `json:"lockSlack,omitempty"`
 	// ResolvedBy names the operator who settled the grant without evidence.
 	ResolvedBy ident.Operator `json:"resolvedBy,omitempty"`
 }
@@ -40,6 +43,23 @@
 	return gr
 }
 
+// WithLockSlack returns a copy whose tokens stay locked so many milliseconds beyond
+// the lease of the holder.
+func (gr GrantRow) WithLockSlack(ms int64) GrantRow {
+	gr.LockSlack = ms
+	return gr
+}
+
+// LockEnd returns the time from which on the locked tokens unlock by expiry, given
+// the end of the holder's lease, or zero if it has none. All are in milliseconds
+// of the store's clock.
+func (gr GrantRow) LockEnd(leaseUntil int64) int64 {
+	if leaseUntil == 0 {
+		return gr.LockedUntil
+	}
+	return max(gr.LockedUntil, leaseUntil+gr.LockSlack)
+}
+
 // UnlockedAt returns how many of the locked tokens have unlocked by expiry at the
 // time now. The times and the span are in milliseconds of the store's clock.
 func UnlockedAt(locked ident.Tokens, until, span, now int64) ident.Tokens {
@@ -134,12 +154,12 @@
 	return en, nil
 }
 
-// Reclaim frees the tokens that were still locked at the time now, which is in
-// milliseconds of the store's clock. The holder must have been dead at that
-// time, so that it cannot have used them.
-func (en Entry) Reclaim(now int64) (Entry, error) {
+// Reclaim frees the tokens that were still locked at the time now, given the end of
+// the holder's lease, both in milliseconds of the store's clock. The holder must
+// have been dead at that time, so that it cannot have used them.
+func (en Entry) Reclaim(now, leaseUntil int64) (Entry, error) {
 	gr := en.Grant
-	amount := gr.Locked() - UnlockedAt(gr.Locked(), gr.LockedUntil, gr.UnlockSpan, now)
+	amount := gr.Locked() - UnlockedAt(gr.Locked(), gr.LockEnd(leaseUntil), gr.UnlockSpan, now)
 	if amount <= 0 {
 		return en, nil
 	}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -45,6 +45,7 @@
 	evEscrowHeld       = meter.Event{Number: 9306, Level: slog.LevelWarn, Text: "escrow stays held after the shutdown"}
 	evReclaimFailed    = meter.Event{Number: 9308, Level: slog.LevelWarn, Text: "escrow of earlier incarnations could not be reclaimed"}
 	evReloaded         = meter.Event{Number: 9309, Level: slog.LevelInfo, Text: "settings reloaded"}
+	evLateReclaimed    = meter.Event{Number: 9311, Level: slog.LevelInfo, Text: "escrow of a late draw of a dead incarnation reclaimed"}
 	evSettingsRejected = meter.Event{Number: 9310, Level: slog.LevelError, Text: "new settings cannot be used, the previous ones stay in force"}
 )
 
@@ -76,6 +77,9 @@
 	// together. By then the time lock of a predecessor has expired; what was not
 	// reclaimed stays held.
 	maxReclaimAttempts = 40
+	// lateDrawDelay is the time after a reclaim by which a delayed write of the dead
+	// incarnation has taken effect or never will.
+	lateDrawDelay = 10 * time.Second
 	// flushInterval is the time between two flushes of the escrow holder.
 	flushInterval = 200 * time.Millisecond
 	// flushParallelism is the number of budgets that are flushed at the same time.
@@ -159,7 +163,7 @@
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.FetchConfig)
-	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger, budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithTimeLock(timeLock, pf.Clock), budget.WithLenders(cl), budget.WithReadInterval(budgetReadInterval),
+	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger, budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithSharedLock(), budget.WithUncheckedDraws(), budget.WithTimeLock(timeLock, pf.Clock), budget.WithLenders(cl), budget.WithReadInterval(budgetReadInterval),
 		budget.WithGrantSizer(escrow.ByUse{}),
 		budget.WithMeter(me), budget.WithHeadroom(headroom), budget.WithPrepaid(ro.prepaid),
 		budget.WithAddress(func() string { return set.PeerListen }))
--- a/internal/role/direct/escrow.go
+++ b/internal/role/direct/escrow.go
@@ -45,25 +45,49 @@
 	for _, ac := range ro.configs.Load().Accounts() {
 		refs = append(refs, ident.BudgetRef{Account: ac.Name, Budget: app.Prepaid})
 	}
-	var pending []ident.Incarnation
+	var pending, reclaimed []ident.Incarnation
 	for range maxReclaimAttempts {
-		err := ro.reclaimEach(ctx, &pending, refs)
+		err := ro.reclaimEach(ctx, &pending, &reclaimed, refs)
 		if err == nil {
-			return
+			break
 		}
 		ro.met.Log(evReclaimFailed, slog.String("error", err.Error()))
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, retryDelay) {
 			return
-		case <-time.After(retryDelay):
 		}
 	}
+	if len(reclaimed) > 0 && sleep(ctx, lateDrawDelay) {
+		ro.reclaimLate(ctx, reclaimed, refs)
+	}
+}
+
+// reclaimLate returns what the incarnations drew with writes that took effect after
+// their escrow had been reclaimed.
+func (ro *Router) reclaimLate(ctx context.Context, incarnations []ident.Incarnation, refs []ident.BudgetRef) {
+	for _, in := range incarnations {
+		tokens, err := ro.ledger.ReclaimLate(ctx, in, refs)
+		if err != nil {
+			ro.met.Log(evReclaimFailed, slog.String("incarnation", string(in)), slog.String("error", err.Error()))
+		} else if tokens > 0 {
+			ro.met.Log(evLateReclaimed, slog.String("incarnation", string(in)), slog.Int64("freed", int64(tokens)))
+		}
+	}
+}
+
+// sleep waits for the duration and reports whether it passed before ctx ended.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
 }
 
-// reclaimEach frees the time-locked escrow of the pending incarnations and keeps
-// those that failed in the list. If the list is empty, it is first read from the
-// ledger.
-func (ro *Router) reclaimEach(ctx context.Context, pending *[]ident.Incarnation, refs []ident.BudgetRef) error {
+// reclaimEach frees the time-locked escrow of the pending incarnations, adds them to
+// those that are reclaimed, and keeps those that failed in the list. If the list is
+// empty, it is first read from the ledger.
+func (ro *Router) reclaimEach(ctx context.Context, pending, reclaimed *[]ident.Incarnation, refs []ident.BudgetRef) error {
 	if len(*pending) == 0 {
 		all, err := ro.ledger.Incarnations(ctx)
 		if err != nil {
@@ -81,6 +105,8 @@
 		if _, err := ro.ledger.Reclaim(ctx, in, refs, ro.platform.Started, ro.met); err != nil {
 			failed = errors.Join(failed, err)
 			left = append(left, in)
+		} else {
+			*reclaimed = append(*reclaimed, in)
 		}
 	}
 	*pending = left
