core/place: measure the prefill rate from unshared tokens

Change: only tokens that no other request shares count. Prefill weighs 1.5 times as much as waiting, because it delays all requests of the engine. A slowness below 3 is ignored.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -36,7 +36,7 @@
 	if rn.route.Repeatable() && rn.runs+1 < rn.route.AttemptLimit {
 		defer rn.watchSilence(ep, start, cancel)()
 	}
-	ex := &exchange{rn: rn, ep: ep, sent: ep.Sent(uncached, start)}
+	ex := &exchange{rn: rn, ep: ep, sent: ep.Sent(uncached, rn.demand.Prompt.Unshared(), start)}
 	rn.sends++
 	defer func() { ex.sent.Done(rn.se.opts.clock.Now(), ex.complete) }()
 	rsp, err := rn.sender.Send(ctx, proxy.Attempt{
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -106,9 +106,10 @@
 	maxReportAge = 2 * time.Second
 )
 
-// Sent counts the start of a request with the prompt tokens that the upstream has
-// to prefill, and returns the request for the later steps.
-func (ep *Endpoint) Sent(tokens ident.Tokens, now time.Time) *Sent {
+// Sent counts the start of a request with the prompt tokens that the upstream
+// probably has to prefill, and returns the request for the later steps. unshared
+// is the number of those that no other request can have made the upstream cache.
+func (ep *Endpoint) Sent(tokens, unshared ident.Tokens, now time.Time) *Sent {
 	ep.state.inFlight.Add(1)
 	ep.state.sentSinceReport.Add(1)
 	ep.state.prefilling.Add(1)
@@ -116,17 +117,19 @@
 	if tokens > 0 {
 		ep.profile.recordSent(tokens)
 	}
-	return &Sent{ep: ep, tokens: tokens, ahead: ident.Tokens(ahead), at: now}
+	return &Sent{ep: ep, tokens: tokens, unshared: unshared, ahead: ident.Tokens(ahead), at: now}
 }
 
 // Sent is a request that was sent to an upstream. It is used by one goroutine.
 type Sent struct {
 	ep *Endpoint
-	// tokens is the number of prompt tokens that the upstream has to prefill, and
-	// ahead the number of those and of the ones that the router had sent before.
-	tokens, ahead ident.Tokens
-	at            time.Time
-	prefilled     bool
+	// tokens is the number of prompt tokens that the upstream probably has to prefill,
+	// unshared the number of those that cannot be cached, and ahead the number of
+	// tokens together with those of the requests that the router had sent before.
+	tokens, unshared, ahead ident.Tokens
+
+	at        time.Time
+	prefilled bool
 }
 
 // FirstEvent counts the end of the prefill phase. Only the first call has an
@@ -139,8 +142,8 @@
 	if tokens := float64(se.tokens); tokens >= minMeasuredPrompt {
 		expected := float64(se.ahead) / ep.profile.PrefillRate()
 		ep.state.slowness.add(min(max(float64(took)/float64(time.Millisecond)/expected, minSlowness), maxSlowness), slownessWeight, slownessWeight)
-		ep.profile.recordPrefill(float64(se.ahead), took)
 	}
+	ep.profile.recordPrefill(float64(se.unshared), took)
 	se.endPrefill()
 }
 
@@ -232,14 +235,17 @@
 	return max(1, ep.Slots)
 }
 
-// prefillMs returns the expected time, in milliseconds, to prefill so many tokens
-// at the upstream after the prompts that are waiting there.
+// prefillMs returns the cost, in milliseconds, to prefill so many tokens at the
+// upstream after the prompts that are waiting there.
 func (ep *Endpoint) prefillMs(tokens ident.Tokens, now time.Time) float64 {
 	rate := ep.profile.PrefillRate()
-	ms := float64(int64(tokens)+ep.state.prefillTokens.Load()) / rate
+	ms := (prefillWeight*float64(tokens) + float64(ep.state.prefillTokens.Load())) / rate
 	if re := ep.state.reported.Load(); re != nil && re.waitingOthers > 0 {
 		backlog := float64(re.waitingOthers) * ep.profile.MeanUncached() / rate
 		ms += max(0, backlog-float64(now.Sub(re.at))/float64(time.Millisecond))
 	}
-	return ms * ep.state.slowness.or(1)
+	if slowness := ep.state.slowness.or(1); slowness > slowThreshold {
+		ms *= slowness
+	}
+	return ms
 }
--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -20,6 +20,9 @@
 	// remoteDomainMs is the extra cost of an upstream in another failure domain:
 	// the network adds 0.3 ms each way, and bytes between domains are charged.
 	remoteDomainMs = 2.0
+	// prefillWeight is the weight of the time to prefill a prompt: it delays the tokens
+	// of all other requests at the engine too.
+	prefillWeight = 1.5
 	// prefixLifetime is how long an engine is assumed to cache a prefix.
 	prefixLifetime = 30 * time.Second
 )
@@ -37,6 +40,16 @@
 	Shared []Prefix
 }
 
+// Unshared returns the number of tokens that the prompt has in common with no other
+// request.
+func (pr Prompt) Unshared() ident.Tokens {
+	rest := pr.Input
+	for _, pf := range pr.Shared {
+		rest -= pf.Tokens
+	}
+	return max(0, rest)
+}
+
 // Prefix is a prefix of a prompt that ends with a shared part. Tokens is the
 // length of its last part only.
 type Prefix struct {
@@ -166,7 +179,7 @@
 			for _, pf := range pr.Shared {
 				shared += pf.Tokens
 			}
-			return cachedProbability[ix] * float64(shared) / ep.profile.PrefillRate()
+			return prefillWeight * cachedProbability[ix] * float64(shared) / ep.profile.PrefillRate()
 		}
 	}
 	return 0
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -63,7 +63,7 @@
 	for no := range prompts {
 		ep, uncached := en.Choose(mp.Service("llm"), longPrompt(no), now)
 		got[ep.ID]++
-		ep.Sent(uncached, now)
+		ep.Sent(uncached, 0, now)
 	}
 	most := 0
 	for _, times := range got {
@@ -81,7 +81,7 @@
 	first, _ := en.Choose(mp.Service("llm"), longPrompt(1), now)
 	en.RecordPrompt(first, longPrompt(1).Prompt, now)
 	for range 40 {
-		first.Sent(9000, now)
+		first.Sent(9000, 0, now)
 	}
 	if ep, _ := en.Choose(mp.Service("llm"), longPrompt(1), now); ep.ID == first.ID {
 		t.Errorf("a queue of 40 prompts did not move the choice from %s", ep.ID)
@@ -156,7 +156,7 @@
 func TestCountersSurvive(t *testing.T) {
 	mp := upstreams(2)
 	ep, _ := mp.Endpoint("i-00")
-	ep.Sent(100, now)
+	ep.Sent(100, 0, now)
 	ups := mp.Upstreams()
 	ups[0] = ups[0].WithLeaving(true)
 	same, _ := mp.WithUpstreams(ups...).Endpoint("i-00")
--- a/internal/core/place/profile.go
+++ b/internal/core/place/profile.go
@@ -17,16 +17,19 @@
 	// other requests take most of the time.
 	minMeasuredPrompt = 2048
 	// riseWeight and fallWeight are the weights of a sample in the prefill rate. A
-	// sample is too low if the prompt waited behind those of other routers, so that
-	// the rate follows the highest samples.
+	// sample is too low if the prompt waited behind others or if shared parts of it
+	// were prefilled as well, so that the rate follows the highest samples.
 	riseWeight = 0.3
 	fallWeight = 0.03
 	// meanWeight is the weight of a sample in the other means.
 	meanWeight = 0.05
 	// slownessWeight is the weight of a sample in the slowness of one upstream, and
-	// minSlowness and maxSlowness bound it.
-	slownessWeight = 0.2
-	minSlowness    = 0.7
+	// minSlowness and maxSlowness bound it. Up to slowThreshold it is ignored: the
+	// prompts of other routers cause as much, and avoiding an engine for that costs
+	// its cached prefixes.
+	slownessWeight = 0.05
+	slowThreshold  = 3.0
+	minSlowness    = 0.8
 	maxSlowness    = 6.0
 )
 
@@ -56,8 +59,8 @@
 // fallback if none was measured.
 func (pf *Profile) ServiceTime(fallback float64) float64 { return pf.serviceTime.or(fallback) }
 
-// recordPrefill records that the prompt tokens, together with those that the
-// router had sent before, were prefilled in the time.
+// recordPrefill records that so many prompt tokens, none of which can have been
+// cached, were prefilled in the time.
 func (pf *Profile) recordPrefill(tokens float64, took time.Duration) {
 	if ms := float64(took) / float64(time.Millisecond); tokens >= minMeasuredPrompt && ms > 0 {
 		pf.prefillRate.add(tokens/ms, riseWeight, fallWeight)
--- a/internal/core/place/profile_test.go
+++ b/internal/core/place/profile_test.go
@@ -15,7 +15,7 @@
 // prefill sends a prompt to the endpoint and lets it be prefilled at the rate, in
 // tokens per millisecond, after the wait.
 func prefill(ep *place.Endpoint, tokens ident.Tokens, rate float64, wait time.Duration, at time.Time) {
-	se := ep.Sent(tokens, at)
+	se := ep.Sent(tokens, tokens, at)
 	end := at.Add(wait + time.Duration(float64(tokens)/rate*float64(time.Millisecond)))
 	se.FirstEvent(end)
 	se.Done(end, true)
@@ -44,6 +44,22 @@
 	}
 }
 
+// TestRateOfCachedPrompts guards against a rate that counts shared parts as
+// prefilled although another router had made the engine cache them: with a rate
+// that is too high, cached prefixes seem worthless.
+func TestRateOfCachedPrompts(t *testing.T) {
+	pf := place.NewProfile()
+	ep := place.NewEndpoint(place.Upstream{ID: "i", Service: "llm"}, pf)
+	for range 60 {
+		se := ep.Sent(9000, 2700, now)
+		se.FirstEvent(now.Add(70 * time.Millisecond))
+		se.Done(now.Add(time.Second), true)
+	}
+	if got := pf.PrefillRate(); got > 42 {
+		t.Errorf("the rate is %.1f tokens/ms, want at most 2700 tokens in 70 ms", got)
+	}
+}
+
 // TestSlowEngine guards against sending a slow engine of a service as many long
 // prompts as the others.
 func TestSlowEngine(t *testing.T) {
@@ -62,7 +78,7 @@
 	const prompts = 120
 	for no := range prompts {
 		ep, uncached := en.Choose(mp.Service("llm"), longPrompt(1000+no), now)
-		ep.Sent(uncached, now)
+		ep.Sent(uncached, 0, now)
 		if ep.ID == slow.ID {
 			got++
 		}
