adapt/entry: a planned stop lets requests that were read end

Cause: the router looked for busy connections and then closed all of them; a request that arrived in between was passed to an upstream and cut off.

Change: Drain closes the listener and the idle connections, each only if it has not begun to read a request, and waits for the others until the drain time ends.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -34,13 +34,22 @@
 
 // conn is a connection of a caller. One goroutine serves it.
 type conn struct {
-	sv   *Server
-	nc   net.Conn
-	br   *bufio.Reader
-	bw   *bufio.Writer
-	busy atomic.Bool
+	sv *Server
+	nc net.Conn
+	br *bufio.Reader
+	bw *bufio.Writer
+	// state is connIdle, connBusy or connClosed.
+	state atomic.Int32
 }
 
+// States of a connection. A connection that is idle when the server drains is
+// closed before it reads another request.
+const (
+	connIdle int32 = iota
+	connBusy
+	connClosed
+)
+
 func newConn(sv *Server, nc net.Conn) *conn {
 	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize)}
 }
@@ -62,8 +71,10 @@
 	if _, err := co.br.Peek(1); err != nil {
 		return false
 	}
-	co.busy.Store(true)
-	defer co.busy.Store(false)
+	if !co.state.CompareAndSwap(connIdle, connBusy) {
+		return false
+	}
+	defer co.state.CompareAndSwap(connBusy, connIdle)
 	_ = co.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	hd, err := readHead(co.br, limits.MaxHeaderBytes)
 	if err != nil {
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -102,17 +102,43 @@
 	defer sv.mu.Unlock()
 	busy := 0
 	for co := range sv.conns {
-		if co.busy.Load() {
+		if co.state.Load() == connBusy {
 			busy++
 		}
 	}
 	return busy
 }
 
+// drainPollInterval is the time between two checks whether all requests have ended.
+const drainPollInterval = 10 * time.Millisecond
+
+// Drain closes the listener and the idle connections, and waits until the requests
+// in progress have ended or the deadline has passed. A request that was read before
+// is not cut off.
+func (sv *Server) Drain(deadline time.Time) {
+	_ = sv.ls.Close()
+	for {
+		sv.mu.Lock()
+		for co := range sv.conns {
+			if co.state.CompareAndSwap(connIdle, connClosed) {
+				_ = co.nc.Close()
+			}
+		}
+		sv.mu.Unlock()
+		if sv.OpenConns() == 0 || !time.Now().Before(deadline) {
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // Close closes the listener and all connections, and waits until their goroutines
 // have ended.
 func (sv *Server) Close() error {
 	err := sv.ls.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
 	sv.mu.Lock()
 	for co := range sv.conns {
 		_ = co.nc.Close()
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -337,5 +337,7 @@
 		}
 		time.Sleep(leavePollInterval)
 	}
+	// A request may have arrived since the last check.
+	ro.entry.Drain(closeBy)
 	_ = ro.entry.Close()
 }
