app/direct: the silence timeout allows for the prefill of the prompt

Cause: an engine that prefills a long prompt sends nothing; after a second the request was sent to another engine, and the work of the first was lost.

Change: twice the expected prefill time, by the learned rate, is added to the silence timeout.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -16,9 +16,13 @@
 
 const (
 	// minSilenceTimeout and maxSilenceTimeout bound the time without data from an
-	// upstream after which the request is retried at another one.
+	// upstream after which the request is retried at another one, apart from the time
+	// to prefill the prompt.
 	minSilenceTimeout = 150 * time.Millisecond
 	maxSilenceTimeout = time.Second
+	// prefillAllowance is the multiple of the expected prefill time that is added. A
+	// prompt also waits behind those of other routers.
+	prefillAllowance = 2
 	// minServerError is the lowest status that reports a failure of the upstream.
 	minServerError = 500
 )
@@ -34,7 +38,7 @@
 	defer cancel(nil)
 	start := rn.se.opts.clock.Now()
 	if rn.route.Repeatable() && rn.runs+1 < rn.route.AttemptLimit {
-		defer rn.watchSilence(ep, start, cancel)()
+		defer rn.watchSilence(ep, rn.silenceTimeout(ep, uncached), start, cancel)()
 	}
 	ex := &exchange{rn: rn, ep: ep, sent: ep.Sent(uncached, rn.demand.Prompt.Unshared(), start)}
 	rn.sends++
@@ -50,10 +54,17 @@
 	return ex.classify(ctx, err)
 }
 
-// watchSilence starts a goroutine that cancels the attempt when the upstream has
-// been silent for the silence timeout. stop ends the goroutine.
-func (rn *run) watchSilence(ep *place.Endpoint, start time.Time, cancel context.CancelCauseFunc) (stop func()) {
+// silenceTimeout returns the time without data after which the request is retried
+// at another upstream. An engine that prefills a long prompt sends nothing either,
+// and giving it up repeats the work elsewhere when load is at its worst.
+func (rn *run) silenceTimeout(ep *place.Endpoint, uncached ident.Tokens) time.Duration {
 	timeout := min(max(silenceTimeoutOf(rn.route), minSilenceTimeout), maxSilenceTimeout)
+	return timeout + prefillAllowance*ep.PrefillTime(uncached)
+}
+
+// watchSilence starts a goroutine that cancels the attempt when the upstream has
+// been silent for the timeout. stop ends the goroutine.
+func (rn *run) watchSilence(ep *place.Endpoint, timeout time.Duration, start time.Time, cancel context.CancelCauseFunc) (stop func()) {
 	done := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -40,6 +40,9 @@
 	end    error
 	// silent blocks the attempt until it is cancelled.
 	silent bool
+	// after is the time that the upstream takes to respond, unless the attempt is
+	// cancelled before.
+	after time.Duration
 }
 
 // fakeCaller is a request whose attempts follow a script. It also records the
@@ -60,6 +63,11 @@
 		<-ctx.Done()
 		return nil, fmt.Errorf("%w: %w", proxy.ErrIncomplete, ctx.Err())
 	}
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", proxy.ErrIncomplete, ctx.Err())
+	case <-time.After(us.after):
+	}
 	if us.err != nil {
 		return nil, us.err
 	}
@@ -306,6 +314,34 @@
 	})
 }
 
+// TestLongPrefill guards against giving up an engine that is prefilling a long
+// prompt, which sends nothing meanwhile, and against waiting as long for a short
+// one.
+func TestLongPrefill(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		tokens   ident.Tokens
+		attempts int
+	}{{"long prompt", 9000, 1}, {"short prompt", 400, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, 2, 10)
+				ca := &fakeCaller{script: []upstreamStep{
+					{status: 200, events: []int64{0}, end: io.EOF, after: 800 * time.Millisecond}, {status: 200, events: []int64{0}, end: io.EOF},
+				}}
+				info := newRequest("/resume/")
+				info.Prompt = &proxy.Prompt{Input: tc.tokens, MaxOutput: 50}
+				if _, re := fx.svc.Serve(t.Context(), info, ca, ca); re != nil {
+					t.Errorf("refused: %v", re)
+				}
+				if len(ca.attempts) != tc.attempts {
+					t.Errorf("%d attempts, want %d", len(ca.attempts), tc.attempts)
+				}
+			})
+		})
+	}
+}
+
 // TestCallerGone guards against a retry for a caller that has left.
 func TestCallerGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -235,6 +235,13 @@
 	return max(1, ep.Slots)
 }
 
+// PrefillTime returns the expected time to prefill so many tokens at the upstream
+// after those that this router has sent.
+func (ep *Endpoint) PrefillTime(tokens ident.Tokens) time.Duration {
+	ahead := float64(int64(tokens) + ep.state.prefillTokens.Load())
+	return time.Duration(ahead / ep.profile.PrefillRate() * float64(time.Millisecond))
+}
+
 // prefillMs returns the cost, in milliseconds, to prefill so many tokens at the
 // upstream after the prompts that are waiting there.
 func (ep *Endpoint) prefillMs(tokens ident.Tokens, now time.Time) float64 {
