--- a/internal/app/budget/lease.go
+++ b/internal/app/budget/lease.go
@@ -102,7 +102,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
-	hd.recordTableDown(hd.writeLease(ctx, until))
+	err := hd.writeLease(ctx, until)
+	if err != nil {
+		// Without a log line: an outage has one of its own, and the next write follows
+		// soon.
+		hd.opts.meter.Count("leaseErrors", "", "", 1)
+	}
+	hd.recordTableDown(err)
 }
 
 // writeLease writes the lease row. The caller holds the writing lock.
