--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,12 +49,33 @@
 func freePort(t *testing.T) string {
 	t.Helper()
 	pid := os.Getpid()
-	ls, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%250, pid>>8%256, 1+pid%254))
-	if err != nil {
-		t.Fatal(err)
+	for {
+		ls, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%250, pid>>8%256, 1+pid%254))
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := ls.Addr().String()
+		_ = ls.Close()
+		if _, taken := returnedPorts.LoadOrStore(addr, true); !taken {
+			return addr
+		}
+	}
+}
+
+// returnedPorts holds the addresses that freePort has returned. The system may
+// choose the port of a closed listener again.
+var returnedPorts sync.Map
+
+// TestFreePort guards against two listeners of a test that get the same port.
+func TestFreePort(t *testing.T) {
+	seen := map[string]bool{}
+	for range 5000 {
+		addr := freePort(t)
+		if seen[addr] {
+			t.Fatalf("%s was returned twice", addr)
+		}
+		seen[addr] = true
 	}
-	defer func() { _ = ls.Close() }()
-	return ls.Addr().String()
 }
 
 func newTestFleet(t *testing.T, routers int) *testFleet {
