--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -67,10 +67,6 @@
 	// The rows locks are held no longer than a request waits for one.
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
-	// Tokens that were unlocked by expiry keep the lease from being extended until
-	// this pass has recorded them.
-	hd.renewLease(ctx)
-	defer hd.renewLease(ctx)
 	now := hd.opts.clock.Now()
 	var batch, alone []flushTask
 	for _, hg := range hd.index.all() {
@@ -136,14 +132,7 @@
 	if ft.usesBudgetRow() || hd.opts.flushParallelism == 0 {
 		return hd.execute(ctx, ft.hg, hd.planFor(ft))
 	}
-	return retry(ctx, func() (bool, error) {
-		in, err := hd.prepareGrant(ctx, ft.hg, ft.unlock)
-		if err != nil || len(in.writes) == 0 {
-			return err == nil, err
-		}
-		err = hd.recordResult(ft.hg, in, hd.ledger.table.Commit(ctx, in.writes...))
-		return err == nil, err
-	})
+	return hd.executeGrant(ctx, ft.hg, ft.unlock)
 }
 
 // planTask decides what is due. The caller holds the rows lock of the holding.
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -283,7 +283,9 @@
 	}
 	var leases sync.WaitGroup
 	defer leases.Wait()
-	leases.Go(func() { hd.runLease(ctx) })
+	if hd.opts.sharedLock {
+		leases.Go(func() { hd.runLease(ctx) })
+	}
 	tk := time.NewTicker(hd.opts.flushInterval)
 	defer tk.Stop()
 	for {
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -35,10 +35,7 @@
 	closing bool
 	// budgetRow is the last known state of the budget row.
 	budgetRow escrow.BudgetRow
-	// conflicting is the budget row that a conflict has just returned, or nil. The
-	// next attempt starts from it without a read.
-	conflicting *row[escrow.BudgetRow]
-	usage       usage
+	usage     usage
 	// lastReleaseRequest is when other holders were last asked to return
 	// escrow.
 	lastReleaseRequest time.Time
--- a/internal/app/budget/lease.go
+++ b/internal/app/budget/lease.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -20,14 +19,12 @@
 	// a longer lease.
 	mu sync.Mutex
 	// until is the latest end that the row may have, in milliseconds of the store's
-	// clock, and sentAt the time at which a write of it was last sent.
-	until  int64
-	sentAt time.Time
+	// clock.
+	until int64
 
-	// writing is held while the row is written. It guards the fields below.
-	writing sync.Mutex
-	version uint64
-	// uncertain means that the last write may or may not have taken effect.
+	// version is the version of the row. uncertain means that the last write may or
+	// may not have taken effect. Only RenewLease uses them.
+	version   uint64
 	uncertain bool
 }
 
@@ -46,17 +43,10 @@
 	return le.until
 }
 
-// age returns the time since the last write was sent.
-func (le *lease) age(now time.Time) time.Duration {
-	le.mu.Lock()
-	defer le.mu.Unlock()
-	return now.Sub(le.sentAt)
-}
-
 // extend sets the end of the lease and reports whether the row is to be written.
 // That is not the case if no tokens are locked, or if some have been unlocked by
 // expiry and the grant row does not show it yet.
-func (le *lease) extend(until int64, now time.Time, hgs []*holding) bool {
+func (le *lease) extend(until int64, hgs []*holding) bool {
 	le.mu.Lock()
 	defer le.mu.Unlock()
 	locked := false
@@ -68,36 +58,29 @@
 		locked = locked || co.Locked > 0
 	}
 	if locked {
-		le.until, le.sentAt = max(le.until, until), now
+		le.until = max(le.until, until)
 	}
 	return locked
 }
 
-// runLease extends the lease until ctx ends. A pass over the budgets may take
-// longer than the lock time.
+// runLease extends the lease until ctx ends. It does not wait for the passes over
+// the budgets, which may take longer than the lock time.
 func (hd *Holder) runLease(ctx context.Context) {
-	if !hd.opts.sharedLock {
-		return
-	}
 	for sleep(ctx, hd.opts.timeLock.RenewInterval) == nil {
-		hd.renewLease(ctx)
+		hd.RenewLease(ctx)
 	}
 }
 
-// renewLease extends the lease if that is due and the table responds.
-func (hd *Holder) renewLease(ctx context.Context) {
+// RenewLease extends the lease, unless the table does not respond. Run calls it
+// once in each interval of the time lock. It is not to be called concurrently with
+// itself.
+func (hd *Holder) RenewLease(ctx context.Context) {
 	ms, ok := hd.opts.timeLock.clock()
-	if !ok || !hd.opts.sharedLock || phase(hd.phase.Load()) != running || hd.tableDown.Load() {
-		return
-	}
-	now := hd.opts.clock.Now()
-	// The loop and the passes do not wait for the same moment.
-	if hd.lease.age(now) < hd.opts.timeLock.RenewInterval/2 || !hd.lease.writing.TryLock() {
+	if !ok || phase(hd.phase.Load()) != running || hd.tableDown.Load() {
 		return
 	}
-	defer hd.lease.writing.Unlock()
 	until := ms + hd.opts.timeLock.LockTime.Milliseconds()
-	if !hd.lease.extend(until, now, hd.index.all()) {
+	if !hd.lease.extend(until, hd.index.all()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
@@ -111,7 +94,7 @@
 	hd.recordTableDown(err)
 }
 
-// writeLease writes the lease row. The caller holds the writing lock.
+// writeLease writes the lease row.
 func (hd *Holder) writeLease(ctx context.Context, until int64) error {
 	le := &hd.lease
 	if le.uncertain {
--- a/internal/app/budget/lease_test.go
+++ b/internal/app/budget/lease_test.go
@@ -50,6 +50,15 @@
 	open []reserved
 }
 
+// pass makes one pass over the budgets, extends the lease, and waits for the next
+// pass.
+func (ma *leaseVM) pass(t *testing.T) {
+	t.Helper()
+	ma.hd.Flush(t.Context())
+	ma.hd.RenewLease(t.Context())
+	time.Sleep(timeLock.RenewInterval)
+}
+
 func newLeaseModel(t *testing.T, seed uint64, budgets int) *leaseModel {
 	lm := &leaseModel{
 		t: t, rng: rand.New(rand.NewPCG(seed, 4)), tb: table.New(), started: time.Now(), prepaid: 300_000, rev: 1,
@@ -111,8 +120,10 @@
 			re.hold.Settle(re.used)
 		}
 		ma.open = nil
-	case roll < 880:
+	case roll < 740:
 		ma.hd.Flush(ctx)
+	case roll < 880:
+		ma.hd.RenewLease(ctx)
 	case roll < 955:
 		time.Sleep(time.Duration(lm.rng.IntN(700)) * time.Millisecond)
 	case roll < 962:
@@ -221,13 +232,11 @@
 				}
 			}
 			for range 40 {
-				ma.hd.Flush(t.Context())
-				time.Sleep(timeLock.RenewInterval)
+				ma.pass(t)
 			}
 			before := lm.tb.Writes()
 			for range 40 {
-				ma.hd.Flush(t.Context())
-				time.Sleep(timeLock.RenewInterval)
+				ma.pass(t)
 			}
 			got = append(got, lm.tb.Writes()-before)
 		})
@@ -251,8 +260,7 @@
 			}
 		}
 		for range 60 {
-			ma.hd.Flush(t.Context())
-			time.Sleep(timeLock.RenewInterval)
+			ma.pass(t)
 		}
 		for _, rf := range lm.refs {
 			locked += ma.hd.Counts(rf).Locked
@@ -314,8 +322,7 @@
 			t.Fatal(err)
 		}
 		for range 10 {
-			ma.hd.Flush(t.Context())
-			time.Sleep(timeLock.RenewInterval)
+			ma.pass(t)
 		}
 		ma.cl.SetDown(true)
 		ma.hd.Flush(t.Context())
@@ -332,17 +339,25 @@
 			used += 500
 		}
 		ma.cl.SetDown(false)
-		commits := 0
-		ma.cl.SetFaults(func(commit bool) table.Fault {
-			if commit {
-				commits++
+		// The lease is renewed whenever the pass is about to make a call, and all
+		// commits of the pass fail.
+		renewing := false
+		ma.cl.SetPause(func(ctx context.Context) error {
+			if !renewing {
+				renewing = true
+				ma.hd.RenewLease(ctx)
+				renewing = false
 			}
-			if commits > 1 {
+			return nil
+		})
+		ma.cl.SetFaults(func(commit bool) table.Fault {
+			if commit && !renewing {
 				return table.Down
 			}
 			return table.None
 		})
 		ma.hd.Flush(t.Context())
+		ma.cl.SetPause(nil)
 		dead := lm.storeMs()
 		if _, err := lm.ledger.Reclaim(t.Context(), ma.inc, lm.refs, func() (int64, bool) { return dead, true }, meter.Nop{}); err != nil {
 			t.Fatal(err)
--- a/internal/app/budget/timelock.go
+++ b/internal/app/budget/timelock.go
@@ -186,14 +186,7 @@
 // available tokens, as far as tokens are locked, with one write of the grant
 // row. The caller holds the rows lock.
 func (hd *Holder) unlockTokens(ctx context.Context, hg *holding, missing ident.Tokens) error {
-	return retry(ctx, func() (bool, error) {
-		in, err := hd.prepareGrant(ctx, hg, missing+hd.availableTarget(hg))
-		if err != nil || len(in.writes) == 0 {
-			return err == nil, err
-		}
-		err = hd.recordResult(hg, in, hd.ledger.table.Commit(ctx, in.writes...))
-		return err == nil, err
-	})
+	return hd.executeGrant(ctx, hg, missing+hd.availableTarget(hg))
 }
 
 // errNoClock means that no response of the store has carried its clock yet.
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -29,24 +29,39 @@
 
 // execute carries out the plan on the current rows. The caller holds the rows
 // lock. After a conflict or a lost response the plan runs again, on the rows that
-// were read back.
+// the conflict returned or that were read back.
 func (hd *Holder) execute(ctx context.Context, hg *holding, pl plan) error {
 	return retry(ctx, func() (bool, error) {
-		hg.conflicting = nil
-		err := hd.executeOnce(ctx, hg, pl)
-		if hg.conflicting != nil {
+		in, err := hd.prepare(ctx, hg, pl)
+		if err == nil {
+			err = hd.commit(ctx, hg, in)
+		}
+		if bu, ok := hd.budgetAfterConflict(hg, in, err); ok {
 			// The row is current now and will not be after a pause.
-			err = hd.executeOnce(ctx, hg, pl)
+			if in, err = hd.prepareOn(hg, bu, pl); err == nil {
+				err = hd.commit(ctx, hg, in)
+			}
 		}
 		return err == nil, err
 	})
 }
 
-// executeOnce carries out the plan on the current rows, without a further attempt.
-func (hd *Holder) executeOnce(ctx context.Context, hg *holding, pl plan) error {
-	in, err := hd.prepare(ctx, hg, pl)
-	if err != nil || len(in.writes) == 0 {
-		return err
+// executeGrant carries out a change to the time lock with writes of the grant row.
+// The caller holds the rows lock.
+func (hd *Holder) executeGrant(ctx context.Context, hg *holding, unlock ident.Tokens) error {
+	return retry(ctx, func() (bool, error) {
+		in, err := hd.prepareGrant(ctx, hg, unlock)
+		if err == nil {
+			err = hd.commit(ctx, hg, in)
+		}
+		return err == nil, err
+	})
+}
+
+// commit makes the writes of the intent, if it has any, and records the result.
+func (hd *Holder) commit(ctx context.Context, hg *holding, in intent) error {
+	if len(in.writes) == 0 {
+		return nil
 	}
 	return hd.recordResult(hg, in, hd.ledger.table.Commit(ctx, in.writes...))
 }
@@ -59,10 +74,15 @@
 			return intent{}, err
 		}
 	}
-	bu, err := hd.loadBudget(ctx, hg)
+	bu, err := hd.ledger.budget(ctx, hg.ref)
 	if err != nil {
 		return intent{}, err
 	}
+	return hd.prepareOn(hg, bu, pl)
+}
+
+// prepareOn applies the plan to the budget row and the known grant row.
+func (hd *Holder) prepareOn(hg *holding, bu row[escrow.BudgetRow], pl plan) (intent, error) {
 	total, rev, ok := hd.opts.prepaid(hg.ref)
 	if !ok && !bu.exists() {
 		return intent{}, ErrUnknownBudget
@@ -83,16 +103,6 @@
 	return hd.addGrantWrite(hg, in, en, nx)
 }
 
-// loadBudget returns the budget row that the last conflict returned, or else reads
-// it.
-func (hd *Holder) loadBudget(ctx context.Context, hg *holding) (row[escrow.BudgetRow], error) {
-	if ro := hg.conflicting; ro != nil {
-		hg.conflicting = nil
-		return *ro, nil
-	}
-	return hd.ledger.budget(ctx, hg.ref)
-}
-
 // prepareGrant prepares a change to the time lock. It writes only the grant row,
 // and reads nothing unless the state of that row is uncertain.
 func (hd *Holder) prepareGrant(ctx context.Context, hg *holding, unlock ident.Tokens) (intent, error) {
@@ -149,14 +159,14 @@
 	case err == nil:
 		hg.applyRow(in.grant)
 		hg.budgetRow = in.budget
-	case errors.Is(err, store.ErrThrottled), errors.Is(err, store.ErrUnavailable):
+	case errors.Is(err, store.ErrThrottled), errors.Is(err, store.ErrUnavailable), hd.onlyBudgetChanged(hg, in, err):
 		// Nothing was written, so the grant row is as it was known.
 		hg.issued = hg.issued[:max(0, len(hg.issued)-in.ops)]
 		hg.unlockSchedule = in.scheduleBefore
 	case errors.Is(err, store.ErrConflict):
 		// The row that failed the condition may be the grant row: an earlier commit
 		// without a response may have taken effect, or a recovery closed the grant.
-		hg.uncertain = !hd.adoptConflict(hg, in, err)
+		hg.uncertain = true
 	default:
 		hg.uncertain = true
 		return errors.Join(store.ErrUncertain, err)
@@ -164,33 +174,38 @@
 	return err
 }
 
-// adoptConflict takes over the budget row from a conflict whose other rows are as
-// they were known, so that nothing was written and nothing has to be read again.
-// It reports false if that is not certain.
-func (hd *Holder) adoptConflict(hg *holding, in intent, err error) bool {
+// onlyBudgetChanged reports whether the error is a conflict whose rows prove that
+// the grant row, and the row of the incarnation if it was checked, are as they were
+// known. With very many holders it does not look: the time to read the rows again
+// keeps them from writing at the same moment.
+func (hd *Holder) onlyBudgetChanged(hg *holding, in intent, err error) bool {
 	var co *store.Conflict
 	if !errors.As(err, &co) || hg.budgetRow.Holders > maxImmediateHolders {
 		return false
 	}
-	grant, known := co.Item(in.grant.key)
-	if known != hg.grant.exists() || grant.Version != hg.grant.version {
+	if _, returned := co.Item(budgetKey(hg.ref)); !returned {
 		return false
 	}
-	if own, _ := co.Item(incarnationKey(hd.inc)); !known && !hd.opts.uncheckedDraws && own.Version != hd.row.Load() {
-		return false
+	grant, exists := co.Item(in.grant.key)
+	if !exists && !hg.grant.exists() {
+		own, _ := co.Item(incarnationKey(hd.inc))
+		return hd.opts.uncheckedDraws || own.Version == hd.row.Load()
 	}
-	item, known := co.Item(budgetKey(hg.ref))
-	if !known {
-		return false
-	}
-	val, decodeErr := hd.ledger.codecs.Budget.Decode(item.Value)
-	if decodeErr != nil {
-		return false
+	return exists && grant.Version == hg.grant.version
+}
+
+// budgetAfterConflict returns the budget row that a conflict returned, if nothing
+// else has changed.
+func (hd *Holder) budgetAfterConflict(hg *holding, in intent, err error) (row[escrow.BudgetRow], bool) {
+	ro := row[escrow.BudgetRow]{key: budgetKey(hg.ref)}
+	var co *store.Conflict
+	if !errors.As(err, &co) || !hd.onlyBudgetChanged(hg, in, err) {
+		return ro, false
 	}
-	hg.conflicting = &row[escrow.BudgetRow]{key: item.Key, val: val, version: item.Version}
-	hg.issued = hg.issued[:max(0, len(hg.issued)-in.ops)]
-	hg.unlockSchedule = in.scheduleBefore
-	return true
+	item, _ := co.Item(ro.key)
+	val, err := hd.ledger.codecs.Budget.Decode(item.Value)
+	ro.val, ro.version = val, item.Version
+	return ro, err == nil
 }
 
 // reread brings the holding up to date with its grant row.
