--- a/internal/adapt/link/client.go
+++ b/internal/adapt/link/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
@@ -279,11 +280,11 @@
 func (cl *Client) configUpdate(se *session, cu *wire.ConfigUpdate) {
 	if len(cu.GetDocument()) == 0 {
 		if re, doc := cl.config(); re >= ident.Revision(cu.GetRevision()) {
-			_ = se.ctl.send(configUpdate(re, compress(doc)))
+			_ = se.ctl.send(configUpdate(re, codec.Compress(doc, codec.Small)))
 		}
 		return
 	}
-	if doc, err := decompress(cu.GetDocument()); err == nil {
+	if doc, err := codec.Decompress(cu.GetDocument(), maxDocumentBytes); err == nil {
 		cl.onConfig(doc)
 	}
 }
--- a/internal/adapt/link/control.go
+++ b/internal/adapt/link/control.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/wire"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
@@ -36,7 +37,7 @@
 	}
 	// A router that starts while the table is unavailable gets the
 	// configuration from the sidecars that it reaches.
-	if re > ident.Revision(he.GetRevision()) && fc.send(configUpdate(re, compress(doc))) != nil {
+	if re > ident.Revision(he.GetRevision()) && fc.send(configUpdate(re, codec.Compress(doc, codec.Small))) != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -132,7 +133,7 @@
 func (sv *Server) configOffered(fc *frameConn, cu *wire.ConfigUpdate) {
 	re := ident.Revision(cu.GetRevision())
 	if len(cu.GetDocument()) > 0 {
-		if doc, err := decompress(cu.GetDocument()); err == nil {
+		if doc, err := codec.Decompress(cu.GetDocument(), maxDocumentBytes); err == nil {
 			sv.control.OfferConfig(re, doc)
 		}
 		return
--- a/internal/adapt/link/document.go
+++ b/internal/adapt/link/document.go
@@ -1,10 +1,6 @@
 package link
 
 import (
-	"bytes"
-	"compress/gzip"
-	"errors"
-	"io"
 	"sync"
 	"time"
 
@@ -20,29 +16,6 @@
 	documentRequestTimeout = 2 * time.Second
 )
 
-// compress compresses a document, because a configuration with the planned
-// 110,000 budgets exceeds one frame.
-func compress(document []byte) []byte {
-	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
-	// Writes to a bytes.Buffer do not fail.
-	_, _ = zw.Write(document)
-	_ = zw.Close()
-	return buf.Bytes()
-}
-
-func decompress(data []byte) ([]byte, error) {
-	zr, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, err
-	}
-	out, err := io.ReadAll(io.LimitReader(zr, maxDocumentBytes+1))
-	if err == nil && len(out) > maxDocumentBytes {
-		err = errors.New("link: decompressed document exceeds the limit")
-	}
-	return out, err
-}
-
 // documentRequests makes a sidecar request a document from only one of the
 // routers, because all of them announce it.
 type documentRequests struct {
--- a/internal/adapt/peers/document.go
+++ b/internal/adapt/peers/document.go
@@ -1,16 +1,12 @@
 package peers
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"github.com/balsamwood/balsamwood/internal/adapt/client"
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
@@ -60,12 +56,12 @@
 func (do *documents) writeZipped(wr http.ResponseWriter, ro feed.Row) {
 	zd := do.zipped.Load()
 	if zd.version != ro.Version {
-		data, err := zip(document{Key: ro.Key, Value: ro.Value, Version: ro.Version})
+		data, err := json.Marshal(document{Key: ro.Key, Value: ro.Value, Version: ro.Version})
 		if err != nil {
 			http.Error(wr, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		zd = zippedDocument{version: ro.Version, data: data}
+		zd = zippedDocument{version: ro.Version, data: codec.Compress(data, codec.Fast)}
 		do.zipped.Store(zd)
 	}
 	wr.Header().Set("Content-Type", "application/json")
@@ -73,40 +69,3 @@
 	// A write error is ignored, because the client detects a lost connection.
 	_, _ = wr.Write(zd.data)
 }
-
-func zip(doc document) ([]byte, error) {
-	var buf bytes.Buffer
-	zw, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := json.NewEncoder(zw).Encode(doc); err != nil {
-		return nil, err
-	}
-	if err := zw.Close(); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
-}
-
-// readDocument reads and decodes the body of a response with a document.
-func readDocument(resp *http.Response, body io.ReadCloser) (document, error) {
-	data, err := client.ReadAll(body, maxDocumentBytes)
-	if err != nil {
-		return document{}, err
-	}
-	if resp.Header.Get("Content-Encoding") == "gzip" {
-		zr, err := gzip.NewReader(bytes.NewReader(data))
-		if err != nil {
-			return document{}, fmt.Errorf("peers: document: %w", err)
-		}
-		if data, err = client.ReadAll(zr, maxDocumentBytes); err != nil {
-			return document{}, fmt.Errorf("peers: document: %w", err)
-		}
-	}
-	var doc document
-	if err := json.Unmarshal(data, &doc); err != nil {
-		return document{}, fmt.Errorf("peers: document: %w", err)
-	}
-	return doc, nil
-}
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
+	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -198,25 +199,16 @@
 func (cl *Client) FetchConfig(ctx context.Context, addr string, after uint64) (feed.Row, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
-	ctx, stall := client.WithStallTimeout(ctx, time.Now().Add(configStallTimeout), configStallTimeout)
-	defer stall.Stop()
+	ctx, stop := client.WithStallTimeout(ctx, time.Now().Add(configStallTimeout), configStallTimeout)
+	defer stop()
 	url := "http://" + addr + configPath + "?after=" + strconv.FormatUint(after, 10)
 	re, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return feed.Row{}, false, err
 	}
 	re.Header.Set("Accept-Encoding", "gzip")
-	resp, _, err := client.Do(cl.http, re)
-	if err != nil {
-		return feed.Row{}, false, err
-	}
-	body := stall.Body(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		_ = body.Close()
-		return feed.Row{}, false, statusError(resp)
-	}
-	doc, err := readDocument(resp, body)
-	if err != nil {
+	var doc document
+	if err := cl.call(re, maxDocumentBytes, &doc); err != nil {
 		return feed.Row{}, false, err
 	}
 	return feed.Row{Key: doc.Key, Value: doc.Value, Version: doc.Version}, doc.Version > after, nil
@@ -232,17 +224,14 @@
 	switch {
 	case err != nil:
 		return err
+	case resp.StatusCode == http.StatusNoContent:
+		return nil
 	case resp.StatusCode != http.StatusOK:
-		return statusError(resp)
+		return fmt.Errorf("peers: router %s returned status %d", re.URL.Host, resp.StatusCode)
+	case resp.Header.Get("Content-Encoding") == "gzip":
+		if body, err = codec.Decompress(body, limit); err != nil {
+			return fmt.Errorf("peers: router %s: %w", re.URL.Host, err)
+		}
 	}
 	return json.Unmarshal(body, into)
 }
-
-// statusError returns the error for a response without the requested content, or
-// nil if the router has none.
-func statusError(resp *http.Response) error {
-	if resp.StatusCode == http.StatusNoContent {
-		return nil
-	}
-	return fmt.Errorf("peers: router %s returned status %d", resp.Request.URL.Host, resp.StatusCode)
-}
--- a/internal/bench/slopes/config.go
+++ b/internal/bench/slopes/config.go
@@ -1,8 +1,6 @@
 package slopes
 
 import (
-	"bytes"
-	"compress/gzip"
 	"fmt"
 	"runtime"
 	"time"
@@ -35,12 +33,9 @@
 		}
 		elapsed := time.Since(start)
 		memoryUsed := memoryInUse() - before
-		zipped, err := gzipSize(doc)
-		if err != nil {
-			return nil, err
-		}
 		size.Values = append(size.Values, float64(len(doc)))
-		sent.Values = append(sent.Values, zipped)
+		// A lower bound, because the names in the sample are more regular than real ones.
+		sent.Values = append(sent.Values, float64(len(codec.Compress(doc, codec.Small))))
 		cpu.Values = append(cpu.Values, float64(elapsed.Microseconds())/1000)
 		mem.Values = append(mem.Values, memoryUsed)
 		// Both must be reachable while the memory is measured.
@@ -50,20 +45,6 @@
 	return []Series{size, sent, cpu, mem}, nil
 }
 
-// gzipSize returns the size of the compressed document on a link. It is a lower
-// bound, because the names in the sample are more regular than real ones.
-func gzipSize(doc []byte) (float64, error) {
-	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
-	if _, err := zw.Write(doc); err != nil {
-		return 0, err
-	}
-	if err := zw.Close(); err != nil {
-		return 0, err
-	}
-	return float64(buf.Len()), nil
-}
-
 // sampleConfig returns a configuration with the planned numbers of budgets and
 // upstreams per client account.
 func sampleConfig(accounts int) config.Snapshot {
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -251,7 +251,7 @@
 		backlog := float64(re.waitingOthers) * ep.profile.MeanUncached() / rate
 		ms += max(0, backlog-float64(now.Sub(re.at))/float64(time.Millisecond))
 	}
-	if slowness := ep.state.slowness.or(1); slowness > slowThreshold {
+	if slowness := ep.state.slowness.valueOr(1); slowness > slowThreshold {
 		ms *= slowness
 	}
 	return ms
--- a/internal/core/place/profile.go
+++ b/internal/core/place/profile.go
@@ -49,15 +49,15 @@
 
 // PrefillRate returns the prefill rate of an engine in prompt tokens per
 // millisecond.
-func (pf *Profile) PrefillRate() float64 { return pf.prefillRate.or(defaultPrefillRate) }
+func (pf *Profile) PrefillRate() float64 { return pf.prefillRate.valueOr(defaultPrefillRate) }
 
 // MeanUncached returns the mean number of prompt tokens that a request has to
 // prefill.
-func (pf *Profile) MeanUncached() float64 { return pf.uncached.or(0) }
+func (pf *Profile) MeanUncached() float64 { return pf.uncached.valueOr(0) }
 
 // ServiceTime returns the mean time of a whole request in milliseconds, or the
 // fallback if none was measured.
-func (pf *Profile) ServiceTime(fallback float64) float64 { return pf.serviceTime.or(fallback) }
+func (pf *Profile) ServiceTime(fallback float64) float64 { return pf.serviceTime.valueOr(fallback) }
 
 // recordPrefill records that so many prompt tokens, none of which can have been
 // cached, were prefilled in the time.
@@ -78,7 +78,8 @@
 // mean is a moving mean of positive samples. The first sample becomes the mean.
 type mean struct{ bits atomic.Uint64 }
 
-func (me *mean) or(fallback float64) float64 {
+// valueOr returns the mean, or the fallback if there was no sample.
+func (me *mean) valueOr(fallback float64) float64 {
 	if bits := me.bits.Load(); bits != 0 {
 		return math.Float64frombits(bits)
 	}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -163,10 +163,11 @@
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.FetchConfig)
-	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger, budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithSharedLock(), budget.WithUncheckedDraws(), budget.WithTimeLock(timeLock, pf.Clock), budget.WithLenders(cl), budget.WithReadInterval(budgetReadInterval),
-		budget.WithGrantSizer(escrow.ByUse{}),
-		budget.WithMeter(me), budget.WithHeadroom(headroom), budget.WithPrepaid(ro.prepaid),
-		budget.WithAddress(func() string { return set.PeerListen }))
+	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger,
+		budget.WithMeter(me), budget.WithPrepaid(ro.prepaid), budget.WithAddress(func() string { return set.PeerListen }),
+		budget.WithGrantSizer(escrow.ByUse{}), budget.WithHeadroom(headroom), budget.WithReadInterval(budgetReadInterval),
+		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(),
+		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget))
 	var err error
--- a/internal/role/direct/escrow.go
+++ b/internal/role/direct/escrow.go
@@ -21,10 +21,8 @@
 			break
 		}
 		ro.met.Log(evRegisterFailed, slog.String("error", err.Error()))
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, retryDelay) {
 			return
-		case <-time.After(retryDelay):
 		}
 	}
 	var workers sync.WaitGroup
