app/follow, platform: log reads of a feed that take long

Cause: the log could not tell a router whose read is cut by a time limit from one whose feed omits a change, nor show how much of its link the reads take.

Change: event 5104 gives the bytes and the transfer time of a slow read and whether anything had changed, the error of a read that was cut says how much had arrived, and feedBytes counts the bytes of each feed.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -92,12 +92,13 @@
 	return resp, conn.Load(), err
 }
 
-// ReadAll reads the body up to limit bytes and closes it.
+// ReadAll reads the body up to limit bytes and closes it. The error of a read says
+// how much of the body had arrived.
 func ReadAll(body io.ReadCloser, limit int64) ([]byte, error) {
 	defer func() { _ = body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("after %d bytes: %w", len(data), err)
 	}
 	if int64(len(data)) > limit {
 		return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, limit)
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -18,6 +18,7 @@
 var (
 	evFeedLost      = meter.Event{Number: 5101, Level: slog.LevelWarn, Text: "feed lost"}
 	evFeedAvailable = meter.Event{Number: 5102, Level: slog.LevelInfo, Text: "feed available again"}
+	evSlowRead      = meter.Event{Number: 5104, Level: slog.LevelInfo, Text: "rows of a feed took long to arrive"}
 	evHistoryLost   = meter.Event{Number: 5103, Level: slog.LevelInfo, Text: "feed history lost, all rows are read again"}
 )
 
@@ -34,6 +35,8 @@
 	// rereadInterval is the minimum time between two periodic reads of all rows,
 	// which find changes that the feed has omitted.
 	rereadInterval = 5 * time.Second
+	// slowTransfer is the transfer time from which a read is logged.
+	slowTransfer = 200 * time.Millisecond
 )
 
 // Sink receives the rows of a feed. Its methods are called by one goroutine.
@@ -113,6 +116,7 @@
 		if err != nil {
 			return err
 		}
+		lo.record(ba)
 		lo.rereadAt = now.Add(rereadInterval + rand.N(rereadInterval/4))
 		if ba.Version < lo.version {
 			// The store returned an older state than the known one.
@@ -131,6 +135,7 @@
 	if err != nil {
 		return err
 	}
+	lo.record(ba)
 	if ba.Version > lo.version {
 		lo.version = ba.Version
 	}
@@ -140,6 +145,15 @@
 	return nil
 }
 
+// record counts the bytes of a read and logs a slow one.
+func (lo *Loop) record(ba feed.Batch) {
+	lo.meter.Count("feedBytes", "feed", lo.name, int64(ba.Bytes))
+	if ba.Transfer >= slowTransfer {
+		lo.meter.Log(evSlowRead, slog.String("feed", lo.name), slog.Uint64("version", ba.Version), slog.Uint64("after", lo.version),
+			slog.Int("bytes", ba.Bytes), slog.Duration("transfer", ba.Transfer))
+	}
+}
+
 // fail counts a failed call. The first one marks the feed as lost.
 func (lo *Loop) fail(err error, now time.Time) {
 	lo.failures++
--- a/internal/port/feed/feed.go
+++ b/internal/port/feed/feed.go
@@ -25,6 +25,10 @@
 	Rows []Row
 	// Version is the newest version that the batch covers.
 	Version uint64
+	// Bytes is the size of the responses that carried the batch, and Transfer the
+	// time from the first header to the last byte.
+	Bytes    int
+	Transfer time.Duration
 }
 
 // Feed reads the rows of one table and their changes.
