--- a/internal/adapt/peers/document_test.go
+++ b/internal/adapt/peers/document_test.go
@@ -21,73 +21,39 @@
 
 // bigConfig is the row of a configuration with as many routes as an operator adds
 // at once.
-func bigConfig() feed.Row {
+func bigConfig() feed.Row { return configOf(1800) }
+
+func configOf(routes int) feed.Row {
 	var sb strings.Builder
-	for no := range 1800 {
+	for no := range routes {
 		fmt.Fprintf(&sb, `{"Name":"r-%08x","Host":"host%d.example","Prefix":"/p%d/","Service":"s%d","TimeoutMs":15000},`, no*2654435761, no%40, no, no%3)
 	}
 	return feed.Row{Key: "config", Value: []byte(sb.String()), Version: 9}
 }
 
-// slowListener accepts connections that write slowly.
-type slowListener struct {
-	*pipes.Listener
-	conn slowConn
-}
-
-func (sl slowListener) Accept() (net.Conn, error) {
-	nc, err := sl.Listener.Accept()
-	sc := sl.conn
-	sc.Conn = nc
-	return &sc, err
-}
-
-// slowConn writes a few bytes at a time, as many as limit in total.
-type slowConn struct {
-	net.Conn
-	chunk, limit int
-	pause        time.Duration
-}
-
-func (sc *slowConn) Write(data []byte) (int, error) {
-	written := 0
-	for len(data) > 0 {
-		if written >= sc.limit {
-			time.Sleep(time.Hour)
-		}
-		n, err := sc.Conn.Write(data[:min(sc.chunk, len(data))])
-		if written += n; err != nil {
-			return written, err
-		}
-		data = data[n:]
-		time.Sleep(sc.pause)
-	}
-	return written, nil
-}
-
 // TestFetchConfigSlowLink guards against a configuration that never arrives
 // because its transfer takes longer than the time limit of a call: while the store
 // refused a router, the router stayed on an old configuration. A transfer that
 // stalls, or that never ends, is given up.
 func TestFetchConfigSlowLink(t *testing.T) {
-	const all = 1 << 30
-	row := bigConfig()
 	for _, tc := range []struct {
 		name  string
-		conn  slowConn
+		row   feed.Row
+		link  pipes.Link
 		ok    bool
 		after time.Duration
 	}{
-		{"fast link", slowConn{chunk: 1 << 20, limit: all}, true, 0},
-		{"slow link", slowConn{chunk: 1024, limit: all, pause: 50 * time.Millisecond}, true, time.Second},
-		{"link that stalls", slowConn{chunk: 512, limit: 4096, pause: 50 * time.Millisecond}, false, 300 * time.Millisecond},
-		{"a byte now and then", slowConn{chunk: 1, limit: all, pause: 250 * time.Millisecond}, false, 300 * time.Millisecond},
+		{"fast link", bigConfig(), pipes.Link{}, true, 0},
+		{"slow link", bigConfig(), pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond}, true, time.Second},
+		{"link that stalls", bigConfig(), pipes.Link{Chunk: 512, Pause: 50 * time.Millisecond, StopsAfter: 4096}, false, 300 * time.Millisecond},
+		{"a byte now and then", bigConfig(), pipes.Link{Chunk: 1, Pause: 250 * time.Millisecond}, false, 300 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
+				row := tc.row
 				li := pipes.NewListener()
 				sv := &http.Server{Handler: peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }})}
-				go func() { _ = sv.Serve(slowListener{li, tc.conn}) }()
+				go func() { _ = sv.Serve(pipes.NewSlowListener(li, tc.link)) }()
 				dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return li.Dial(ctx) }
 				cl := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives())
 				start := time.Now()
@@ -133,3 +99,25 @@
 		t.Errorf("FetchConfig: %v, newer %v", err, ok)
 	}
 }
+
+// TestFetchConfigAnySize guards against a time limit on a whole transfer: however
+// high it is, a document that is large enough never arrives on a narrow link.
+func TestFetchConfigAnySize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		row := configOf(20_000)
+		li := pipes.NewListener()
+		sv := &http.Server{Handler: peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }})}
+		go func() { _ = sv.Serve(pipes.NewSlowListener(li, pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond})) }()
+		dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return li.Dial(ctx) }
+		got, ok, err := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives()).FetchConfig(t.Context(), "router", 8)
+		_ = sv.Close()
+		// Writes that are still paused end before the test does.
+		time.Sleep(time.Hour)
+		if err != nil || !ok {
+			t.Fatalf("FetchConfig: %v, newer %v", err, ok)
+		}
+		if diff := cmp.Diff(row, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,6 +33,9 @@
 	omitsChanges bool
 	historyLost  bool
 	reads        int
+	// transfer is how long a response with rows takes to arrive.
+	transfer time.Duration
+	sent     int
 }
 
 func (sc *scriptedFeed) set(change func(sc *scriptedFeed)) {
@@ -48,7 +52,19 @@
 	}
 	sc.reads++
 	sc.historyLost = false
-	return feed.Batch{Rows: append([]feed.Row(nil), sc.rows...), Version: sc.version}, nil
+	return sc.deliver(feed.Batch{Rows: append([]feed.Row(nil), sc.rows...), Version: sc.version}), nil
+}
+
+// deliver returns the batch once its rows have arrived.
+func (sc *scriptedFeed) deliver(ba feed.Batch) feed.Batch {
+	for _, ro := range ba.Rows {
+		ba.Bytes += len(ro.Value)
+	}
+	if sc.sent += ba.Bytes; ba.Bytes > 0 && sc.transfer > 0 {
+		ba.Transfer = sc.transfer
+		time.Sleep(sc.transfer)
+	}
+	return ba
 }
 
 func (sc *scriptedFeed) Changes(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
@@ -72,7 +88,7 @@
 			ba.Rows = append(ba.Rows, ro)
 		}
 	}
-	return ba, nil
+	return sc.deliver(ba), nil
 }
 
 // decode returns a configuration whose revision is the row's value.
@@ -183,6 +199,51 @@
 	})
 }
 
+// TestSlowTransfer guards against a change that waits for the transfer of a large
+// row on a narrow link although other routers, which send it compressed, have it.
+func TestSlowTransfer(t *testing.T) {
+	const convergence = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
+		co := startFollower(t, sc)
+		gs := follow.NewGossip(co, func() []string { return []string{"a", "b", "c"} },
+			func(_ context.Context, _ string, after uint64) (feed.Row, bool, error) {
+				return row(11, "5"), after < 11, nil
+			})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); gs.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		sc.set(func(sc *scriptedFeed) {
+			sc.rows, sc.version, sc.transfer = []feed.Row{row(11, "5")}, 11, 10*time.Second
+		})
+		time.Sleep(convergence)
+		if got := co.Load().Revision(); got != 5 {
+			t.Errorf("revision %d is in force %v after the change, want 5", got, convergence)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestBoundUnchangedRows guards against reads of a large row that has not changed:
+// on a narrow link they delay requests and the next change. The planned size
+// allows 24 KB of control traffic a second.
+func TestBoundUnchangedRows(t *testing.T) {
+	const allowed, minutes = 24 << 10, 10
+	synctest.Test(t, func(t *testing.T) {
+		large := fmt.Sprintf("%d %s", 4, strings.Repeat("x", 1<<20))
+		sc := &scriptedFeed{rows: []feed.Row{row(10, large)}, version: 10}
+		startFollower(t, sc)
+		time.Sleep(minutes * time.Minute)
+		sc.set(func(sc *scriptedFeed) {
+			if perSecond := sc.sent / (minutes * 60); perSecond > allowed {
+				t.Errorf("%d bytes a second for a row that does not change, want at most %d", perSecond, allowed)
+			}
+		})
+	})
+}
+
 func decodeUpstream(ro feed.Row) (place.Upstream, error) {
 	if string(ro.Value) == "broken" {
 		return place.Upstream{}, errors.New("broken")
--- /dev/null
+++ b/internal/fake/pipes/slow.go
@@ -0,0 +1,69 @@
+package pipes
+
+import (
+	"net"
+	"time"
+)
+
+// Link is how slowly a connection writes. The zero value does not slow it down.
+type Link struct {
+	// Chunk is the number of bytes that are written at a time, followed by the pause.
+	Chunk int
+	Pause time.Duration
+	// Burst is the number of bytes of a connection that are written at once before
+	// the link is slow.
+	Burst int
+	// StopsAfter is the number of bytes of one write after which nothing more is
+	// written for an hour. Zero means that the link never stops.
+	StopsAfter int
+}
+
+// SlowListener accepts connections whose writes are slow.
+type SlowListener struct {
+	net.Listener
+	link Link
+}
+
+// NewSlowListener returns a listener on li whose connections write over the link.
+func NewSlowListener(li net.Listener, link Link) *SlowListener {
+	return &SlowListener{Listener: li, link: link}
+}
+
+// Accept returns the next connection.
+func (sl *SlowListener) Accept() (net.Conn, error) {
+	nc, err := sl.Listener.Accept()
+	if err != nil || sl.link.Chunk == 0 {
+		return nc, err
+	}
+	return &slowConn{Conn: nc, link: sl.link}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	link Link
+}
+
+// Write writes the data a chunk at a time.
+func (sc *slowConn) Write(data []byte) (int, error) {
+	written := 0
+	if burst := min(sc.link.Burst, len(data)); burst > 0 {
+		sc.link.Burst -= burst
+		n, err := sc.Conn.Write(data[:burst])
+		if err != nil {
+			return n, err
+		}
+		written, data = n, data[n:]
+	}
+	for len(data) > 0 {
+		if sc.link.StopsAfter > 0 && written >= sc.link.StopsAfter {
+			time.Sleep(time.Hour)
+		}
+		n, err := sc.Conn.Write(data[:min(sc.link.Chunk, len(data))])
+		if written += n; err != nil {
+			return written, err
+		}
+		data = data[n:]
+		time.Sleep(sc.link.Pause)
+	}
+	return written, nil
+}
