adapt/client: give up a slow transfer by its rate, not by its time

Callers saw a route that was added or moved handled by an older version for 14 and 24 s, at one router on a link of 10 Mbit/s, and 404 for routes that were there.

Cause: a read of the configuration had a time limit that its size and the link can exceed: first 500 ms a call, and since 5.5 s from the store and 3 s from another router. What is cut begins again, so that a document that is too large never arrives.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -80,14 +80,14 @@
 }
 
 // Do sends the request. After an error, sent reports whether the request may
-// have reached the server; it is false only if no connection was obtained. A stall
-// timeout of the request's context applies.
+// have reached the server; it is false only if no connection was obtained. A lowest
+// rate of the request's context applies.
 func Do(hc *http.Client, re *http.Request) (resp *http.Response, sent bool, err error) {
 	var conn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { conn.Store(true) }}
 	resp, err = hc.Do(re.WithContext(httptrace.WithClientTrace(re.Context(), trace)))
 	if err == nil {
-		resp.Body = bodyWithStall(re.Context(), resp.Body)
+		resp.Body = bodyWithProgress(re.Context(), resp.Body)
 	}
 	return resp, conn.Load(), err
 }
--- a/internal/adapt/peers/document_test.go
+++ b/internal/adapt/peers/document_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -116,7 +117,7 @@
 		if err != nil || !ok {
 			t.Fatalf("FetchConfig: %v, newer %v", err, ok)
 		}
-		if diff := cmp.Diff(row, got); diff != "" {
+		if diff := cmp.Diff(row, got, cmp.Comparer(bytes.Equal)); diff != "" {
 			t.Error(diff)
 		}
 	})
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -34,11 +34,9 @@
 	// callTimeout is the timeout of one call. The latency between routers is below
 	// 1 ms, and a draw for another router takes two calls of 4 ms.
 	callTimeout = 100 * time.Millisecond
-	// configStallTimeout is the longest time without a byte of a configuration, and
-	// configTimeout bounds the whole call: the document may have several hundred KB
-	// and the link 10 Mbit/s.
-	configStallTimeout = 300 * time.Millisecond
-	configTimeout      = 3 * time.Second
+	// configTimeout bounds a call for a configuration up to the header of its
+	// response, while the link may be full.
+	configTimeout = 300 * time.Millisecond
 	// maxLenders bounds the number of routers that one request asks for escrow, and
 	// borrowTimeout the total time of these calls.
 	maxLenders    = 12
@@ -49,6 +47,10 @@
 	statementCopies = 2
 )
 
+// configRate is below a connection's share of a link of 10 Mbit/s that a hundred
+// requests use at the same time.
+var configRate = client.Rate{Bytes: 2 << 10, Window: 300 * time.Millisecond}
+
 // loan is the request and the response of a loan.
 type loan struct {
 	Account ident.Account `json:"account,omitempty"`
@@ -197,9 +199,7 @@
 // FetchConfig requests a configuration newer than the version after from the
 // router at addr, and reports whether it has one.
 func (cl *Client) FetchConfig(ctx context.Context, addr string, after uint64) (feed.Row, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	ctx, stop := client.WithStallTimeout(ctx, time.Now().Add(configStallTimeout), configStallTimeout)
+	ctx, stop := client.WithLowestRate(ctx, time.Now().Add(configTimeout), configRate)
 	defer stop()
 	url := "http://" + addr + configPath + "?after=" + strconv.FormatUint(after, 10)
 	re, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
