app/follow: ask other routers while a row is slow to arrive

Callers of a router on a narrow link got the old configuration until the whole document had arrived from the store: 1 s for 1.2 MB at 10 Mbit/s, and as much longer as requests share the link.

Cause: other routers, which send the document compressed, were asked only after a call to the store had failed. A transfer that goes on is no failure.

Change: a loop says for how long its feed is overdue, by its last call that succeeded, and Gossip asks when that exceeds 300 ms. Config no longer keeps the time of the loss.

--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -32,8 +32,6 @@
 	row     feed.Row
 	changed chan struct{}
 	known   bool
-	// lostAt is when the feed was lost; zero while it is available.
-	lostAt time.Time
 }
 
 // NewConfig returns a Config without a configuration.
@@ -112,24 +110,8 @@
 	}
 }
 
-// Lost records the time. The configuration in force stays in force.
-func (cs configSink) Lost(now time.Time) { cs.co.setLost(now) }
+// Lost does nothing: the configuration in force stays in force.
+func (configSink) Lost(time.Time) {}
 
-// Recovered clears the time of the loss.
-func (cs configSink) Recovered(time.Time) { cs.co.setLost(time.Time{}) }
-
-func (co *Config) setLost(at time.Time) {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	co.lostAt = at
-}
-
-// lostFor returns for how long the feed has been lost.
-func (co *Config) lostFor(now time.Time) time.Duration {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	if co.lostAt.IsZero() {
-		return 0
-	}
-	return now.Sub(co.lostAt)
-}
+// Recovered does nothing.
+func (configSink) Recovered(time.Time) {}
--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -13,7 +13,7 @@
 type FetchConfig func(ctx context.Context, addr string, after uint64) (feed.Row, bool, error)
 
 const (
-	// gossipDelay is how long the feed is lost before other routers are asked.
+	// gossipDelay is how long the feed is overdue before other routers are asked.
 	gossipDelay = 300 * time.Millisecond
 	// gossipInterval is the mean time between two rounds of requests.
 	gossipInterval = 300 * time.Millisecond
@@ -23,24 +23,26 @@
 	gossipFanout = 2
 )
 
-// Gossip keeps the configuration up to date from other routers while the feed
-// is lost.
+// Gossip keeps the configuration up to date from other routers while the feed is
+// overdue: because its calls fail, or because a large row is slow to arrive.
 type Gossip struct {
 	config *Config
+	feed   *Loop
 	peers  func() []string
 	fetch  FetchConfig
 }
 
-// NewGossip returns a Gossip that updates the configuration. peers returns the
-// addresses of other routers, and fetch requests a configuration from one of them.
-func NewGossip(co *Config, peers func() []string, fetch FetchConfig) *Gossip {
-	return &Gossip{config: co, peers: peers, fetch: fetch}
+// NewGossip returns a Gossip that updates the configuration, which lo reads from its
+// feed. peers returns the addresses of other routers, and fetch requests a
+// configuration from one of them.
+func NewGossip(co *Config, lo *Loop, peers func() []string, fetch FetchConfig) *Gossip {
+	return &Gossip{config: co, feed: lo, peers: peers, fetch: fetch}
 }
 
-// Run asks other routers while the feed is lost, until ctx ends.
+// Run asks other routers while the feed is overdue, until ctx ends.
 func (gs *Gossip) Run(ctx context.Context) {
 	for sleep(ctx, gossipInterval/2+rand.N(gossipInterval)) {
-		if gs.config.lostFor(time.Now()) < gossipDelay {
+		if gs.feed.OverdueFor(time.Now()) < gossipDelay {
 			continue
 		}
 		peers := gs.peers()
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -71,9 +72,15 @@
 
 	version  uint64
 	rereadAt time.Time
-	lost     bool
 	lostAt   time.Time
 	failures int
+	contact  *snap.Cell[contact]
+}
+
+// contact is when a call to a feed last succeeded, and whether one has failed since.
+type contact struct {
+	succeededAt time.Time
+	lost        bool
 }
 
 // NewLoop returns a loop that passes the rows of the feed to the sink. The name
@@ -83,9 +90,22 @@
 	for _, opt := range opts {
 		opt(lo)
 	}
+	lo.contact = snap.NewCell(contact{succeededAt: lo.clock.Now()})
 	return lo
 }
 
+// OverdueFor returns for how long a change may have been missing: since the last
+// call that succeeded, less the time for which the feed may hold a call. It is safe
+// for concurrent use.
+func (lo *Loop) OverdueFor(now time.Time) time.Duration {
+	co := lo.contact.Load()
+	overdue := now.Sub(co.succeededAt)
+	if !co.lost {
+		overdue -= longPoll
+	}
+	return max(0, overdue)
+}
+
 // Run reads the feed until ctx ends.
 func (lo *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -158,20 +178,24 @@
 func (lo *Loop) fail(err error, now time.Time) {
 	lo.failures++
 	lo.meter.Count("feedErrors", "feed", lo.name, 1)
-	if lo.lost {
+	before := lo.contact.Load()
+	if before.lost {
 		return
 	}
-	lo.lost, lo.lostAt = true, now
+	lo.contact.Store(contact{succeededAt: before.succeededAt, lost: true})
+	lo.lostAt = now
 	lo.sink.Lost(now)
 	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version), slog.String("error", err.Error()))
 }
 
-// recover marks a lost feed as available and requests a read of all rows.
+// recover records a call that succeeded. It marks a lost feed as available and
+// requests a read of all rows.
 func (lo *Loop) recover(now time.Time) {
-	if !lo.lost {
+	lost := lo.contact.Load().lost
+	lo.contact.Store(contact{succeededAt: now})
+	if !lost {
 		return
 	}
-	lo.lost = false
 	// The history may lack changes that were made in the meantime.
 	lo.rereadAt = time.Time{}
 	lo.sink.Recovered(now)
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -105,14 +105,14 @@
 }
 
 // startFollower starts a loop that passes the feed to a Config.
-func startFollower(t *testing.T, sc *scriptedFeed) *follow.Config {
+func startFollower(t *testing.T, sc *scriptedFeed) (*follow.Config, *follow.Loop) {
 	co := follow.NewConfig(decode, meter.Nop{})
 	lo := follow.NewLoop("configuration", sc, co.Sink())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); lo.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return co
+	return co, lo
 }
 
 // TestConfigNeverReverts guards against an older configuration that is put in
@@ -120,7 +120,7 @@
 func TestConfigNeverReverts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
-		co := startFollower(t, sc)
+		co, _ := startFollower(t, sc)
 		time.Sleep(3 * time.Second)
 		co.Offer(row(12, "6"), "peer")
 		var got []ident.Revision
@@ -153,7 +153,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
-				co := startFollower(t, sc)
+				co, _ := startFollower(t, sc)
 				time.Sleep(3 * time.Second)
 				sc.set(func(sc *scriptedFeed) {
 					tc.fault(sc)
@@ -174,9 +174,9 @@
 func TestGossip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
-		co := startFollower(t, sc)
+		co, lo := startFollower(t, sc)
 		asked := 0
-		gs := follow.NewGossip(co, func() []string { return []string{"a", "b", "c"} },
+		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
 			func(_ context.Context, addr string, after uint64) (feed.Row, bool, error) {
 				asked++
 				if addr == "a" {
@@ -205,8 +205,8 @@
 	const convergence = 2 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
-		co := startFollower(t, sc)
-		gs := follow.NewGossip(co, func() []string { return []string{"a", "b", "c"} },
+		co, lo := startFollower(t, sc)
+		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
 			func(_ context.Context, _ string, after uint64) (feed.Row, bool, error) {
 				return row(11, "5"), after < 11, nil
 			})
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -153,16 +153,15 @@
 	ro := &Router{settings: set, met: me, incarnation: ident.NewIncarnation(), pool: pool.New(pf.HeaderNames), seeds: snap.NewCell(set.Seeds)}
 	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
 	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
-	ro.feedLoops = []*follow.Loop{
-		follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me)),
-		follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me)),
-	}
+	configLoop := follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me))
+	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
+	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop}
 	cl := peers.NewClient(ro.peerAddresses)
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger()), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
-	ro.gossip = follow.NewGossip(ro.configs, ro.peerAddresses, cl.FetchConfig)
+	ro.gossip = follow.NewGossip(ro.configs, configLoop, ro.peerAddresses, cl.FetchConfig)
 	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger,
 		budget.WithMeter(me), budget.WithPrepaid(ro.prepaid), budget.WithAddress(func() string { return set.PeerListen }),
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithHeadroom(headroom), budget.WithReadInterval(budgetReadInterval),
