app/follow: read unchanged rows again less often the larger they are

Cause: all rows are read again every 5 to 6.3 s to find changes that a feed has omitted, whatever their size. With 2,800 routes that is 0.8 MB, for 0.7 s of each 6 s the whole link, which requests and the next change wait for.

Change: the time between two such reads grows with their size, so that they take 12 KiB a second at most.

--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -36,6 +36,10 @@
 	// rereadInterval is the minimum time between two periodic reads of all rows,
 	// which find changes that the feed has omitted.
 	rereadInterval = 5 * time.Second
+	// rereadBytesPerSecond bounds the traffic of these reads, half of the control
+	// traffic that the planned size allows a router. Large rows are read again less
+	// often.
+	rereadBytesPerSecond = 12 << 10
 	// slowTransfer is the transfer time from which a read is logged.
 	slowTransfer = 200 * time.Millisecond
 )
@@ -137,7 +141,8 @@
 			return err
 		}
 		lo.record(ba)
-		lo.rereadAt = now.Add(rereadInterval + rand.N(rereadInterval/4))
+		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
+		lo.rereadAt = now.Add(interval + rand.N(interval/4))
 		if ba.Version < lo.version {
 			// The store returned an older state than the known one.
 			return nil
