--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/maphash"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
@@ -110,8 +111,7 @@
 	rn.demand = place.Demand{Domain: rn.se.opts.domain}
 	if pr := rn.info.Prompt; pr != nil {
 		rn.demand.Prompt = place.Prompt{Input: pr.Input}
-		// The last part is not shared with other requests.
-		for _, pa := range pr.Parts[:max(0, len(pr.Parts)-1)] {
+		for _, pa := range pr.SharedParts() {
 			rn.demand.Prompt = rn.demand.Prompt.WithPart(pa.ID, pa.Tokens)
 		}
 	}
@@ -168,7 +168,7 @@
 		if errors.As(err, &final) {
 			return final
 		}
-		rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()))...)
+		rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()), slog.String("parts", rn.sharedParts()))...)
 		if re := rn.decideRetry(ctx, err, retries); re != nil {
 			return re
 		}
@@ -273,6 +273,18 @@
 	return append(at, more...)
 }
 
+// sharedParts returns the ids of the prompt's shared parts, separated by commas.
+func (rn *run) sharedParts() string {
+	if rn.info.Prompt == nil {
+		return ""
+	}
+	var ids []string
+	for _, pa := range rn.info.Prompt.SharedParts() {
+		ids = append(ids, pa.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // reasonOf returns the value of the label reason for a failed send.
 func reasonOf(err error) string {
 	switch {
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -45,6 +45,10 @@
 // MaxTokens returns the largest number of tokens that the request can use.
 func (pr Prompt) MaxTokens() ident.Tokens { return pr.Input + pr.MaxOutput }
 
+// SharedParts returns the parts that other requests may have in common with this
+// one: all but the last.
+func (pr Prompt) SharedParts() []Part { return pr.Parts[:max(0, len(pr.Parts)-1)] }
+
 // RequestInfo holds the properties of a request that routing depends on. It is
 // immutable.
 type RequestInfo struct {
