--- a/internal/fake/origin/caller.go
+++ b/internal/fake/origin/caller.go
@@ -14,6 +14,9 @@
 	// Prompt and Output are the token counts of a request to a model, or zero for
 	// other requests.
 	Prompt, Output int
+	// Parts lists the parts of the prompt as ID:TOKENS, separated by commas. By
+	// default the prompt has two parts.
+	Parts string
 }
 
 // Send sends the request to a router and returns the status and the body of the
@@ -29,7 +32,11 @@
 	re.Header.Set("Deadline-Ms", "5000")
 	if ca.Prompt > 0 {
 		re.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", ca.Prompt, ca.Output))
-		re.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:%d,bb:%d", ca.Prompt/2, ca.Prompt-ca.Prompt/2))
+		parts := fmt.Sprintf("aa:%d,bb:%d", ca.Prompt/2, ca.Prompt-ca.Prompt/2)
+		if ca.Parts != "" {
+			parts = ca.Parts
+		}
+		re.Header.Set("Prompt-Prefix", parts)
 	}
 	resp, err := http.DefaultClient.Do(re)
 	if err != nil {
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -43,6 +43,9 @@
 	// UnacceptedEncoding responds with a content encoding that the request does
 	// not accept.
 	UnacceptedEncoding
+	// Crash starts a response and ends the upstream: all its connections are closed
+	// and new ones are refused.
+	Crash
 )
 
 // Run records a request that was run.
@@ -60,11 +63,13 @@
 
 	mu      sync.Mutex
 	fault   func(id string) Fault
+	crashed chan struct{}
 	runs    []Run
 	arrived int
 	conns   map[net.Conn]bool
 	aborted chan string
 	done    sync.WaitGroup
+	once    sync.Once
 }
 
 // New starts an upstream on loopback. Its streams have the given number of events
@@ -76,7 +81,7 @@
 	}
 	or := &Origin{
 		ID: id, ls: ls, events: events, gap: gap, conns: map[net.Conn]bool{},
-		fault: func(string) Fault { return None }, aborted: make(chan string, 64),
+		fault: func(string) Fault { return None }, aborted: make(chan string, 64), crashed: make(chan struct{}),
 	}
 	or.done.Go(or.accept)
 	return or, nil
@@ -113,15 +118,22 @@
 
 // Close stops the upstream and closes all connections.
 func (or *Origin) Close() {
+	or.closeConns()
+	or.done.Wait()
+}
+
+func (or *Origin) closeConns() {
 	_ = or.ls.Close()
 	or.mu.Lock()
+	defer or.mu.Unlock()
 	for nc := range or.conns {
 		_ = nc.Close()
 	}
-	or.mu.Unlock()
-	or.done.Wait()
 }
 
+// Crashed is closed when the fault Crash has ended the upstream.
+func (or *Origin) Crashed() <-chan struct{} { return or.crashed }
+
 func (or *Origin) accept() {
 	for {
 		nc, err := or.ls.Accept()
@@ -190,6 +202,11 @@
 		return or.writeResponse(nc, "200 OK", "other", "Server-Stamp: s\r\n", "other")
 	case UnacceptedEncoding:
 		return or.writeResponse(nc, "200 OK", id, "Content-Encoding: gzip\r\n", "zipped")
+	case Crash:
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		or.once.Do(func() { close(or.crashed) })
+		or.closeConns()
+		return false
 	case Hang:
 		_, _ = br.Peek(1)
 		or.notifyAborted(id)
