app/poison: refuse prompts with a part under which upstreams end

Cause: nothing related failures to what the requests have in common. A router avoids an engine that failed, and so sends the next request with the part to a sound one; a request whose route allows it is sent to a second engine within 2 ms. Each of twelve routers sees less than one end when the fleet has seen five.

Change: when a connection ends before the first event and the upstream then refuses connections, routers record the parts of the prompt that no served request has ruled out, in rows that all routers follow. After three upstreams, requests with all that these had in common are refused with 503 (notRun, reason poisonedPrompt), for 30 s and then twice as long with each further end; one request at a time is let through in between. A suspect request is not sent a second time. A router is ready when it has read the records, so that a restart does not forget them.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -105,6 +105,8 @@
 	sent *place.Sent
 	// complete says that the upstream sent a complete response.
 	complete bool
+	// events counts the events that arrived.
+	events int
 }
 
 // classify records what the result of the attempt proves about the request and
@@ -117,6 +119,9 @@
 		rn.runs++
 		ex.complete = true
 		ex.ep.Succeeded()
+		if ex.events > 0 {
+			rn.se.opts.guard.Served(rn.parts)
+		}
 		return nil
 	case errors.As(err, &final):
 		rn.runs++
@@ -137,6 +142,9 @@
 		return err
 	}
 	ex.ep.Failed(now)
+	if ex.events == 0 && len(rn.parts) > 0 {
+		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts)
+	}
 	return err
 }
 
@@ -192,6 +200,7 @@
 		now := rn.se.opts.clock.Now()
 		ex.ep.Received(now)
 		ex.sent.FirstEvent(now)
+		ex.events++
 		if rn.lastEvent >= 0 && ev.Number != rn.lastEvent+1 && ev.Number >= 0 {
 			if ev.Number <= rn.lastEvent {
 				continue
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -136,7 +136,7 @@
 	holder *budget.Holder
 }
 
-func newFixture(t *testing.T, upstreams int, reserve int) fixture {
+func newFixture(t *testing.T, upstreams int, reserve int, opts ...direct.Option) fixture {
 	t.Helper()
 	conf := intent.New(3, intent.Limits{}).WithRoutes(routes()...).
 		WithServices(intent.Service{Name: "s", Engine: true, EventTokens: 5}).
@@ -151,9 +151,10 @@
 	if err := hd.Open(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, hd, direct.WithRetries(func() direct.RetryBudget {
+	opts = append(opts, direct.WithRetries(func() direct.RetryBudget {
 		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(reserve))
 	}))
+	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, hd, opts...)
 	return fixture{svc: svc, ledger: le, holder: hd}
 }
 
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -12,6 +12,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
+	"github.com/balsamwood/balsamwood/internal/core/poison"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
@@ -58,6 +59,8 @@
 	account  intent.Account
 	deadline time.Time
 	demand   place.Demand
+	// parts are the shared parts of the prompt.
+	parts []poison.Part
 
 	// started says that the header of a stream was sent to the caller.
 	started bool
@@ -113,6 +116,7 @@
 		rn.demand.Prompt = place.Prompt{Input: pr.Input}
 		for _, pa := range pr.SharedParts() {
 			rn.demand.Prompt = rn.demand.Prompt.WithPart(pa.ID, pa.Tokens)
+			rn.parts = append(rn.parts, poison.PartOf(pa.ID))
 		}
 	}
 	return nil
@@ -188,6 +192,8 @@
 		return refuse.New(refuse.UpstreamFailed, "%v", err)
 	case rn.runs >= rn.route.AttemptLimit:
 		return refuse.New(refuse.UpstreamFailed, "%v, after %d attempts", err, rn.runs)
+	case rn.runs > 0 && rn.se.opts.guard.Suspect(rn.parts, append(rn.demand.Tried, rn.upstream)):
+		return refuse.New(refuse.UpstreamFailed, "%v, and other upstreams have ended under a part of the prompt", err)
 	case rn.sends >= maxSends:
 		return rn.unavailable("%v, after %d sends", err, rn.sends)
 	case !errors.Is(err, proxy.ErrNotSent) && !retries.Take():
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -14,6 +14,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
+	"github.com/balsamwood/balsamwood/internal/core/poison"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
@@ -48,7 +49,22 @@
 	Take() bool
 }
 
+// PartGuard knows which parts of prompts end upstreams. Parts that are not shared are
+// not passed to it.
+type PartGuard interface {
+	// Admit returns a refusal if the request would end another upstream.
+	Admit(ctx context.Context, parts []poison.Part) *refuse.Refusal
+	// Suspect reports whether another attempt could end another upstream than those
+	// tried.
+	Suspect(parts []poison.Part, tried []ident.Upstream) bool
+	// Ended records that the connection to the upstream ended before the first event.
+	Ended(up proxy.Upstream, parts []poison.Part)
+	// Served records that the request was served.
+	Served(parts []poison.Part)
+}
+
 type options struct {
+	guard      PartGuard
 	clock      clock.Clock
 	meter      meter.Meter
 	domain     ident.Domain
@@ -79,6 +95,10 @@
 	return func(op *options) { op.retries = newRetries }
 }
 
+// WithPartGuard sets what knows the parts of prompts that end upstreams. The default
+// knows none.
+func WithPartGuard(pg PartGuard) Option { return func(op *options) { op.guard = pg } }
+
 // Service serves requests. It is safe for concurrent use.
 type Service struct {
 	view     View
@@ -94,7 +114,7 @@
 
 // New returns a service.
 func New(view View, reserver Reserver, opts ...Option) *Service {
-	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }}
+	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }, guard: noGuard{}}
 	for _, apply := range opts {
 		apply(&op)
 	}
@@ -127,6 +147,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, rn.deadline)
 	defer cancel()
+	if re := se.opts.guard.Admit(ctx, rn.parts); re != nil {
+		rn.report(re)
+		return false, re
+	}
 	hold, re := rn.reserve(ctx)
 	if re == nil {
 		re = rn.serve(ctx)
@@ -164,6 +188,20 @@
 // Take reports that no retry is left.
 func (noRetries) Take() bool { return false }
 
+type noGuard struct{}
+
+// Admit refuses nothing.
+func (noGuard) Admit(context.Context, []poison.Part) *refuse.Refusal { return nil }
+
+// Suspect reports false.
+func (noGuard) Suspect([]poison.Part, []ident.Upstream) bool { return false }
+
+// Ended does nothing.
+func (noGuard) Ended(proxy.Upstream, []poison.Part) {}
+
+// Served does nothing.
+func (noGuard) Served([]poison.Part) {}
+
 // deadlineOf returns the earlier of the route's and the caller's deadline.
 func deadlineOf(info proxy.RequestInfo, ro intent.Route) time.Time {
 	deadline := info.Arrived.Add(ro.Timeout)
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// longPoll is how long the store may hold a call while there is no change.
+	// longPoll is by default how long the store may hold a call while there is no change.
 	// With the margin that the adapter adds, a connection without responses is
 	// detected within 1 s, half of the 2 s in which a change must be in force.
 	longPoll = 600 * time.Millisecond
@@ -66,6 +66,10 @@
 // WithClock sets the clock. The default is the system clock.
 func WithClock(ck clock.Clock) Option { return func(lo *Loop) { lo.clock = ck } }
 
+// WithLongPoll sets how long the feed may hold a call while there is no change. The
+// default is 600 ms. A connection without responses is detected 400 ms later.
+func WithLongPoll(wait time.Duration) Option { return func(lo *Loop) { lo.longPoll = wait } }
+
 // Loop reads one feed and passes its rows to a sink.
 type Loop struct {
 	name  string
@@ -73,6 +77,8 @@
 	sink  Sink
 	meter meter.Meter
 	clock clock.Clock
+	// longPoll is how long the feed may hold a call.
+	longPoll time.Duration
 
 	version  uint64
 	rereadAt time.Time
@@ -90,7 +96,7 @@
 // NewLoop returns a loop that passes the rows of the feed to the sink. The name
 // appears in log records and metrics.
 func NewLoop(name string, fe feed.Feed, si Sink, opts ...Option) *Loop {
-	lo := &Loop{name: name, feed: fe, sink: si, meter: meter.Nop{}, clock: clock.System{}}
+	lo := &Loop{name: name, feed: fe, sink: si, meter: meter.Nop{}, clock: clock.System{}, longPoll: longPoll}
 	for _, opt := range opts {
 		opt(lo)
 	}
@@ -105,7 +111,7 @@
 	co := lo.contact.Load()
 	overdue := now.Sub(co.succeededAt)
 	if !co.lost {
-		overdue -= longPoll
+		overdue -= lo.longPoll
 	}
 	return max(0, overdue)
 }
@@ -151,7 +157,7 @@
 		lo.sink.Replace(ba, lo.clock.Now())
 		return nil
 	}
-	ba, err := lo.feed.Changes(ctx, lo.version, longPoll)
+	ba, err := lo.feed.Changes(ctx, lo.version, lo.longPoll)
 	if errors.Is(err, feed.ErrHistoryTruncated) {
 		lo.meter.Log(evHistoryLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version))
 		lo.rereadAt = time.Time{}
--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -51,6 +51,8 @@
 	StoreUnavailable Reason = "storeUnavailable"
 	// Unreachable means that no connection to the sidecar could be opened.
 	Unreachable Reason = "unreachable"
+	// PoisonedPrompt means that upstreams have ended under a part of the prompt.
+	PoisonedPrompt Reason = "poisonedPrompt"
 	// Rejected means that the upstream refused the call before running it.
 	Rejected Reason = "rejected"
 )
@@ -76,7 +78,7 @@
 	BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService,
 	KeyRequired, KeyReused, Cancelled, OverBudget, EscrowUnavailable, RateLimited,
 	QueueFull, DeadlineUnmeetable, DeadlinePassed, NoUpstream, Busy, Leaving,
-	ClosedIncarnation, NotReady, StoreUnavailable, Unreachable, Rejected,
+	ClosedIncarnation, NotReady, StoreUnavailable, Unreachable, PoisonedPrompt, Rejected,
 	LinkLost, UpstreamFailed, Truncated, TimedOut, InProgress, Internal,
 }
 
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -24,6 +24,7 @@
 	app "github.com/balsamwood/balsamwood/internal/app/direct"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/app/hedge"
+	"github.com/balsamwood/balsamwood/internal/app/poison"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
@@ -82,6 +83,10 @@
 	lateDrawDelay = 10 * time.Second
 	// flushInterval is the time between two flushes of the escrow holder.
 	flushInterval = 200 * time.Millisecond
+	// partLongPoll is how long the store may hold a call for the records of prompt
+	// parts, which are rarely written. A connection without responses is detected
+	// within 2 s, so that what others have seen is known within 3 s.
+	partLongPoll = 1600 * time.Millisecond
 	// flushParallelism is the number of budgets that are flushed at the same time.
 	flushParallelism = 8
 )
@@ -104,9 +109,11 @@
 
 // Platform holds the adapters to the platform of a deployment.
 type Platform struct {
-	Table          store.Table
-	Configs        feed.Feed
-	Upstreams      feed.Feed
+	Table     store.Table
+	Configs   feed.Feed
+	Upstreams feed.Feed
+	// PoisonRecords is the feed of the rows with the prefix poison.Prefix.
+	PoisonRecords  feed.Feed
 	DecodeConfig   follow.DecodeConfig
 	DecodeUpstream follow.DecodeUpstream
 	HeaderNames    terms.HeaderNames
@@ -131,6 +138,7 @@
 	holder      *budget.Holder
 	pool        *pool.Pool
 	service     *app.Service
+	parts       *poison.Registry
 	entry       *entry.Server
 	readyServer *serve.Server
 	peerServer  *serve.Server
@@ -155,9 +163,11 @@
 	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
 	configLoop := follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me))
 	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
-	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop}
 	cl := peers.NewClient(ro.peerAddresses)
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
+	ro.parts = poison.NewRegistry(table, codec.PoisonRecord(), pf.Clock, ro.pool.Refuses, poison.WithMeter(me))
+	partLoop := follow.NewLoop("parts", pf.PoisonRecords, ro.parts, follow.WithMeter(me), follow.WithLongPoll(partLongPoll))
+	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop, partLoop}
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger()), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
@@ -168,7 +178,7 @@
 		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(),
 		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
-		app.WithRetries(ro.newRetryBudget))
+		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts))
 	var err error
 	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits); err != nil {
 		return nil, err
@@ -248,6 +258,8 @@
 		return errors.New("no configuration is in force yet")
 	case !ro.upstreams.Known():
 		return errors.New("the upstreams are not known yet")
+	case !ro.parts.Known():
+		return errors.New("it is not known yet which prompt parts are refused")
 	case !ro.registered.Load():
 		return errors.New("the incarnation is not registered yet")
 	default:
@@ -285,6 +297,7 @@
 	workers.Go(func() { ro.expireUpstreams(workCtx) })
 	workers.Go(func() { ro.gossip.Run(workCtx) })
 	workers.Go(func() { ro.statements.Run(workCtx) })
+	workers.Go(func() { ro.parts.Run(workCtx) })
 	workers.Go(func() { ro.runHolder(workCtx) })
 	<-serveCtx.Done()
 	ro.leave()
