app/follow: start the grace period before the first rows after an outage

Callers lost upstreams that ran: after an outage of the store of more than 5 s, those whose entries had expired in it were removed with the first read, without the two seconds in which live ones write them again.

Cause: the sink learned that the feed is back only after it had been given the rows of the first call, which after 5 s are all rows. TestExpiredDuringOutage missed it, because it calls Recovered before Replace.

Change: a loop tells the sink that the feed is back before it passes the rows on.

Result: TestEntryMissingAfterOutage, which failed for an outage of 8 s and passed for one of 2 s, passes for both.

--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -53,7 +53,8 @@
 	// Lost is called when a call to the feed fails, but not again for further
 	// failures until a call has succeeded.
 	Lost(now time.Time)
-	// Recovered is called after the first call that succeeds after Lost.
+	// Recovered is called after the first call that succeeds after Lost, before its
+	// rows are passed on.
 	Recovered(now time.Time)
 }
 
@@ -129,8 +130,6 @@
 		if err != nil {
 			lo.fail(err, now)
 			pause = retryPause/2 + rand.N(retryPause)
-		} else {
-			lo.recover(now)
 		}
 		if !sleep(ctx, pause) {
 			return
@@ -146,6 +145,7 @@
 		if err != nil {
 			return err
 		}
+		lo.recover(lo.clock.Now())
 		lo.record(ba)
 		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
 		lo.rereadAt = now.Add(interval + rand.N(interval/4))
@@ -158,6 +158,9 @@
 		return nil
 	}
 	ba, err := lo.feed.Changes(ctx, lo.version, lo.longPoll)
+	if err == nil || errors.Is(err, feed.ErrHistoryTruncated) {
+		lo.recover(lo.clock.Now())
+	}
 	if errors.Is(err, feed.ErrHistoryTruncated) {
 		lo.meter.Log(evHistoryLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version))
 		lo.rereadAt = time.Time{}
@@ -199,8 +202,8 @@
 	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version), slog.String("error", err.Error()))
 }
 
-// recover records a call that succeeded. It marks a lost feed as available and
-// requests a read of all rows.
+// recover records a call that succeeded, before its rows are passed on. It marks a
+// lost feed as available and requests a read of all rows.
 func (lo *Loop) recover(now time.Time) {
 	lost := lo.contact.Load().lost
 	lo.contact.Store(contact{succeededAt: now})
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -286,6 +286,38 @@
 	}
 }
 
+// TestEntryMissingAfterOutage guards against removing a live upstream, whose entry
+// expired during an outage of any length, with the first read after it.
+func TestEntryMissingAfterOutage(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 8 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sc := &scriptedFeed{rows: []feed.Row{{Key: "a", Value: []byte("1"), Version: 10}}, version: 10}
+				us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
+				lo := follow.NewLoop("upstreams", sc, us)
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); lo.Run(ctx) }()
+				time.Sleep(time.Second)
+				sc.set(func(sc *scriptedFeed) { sc.down = true })
+				time.Sleep(outage)
+				sc.set(func(sc *scriptedFeed) { sc.down, sc.rows, sc.version, sc.historyLost = false, nil, 12, true })
+				got := [][]string{}
+				for range 2 {
+					time.Sleep(1500 * time.Millisecond)
+					us.RemoveExpired(time.Now())
+					got = append(got, ids(us))
+				}
+				cancel()
+				<-done
+				if diff := cmp.Diff([][]string{{"a"}, {}}, got); diff != "" {
+					t.Errorf("upstreams 1.5 s and 3 s after the outage (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestForeignEntry guards against an invalid entry, written by another program,
 // that adds an upstream or prevents other entries from being used.
 func TestForeignEntry(t *testing.T) {
