app/budget, adapt/peers: refuse a statement that is not kept

Cause: a router with 256 pending statements dropped the next one without a log line and still responded that it was stored, so that a router that ended counted it as one of its two copies, and its escrow stayed locked until it unlocked by expiry. A statement that could not be applied yet could be dropped in the same way.

Change: AddStatement reports whether it took the statement (event 3010 if not), the call between routers responds 503, and one that was taken is always put back.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -70,8 +70,9 @@
 	// CurrentConfig returns the row of the configuration in force and whether there
 	// is one.
 	CurrentConfig func() (feed.Row, bool)
-	// AddStatement stores the last statement of a router that ends.
-	AddStatement func(st escrow.Statement)
+	// AddStatement stores the last statement of a router that ends, and reports
+	// whether it did.
+	AddStatement func(st escrow.Statement) bool
 	// Table is the table, accessed directly by this router.
 	Table store.Table
 }
@@ -96,7 +97,10 @@
 			http.Error(wr, "want a statement with an incarnation", http.StatusBadRequest)
 			return
 		}
-		local.AddStatement(st)
+		if !local.AddStatement(st) {
+			http.Error(wr, "too many statements are pending", http.StatusServiceUnavailable)
+			return
+		}
 		wr.WriteHeader(http.StatusNoContent)
 	})
 	mx.HandleFunc("POST "+tablePath, serveTable(local.Table))
--- a/internal/adapt/peers/peers_test.go
+++ b/internal/adapt/peers/peers_test.go
@@ -19,6 +19,8 @@
 
 // router serves other routers and records their requests.
 type router struct {
+	// full makes it take no statement.
+	full       bool
 	balance    ident.Tokens
 	asked      []ident.Tokens
 	short      bool
@@ -38,7 +40,12 @@
 			return got
 		},
 		CurrentConfig: func() (feed.Row, bool) { return feed.Row{Key: "k", Value: []byte{0, 1}, Version: 8}, true },
-		AddStatement:  func(st escrow.Statement) { ro.statements = append(ro.statements, st) },
+		AddStatement: func(st escrow.Statement) bool {
+			if !ro.full {
+				ro.statements = append(ro.statements, st)
+			}
+			return !ro.full
+		},
 	}))
 	t.Cleanup(sv.Close)
 	return strings.TrimPrefix(sv.URL, "http://")
@@ -87,6 +94,17 @@
 	}
 }
 
+// TestStatementNotTaken guards against a router that ends in the belief that others
+// have its statement although they had no room for it.
+func TestStatementNotTaken(t *testing.T) {
+	full, free := &router{full: true}, &router{}
+	addrs := []string{full.start(t), free.start(t)}
+	cl := peers.NewClient(func() []string { return addrs })
+	if copies := cl.SendStatement(t.Context(), escrow.Statement{Incarnation: "r1"}); copies != 1 {
+		t.Errorf("%d routers have stored the statement, want 1", copies)
+	}
+}
+
 // TestBadCalls guards against malformed input that lends tokens or stores a
 // statement.
 func TestBadCalls(t *testing.T) {
--- a/internal/app/budget/statement.go
+++ b/internal/app/budget/statement.go
@@ -15,6 +15,7 @@
 var (
 	eventStatement         = meter.Event{Number: 3008, Level: slog.LevelInfo, Text: "escrow of an ended router closed by its statement"}
 	eventStatementDeferred = meter.Event{Number: 3009, Level: slog.LevelWarn, Text: "a statement of an ended router cannot be applied yet"}
+	eventStatementRefused  = meter.Event{Number: 3010, Level: slog.LevelWarn, Text: "a statement of a router that ends was refused, too many are pending"}
 )
 
 const (
@@ -81,13 +82,16 @@
 	return &Statements{ledger: ledger, meter: me}
 }
 
-// AddStatement adds a statement, or drops it if there are too many.
-func (ss *Statements) AddStatement(st escrow.Statement) {
+// AddStatement adds a statement, and reports false if there are too many.
+func (ss *Statements) AddStatement(st escrow.Statement) bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	if len(ss.pending) < maxStatements {
-		ss.pending = append(ss.pending, st)
+	if len(ss.pending) >= maxStatements {
+		ss.meter.Log(eventStatementRefused, slog.String("incarnation", string(st.Incarnation)), slog.Int("pending", len(ss.pending)))
+		return false
 	}
+	ss.pending = append(ss.pending, st)
+	return true
 }
 
 // Run applies pending statements until ctx ends.
@@ -100,8 +104,15 @@
 		for _, st := range todo {
 			if err := ss.ledger.Settle(ctx, st, ss.meter); err != nil {
 				ss.meter.Log(eventStatementDeferred, slog.String("incarnation", string(st.Incarnation)), slog.String("error", err.Error()))
-				ss.AddStatement(st)
+				ss.putBack(st)
 			}
 		}
 	}
 }
+
+// putBack keeps a statement that was taken before, however many there are now.
+func (ss *Statements) putBack(st escrow.Statement) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.pending = append(ss.pending, st)
+}
--- a/internal/app/budget/timelock_test.go
+++ b/internal/app/budget/timelock_test.go
@@ -431,6 +431,22 @@
 	})
 }
 
+// TestTooManyStatements guards against statements that are dropped while the router
+// that ends is told that they are kept.
+func TestTooManyStatements(t *testing.T) {
+	si, _, _ := newPair(t)
+	ss := budget.NewStatements(si.ledger, meter.Nop{})
+	taken := 0
+	for no := range 300 {
+		if ss.AddStatement(escrow.Statement{Incarnation: ident.Incarnation(fmt.Sprint(no))}) {
+			taken++
+		}
+	}
+	if taken != 256 {
+		t.Errorf("%d of 300 statements were taken, want 256", taken)
+	}
+}
+
 // busyFor makes the router use tokens for some seconds, so that its locked tokens
 // unlock over a short span.
 func (ma *vm) busyFor(t *testing.T, seconds int) {
