app/poison: keep what could not be saved, do not repeat throttled writes

Found by reading the change again: a record that a router could not save was replaced by an older one from the feed, and a write that the table throttled was repeated up to eight times without a pause.

Change: such a record stays until the feed brings a newer one, and a write is repeated only after a conflict or without a response.

Result: TestUnsavedEnds and TestThrottled, which fail without the change, pass.

--- a/internal/app/poison/observe.go
+++ b/internal/app/poison/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -156,7 +157,8 @@
 		if encErr != nil {
 			return before, after, encErr
 		}
-		if err = rg.table.Commit(ctx, store.Write{Key: key, Value: data, IfVersion: it.Version}); err == nil || ctx.Err() != nil {
+		err = rg.table.Commit(ctx, store.Write{Key: key, Value: data, IfVersion: it.Version})
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUncertain) {
 			return before, after, err
 		}
 	}
--- a/internal/app/poison/registry_test.go
+++ b/internal/app/poison/registry_test.go
@@ -196,6 +196,41 @@
 	})
 }
 
+// TestUnsavedEnds guards against a router that forgets what it has seen when it reads
+// an older record of the part.
+func TestUnsavedEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2)
+		fl.end(1, "u0", deadly)
+		fl.clients[0].SetDown(true)
+		for ix := range 3 {
+			fl.end(0, fmt.Sprint("u", ix), deadly)
+		}
+		if diff := cmp.Diff([]int{1}, fl.admitted(deadly)); diff != "" {
+			t.Errorf("routers that admit (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestThrottled guards against repeated writes to a table that asks for fewer.
+func TestThrottled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 1)
+		calls := 0
+		fl.clients[0].SetFaults(func(commit bool) table.Fault {
+			if commit {
+				calls++
+				return table.Throttled
+			}
+			return table.None
+		})
+		fl.end(0, "u0", deadly)
+		if calls != 1 {
+			t.Errorf("%d writes, want one", calls)
+		}
+	})
+}
+
 // TestConcurrentEnds guards against ends that are lost when routers write a record at
 // the same time.
 func TestConcurrentEnds(t *testing.T) {
--- a/internal/app/poison/sink.go
+++ b/internal/app/poison/sink.go
@@ -22,7 +22,7 @@
 				next[pa] = ro
 			}
 		}
-		maps.Copy(next, changed)
+		merge(next, changed)
 		return next, true
 	})
 	rg.known.Store(true)
@@ -77,11 +77,21 @@
 func (rg *Registry) set(changed map[poison.Part]row) {
 	rg.records.Update(func(old map[poison.Part]row) (map[poison.Part]row, bool) {
 		next := maps.Clone(old)
-		maps.Copy(next, changed)
+		merge(next, changed)
 		return next, true
 	})
 }
 
+// merge puts the records from the feed into records. What this router could not save
+// stays.
+func merge(records, changed map[poison.Part]row) {
+	for pa, ro := range changed {
+		if own, listed := records[pa]; !listed || own.version != 0 || !own.NewerThan(ro.Record) {
+			records[pa] = ro
+		}
+	}
+}
+
 func (rg *Registry) remove(pa poison.Part) {
 	rg.records.Update(func(old map[poison.Part]row) (map[poison.Part]row, bool) {
 		if _, listed := old[pa]; !listed {
