app/follow: one place for a call that succeeded

Found by reading the change again: a step told the loop at two places that a call had succeeded, the time of a loss stood beside a flag that says the same, and a constant had the name of the setting of which it is the default.

Change: a step makes its call, records the success once and passes the rows on; the contact holds the time of the loss, from which the flag follows; defaultLongPoll.

Result: behaviour as before; the tests of app/follow and role/direct pass with the race detector.

--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -19,15 +19,15 @@
 var (
 	evFeedLost      = meter.Event{Number: 5101, Level: slog.LevelWarn, Text: "feed lost"}
 	evFeedAvailable = meter.Event{Number: 5102, Level: slog.LevelInfo, Text: "feed available again"}
-	evSlowRead      = meter.Event{Number: 5104, Level: slog.LevelInfo, Text: "rows of a feed took long to arrive"}
 	evHistoryLost   = meter.Event{Number: 5103, Level: slog.LevelInfo, Text: "feed history lost, all rows are read again"}
+	evSlowRead      = meter.Event{Number: 5104, Level: slog.LevelInfo, Text: "rows of a feed took long to arrive"}
 )
 
 const (
-	// longPoll is by default how long the store may hold a call while there is no change.
+	// defaultLongPoll is how long the store may hold a call while there is no change.
 	// With the margin that the adapter adds, a connection without responses is
 	// detected within 1 s, half of the 2 s in which a change must be in force.
-	longPoll = 600 * time.Millisecond
+	defaultLongPoll = 600 * time.Millisecond
 	// minPause is the minimum time between the starts of two calls. It limits the
 	// call rate while upstreams change continuously.
 	minPause = 50 * time.Millisecond
@@ -83,21 +83,29 @@
 
 	version  uint64
 	rereadAt time.Time
-	lostAt   time.Time
 	failures int
 	contact  *snap.Cell[contact]
 }
 
-// contact is when a call to a feed last succeeded, and whether one has failed since.
+// contact is when a call to a feed last succeeded, and when the first one failed since,
+// or the zero time.
 type contact struct {
 	succeededAt time.Time
-	lost        bool
+	lostAt      time.Time
+}
+
+// WithLoss returns a copy in which a call has failed at the time.
+func (co contact) WithLoss(at time.Time) contact {
+	co.lostAt = at
+	return co
 }
 
+func (co contact) lost() bool { return !co.lostAt.IsZero() }
+
 // NewLoop returns a loop that passes the rows of the feed to the sink. The name
 // appears in log records and metrics.
 func NewLoop(name string, fe feed.Feed, si Sink, opts ...Option) *Loop {
-	lo := &Loop{name: name, feed: fe, sink: si, meter: meter.Nop{}, clock: clock.System{}, longPoll: longPoll}
+	lo := &Loop{name: name, feed: fe, sink: si, meter: meter.Nop{}, clock: clock.System{}, longPoll: defaultLongPoll}
 	for _, opt := range opts {
 		opt(lo)
 	}
@@ -111,7 +119,7 @@
 func (lo *Loop) OverdueFor(now time.Time) time.Duration {
 	co := lo.contact.Load()
 	overdue := now.Sub(co.succeededAt)
-	if !co.lost {
+	if !co.lost() {
 		overdue -= lo.longPoll
 	}
 	return max(0, overdue)
@@ -140,43 +148,50 @@
 // step makes one call to the feed: it reads all rows, or waits for changes.
 func (lo *Loop) step(ctx context.Context) error {
 	now := lo.clock.Now()
-	if lo.version == 0 || !now.Before(lo.rereadAt) {
-		ba, err := lo.feed.All(ctx)
-		if err != nil {
-			return err
-		}
-		lo.recover(lo.clock.Now())
-		lo.record(ba)
-		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
-		lo.rereadAt = now.Add(interval + rand.N(interval/4))
-		if ba.Version < lo.version {
-			// The store returned an older state than the known one.
-			return nil
-		}
-		lo.version = ba.Version
-		lo.sink.Replace(ba, lo.clock.Now())
-		return nil
+	whole := lo.version == 0 || !now.Before(lo.rereadAt)
+	var ba feed.Batch
+	var err error
+	if whole {
+		ba, err = lo.feed.All(ctx)
+	} else {
+		ba, err = lo.feed.Changes(ctx, lo.version, lo.longPoll)
 	}
-	ba, err := lo.feed.Changes(ctx, lo.version, lo.longPoll)
-	if err == nil || errors.Is(err, feed.ErrHistoryTruncated) {
-		lo.recover(lo.clock.Now())
+	truncated := errors.Is(err, feed.ErrHistoryTruncated)
+	if err != nil && !truncated {
+		return err
 	}
-	if errors.Is(err, feed.ErrHistoryTruncated) {
+	lo.recover(lo.clock.Now())
+	lo.record(ba)
+	switch {
+	case truncated:
 		lo.meter.Log(evHistoryLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version))
 		lo.rereadAt = time.Time{}
-		return nil
-	}
-	if err != nil {
-		return err
+	case whole:
+		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
+		lo.rereadAt = now.Add(interval + rand.N(interval/4))
+		lo.replace(ba)
+	default:
+		lo.applyChanges(ba)
 	}
-	lo.record(ba)
-	if ba.Version > lo.version {
-		lo.version = ba.Version
+	return nil
+}
+
+// replace passes on all rows, unless the store returned an older state than the known
+// one.
+func (lo *Loop) replace(ba feed.Batch) {
+	if ba.Version < lo.version {
+		return
 	}
+	lo.version = ba.Version
+	lo.sink.Replace(ba, lo.clock.Now())
+}
+
+// applyChanges passes on changed rows, if there are any.
+func (lo *Loop) applyChanges(ba feed.Batch) {
+	lo.version = max(lo.version, ba.Version)
 	if len(ba.Rows) > 0 {
 		lo.sink.ApplyChanges(ba, lo.clock.Now())
 	}
-	return nil
 }
 
 // record counts the bytes of a read and logs a slow one.
@@ -193,11 +208,10 @@
 	lo.failures++
 	lo.meter.Count("feedErrors", "feed", lo.name, 1)
 	before := lo.contact.Load()
-	if before.lost {
+	if before.lost() {
 		return
 	}
-	lo.contact.Store(contact{succeededAt: before.succeededAt, lost: true})
-	lo.lostAt = now
+	lo.contact.Store(before.WithLoss(now))
 	lo.sink.Lost(now)
 	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version), slog.String("error", err.Error()))
 }
@@ -205,15 +219,15 @@
 // recover records a call that succeeded, before its rows are passed on. It marks a
 // lost feed as available and requests a read of all rows.
 func (lo *Loop) recover(now time.Time) {
-	lost := lo.contact.Load().lost
+	before := lo.contact.Load()
 	lo.contact.Store(contact{succeededAt: now})
-	if !lost {
+	if !before.lost() {
 		return
 	}
 	// The history may lack changes that were made in the meantime.
 	lo.rereadAt = time.Time{}
 	lo.sink.Recovered(now)
-	lo.meter.Log(evFeedAvailable, slog.String("feed", lo.name), slog.Duration("lostFor", now.Sub(lo.lostAt)), slog.Int("failures", lo.failures))
+	lo.meter.Log(evFeedAvailable, slog.String("feed", lo.name), slog.Duration("lostFor", now.Sub(before.lostAt)), slog.Int("failures", lo.failures))
 	lo.failures = 0
 }
 
