app/poison, app/direct, adapt/pool: simpler state of the guard of prompt parts

Found by reading the change again: an observation had a flag that decided which of its fields count, options were a struct with one field, records were looked up with a flag that their zero value makes needless, the test whether all of some values are among others stood twice, a counter of events served as a flag, a list was copied to hold an upstream that is added to it a line later, and Refuses was a method that uses nothing of the pool.

Change: workers get functions, options change the registry, the zero record blocks nothing, containsAll, a flag, the upstream is added first, a function.

Result: behaviour as before; the tests of app/poison, core/poison, app/direct, adapt/pool and role/direct pass with the race detector.

--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -114,16 +114,6 @@
 	return rsp, nil
 }
 
-// Refuses reports whether the address of the upstream refuses connections: its process
-// has ended. One that does not respond at all may still run.
-func (*Pool) Refuses(ctx context.Context, up proxy.Upstream) bool {
-	co, err := dial(ctx, up.Address)
-	if err == nil {
-		_ = co.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // roundTrip writes the request and reads the header of its response.
 func (po *Pool) roundTrip(rsp *response, rq Request, at proxy.Attempt) error {
 	header := po.header(rq, at)
@@ -192,3 +182,13 @@
 	buf.WriteString("\r\n")
 	return buf
 }
+
+// Refuses reports whether the address of the upstream refuses connections: its process
+// has ended. One that does not respond at all may still run.
+func Refuses(ctx context.Context, up proxy.Upstream) bool {
+	co, err := dial(ctx, up.Address)
+	if err == nil {
+		_ = co.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -105,8 +105,8 @@
 	sent *place.Sent
 	// complete says that the upstream sent a complete response.
 	complete bool
-	// events counts the events that arrived.
-	events int
+	// began says that an event arrived.
+	began bool
 }
 
 // classify records what the result of the attempt proves about the request and
@@ -119,7 +119,7 @@
 		rn.runs++
 		ex.complete = true
 		ex.ep.Succeeded()
-		if ex.events > 0 {
+		if ex.began {
 			rn.se.opts.guard.Served(rn.parts)
 		}
 		return nil
@@ -142,7 +142,7 @@
 		return err
 	}
 	ex.ep.Failed(now)
-	if ex.events == 0 && len(rn.parts) > 0 {
+	if !ex.began && len(rn.parts) > 0 {
 		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts)
 	}
 	return err
@@ -200,7 +200,7 @@
 		now := rn.se.opts.clock.Now()
 		ex.ep.Received(now)
 		ex.sent.FirstEvent(now)
-		ex.events++
+		ex.began = true
 		if rn.lastEvent >= 0 && ev.Number != rn.lastEvent+1 && ev.Number >= 0 {
 			if ev.Number <= rn.lastEvent {
 				continue
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -173,10 +173,10 @@
 			return final
 		}
 		rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()), slog.String("parts", rn.sharedParts()))...)
+		rn.demand.Tried = append(rn.demand.Tried, ep.ID)
 		if re := rn.decideRetry(ctx, err, retries); re != nil {
 			return re
 		}
-		rn.demand.Tried = append(rn.demand.Tried, ep.ID)
 	}
 }
 
@@ -192,7 +192,7 @@
 		return refuse.New(refuse.UpstreamFailed, "%v", err)
 	case rn.runs >= rn.route.AttemptLimit:
 		return refuse.New(refuse.UpstreamFailed, "%v, after %d attempts", err, rn.runs)
-	case rn.runs > 0 && rn.se.opts.guard.Suspect(rn.parts, append(rn.demand.Tried, rn.upstream)):
+	case rn.runs > 0 && rn.se.opts.guard.Suspect(rn.parts, rn.demand.Tried):
 		return refuse.New(refuse.UpstreamFailed, "%v, and other upstreams have ended under a part of the prompt", err)
 	case rn.sends >= maxSends:
 		return rn.unavailable("%v, after %d sends", err, rn.sends)
--- a/internal/app/poison/observe.go
+++ b/internal/app/poison/observe.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/poison"
+	"github.com/balsamwood/balsamwood/internal/port/proxy"
 	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
@@ -37,40 +38,37 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ob := <-rg.pending:
-			if ob.sound {
-				rg.recordSound(ctx, ob.parts[0])
-			} else {
-				rg.recordEnd(ctx, ob)
-			}
+		case record := <-rg.pending:
+			record(ctx)
 		}
 	}
 }
 
 // recordEnd records the end of an upstream for the parts that no served request has
 // ruled out.
-func (rg *Registry) recordEnd(ctx context.Context, ob observation) {
+func (rg *Registry) recordEnd(ctx context.Context, up proxy.Upstream, parts []poison.Part) {
 	nowMs, ok := rg.clock()
 	records := rg.records.Load()
 	var suspects []poison.Part
-	for _, pa := range ob.parts {
+	for _, pa := range parts {
 		if !rg.wasServed(pa) && !records[pa].Sound(nowMs) {
 			suspects = append(suspects, pa)
 		}
 	}
-	if !ok || len(suspects) == 0 || !rg.refuses(ctx, ob.upstream) {
+	if !ok || len(suspects) == 0 || !rg.refuses(ctx, up) {
 		return
 	}
-	rg.opts.meter.Count("poisonEnds", "", "", 1)
+	rg.meter.Count("poisonEnds", "", "", 1)
 	for _, pa := range suspects {
 		before, after, saved := rg.update(ctx, pa, func(re poison.Record) poison.Record {
-			return re.WithEnd(ob.upstream.ID, suspects, nowMs)
+			return re.WithEnd(up.ID, suspects, nowMs)
 		})
-		attrs := []slog.Attr{slog.String("part", keyOf(pa)), slog.String("upstream", string(ob.upstream.ID)),
+		attrs := []slog.Attr{slog.String("part", keyOf(pa)), slog.String("upstream", string(up.ID)),
 			slog.Int("ends", after.Ends), slog.Bool("saved", saved)}
-		rg.opts.meter.Log(evEnded, attrs...)
+		rg.meter.Log(evEnded, attrs...)
+		// Fewer parts in common refuse more requests.
 		if !before.Blocks(after.Common, nowMs) && after.Blocks(after.Common, nowMs) {
-			rg.opts.meter.Log(evBlocked, append(attrs, slog.Int64("untilMs", after.BlockedUntilMs), slog.Int("commonParts", len(after.Common)))...)
+			rg.meter.Log(evBlocked, append(attrs, slog.Int64("untilMs", after.BlockedUntilMs), slog.Int("commonParts", len(after.Common)))...)
 		}
 	}
 }
@@ -94,7 +92,7 @@
 		}
 		return re.WithSound(nowMs)
 	}); before.Ends > 0 {
-		rg.opts.meter.Log(evSound, slog.String("part", keyOf(pa)), slog.Int("ends", before.Ends), slog.Bool("saved", saved))
+		rg.meter.Log(evSound, slog.String("part", keyOf(pa)), slog.Int("ends", before.Ends), slog.Bool("saved", saved))
 	}
 }
 
@@ -109,7 +107,7 @@
 		return re.WithTrial(nowMs)
 	})
 	if claimed && saved {
-		rg.opts.meter.Log(evTrial, slog.String("part", keyOf(pa)))
+		rg.meter.Log(evTrial, slog.String("part", keyOf(pa)))
 	}
 	return claimed && saved
 }
@@ -122,7 +120,7 @@
 	if err != nil {
 		before = rg.records.Load()[pa].Record
 		after = change(before)
-		rg.opts.meter.Log(evNotSaved, slog.String("part", keyOf(pa)), slog.String("error", err.Error()))
+		rg.meter.Log(evNotSaved, slog.String("part", keyOf(pa)), slog.String("error", err.Error()))
 	}
 	rg.records.Update(func(old map[poison.Part]row) (map[poison.Part]row, bool) {
 		// A later record may have come with the feed in the meantime.
--- a/internal/app/poison/registry.go
+++ b/internal/app/poison/registry.go
@@ -34,6 +34,8 @@
 	// soundTime is for how long a served request rules its parts out. Parts that
 	// requests share come back within seconds.
 	soundTime = time.Minute
+	// anyUpstream is the upstream of all entries of the index of served parts.
+	anyUpstream = 0
 	// maxPending bounds the observations that wait, and workers those that are
 	// recorded at the same time. An upstream with 64 slots may end under as many
 	// requests.
@@ -56,15 +58,11 @@
 // false while it is not known.
 type Clock func() (ms int64, ok bool)
 
-type options struct {
-	meter meter.Meter
-}
-
 // Option configures a Registry.
-type Option func(*options)
+type Option func(*Registry)
 
 // WithMeter sets the meter. By default, nothing is recorded.
-func WithMeter(me meter.Meter) Option { return func(op *options) { op.meter = me } }
+func WithMeter(me meter.Meter) Option { return func(rg *Registry) { rg.meter = me } }
 
 // Registry is what a router knows about parts of prompts. It is a sink for the feed
 // of the table and safe for concurrent use. A request takes no lock.
@@ -73,12 +71,13 @@
 	codec   store.Codec[poison.Record]
 	clock   Clock
 	refuses Refuses
-	opts    options
+	meter   meter.Meter
 
 	records *snap.Cell[map[poison.Part]row]
-	// served holds the parts of requests that were served lately.
-	served  *place.RecentPrefixes
-	pending chan observation
+	// served holds the parts of requests that were served lately, at any upstream.
+	served *place.RecentPrefixes
+	// pending holds what workers have to record.
+	pending chan func(ctx context.Context)
 	known   atomic.Bool
 }
 
@@ -89,24 +88,17 @@
 	version uint64
 }
 
-// observation is what a worker has to record about parts.
-type observation struct {
-	upstream proxy.Upstream
-	parts    []poison.Part
-	sound    bool
-}
-
 // NewRegistry returns a registry without records.
 func NewRegistry(table store.Table, codec store.Codec[poison.Record], clock Clock, refuses Refuses, opts ...Option) *Registry {
-	op := options{meter: meter.Nop{}}
-	for _, apply := range opts {
-		apply(&op)
-	}
-	return &Registry{
-		table: table, codec: codec, clock: clock, refuses: refuses, opts: op,
+	rg := &Registry{
+		table: table, codec: codec, clock: clock, refuses: refuses, meter: meter.Nop{},
 		records: snap.NewCell(map[poison.Part]row{}), served: place.NewRecentPrefixes(soundTime),
-		pending: make(chan observation, maxPending),
+		pending: make(chan func(ctx context.Context), maxPending),
+	}
+	for _, opt := range opts {
+		opt(rg)
 	}
+	return rg
 }
 
 // Known reports whether the records have been read at least once.
@@ -122,8 +114,8 @@
 	nowMs, ok := rg.clock()
 	var due []poison.Part
 	for _, pa := range parts {
-		re, listed := records[pa]
-		if !listed || !re.Blocks(parts, nowMs) || rg.wasServed(pa) {
+		re := records[pa]
+		if !re.Blocks(parts, nowMs) || rg.wasServed(pa) {
 			continue
 		}
 		if !ok || !re.TrialDue(nowMs) {
@@ -153,38 +145,39 @@
 	}
 	nowMs, _ := rg.clock()
 	for _, pa := range parts {
-		if re, listed := records[pa]; listed && re.Suspect(tried, nowMs) && !rg.wasServed(pa) {
+		if records[pa].Suspect(tried, nowMs) && !rg.wasServed(pa) {
 			return true
 		}
 	}
 	return false
 }
 
-// Ended records that the connection to the upstream ended before the first part of
+// Ended records that the connection to the upstream ended before the first event of
 // the response to a request with the parts. It does not block.
 func (rg *Registry) Ended(up proxy.Upstream, parts []poison.Part) {
-	rg.observe(observation{upstream: up, parts: parts})
+	rg.later(func(ctx context.Context) { rg.recordEnd(ctx, up, parts) })
 }
 
 // Served records that a request with the parts was served.
 func (rg *Registry) Served(parts []poison.Part) {
 	records, now := rg.records.Load(), time.Now()
 	for _, pa := range parts {
-		rg.served.Add(uint64(pa), 0, now)
-		if re, listed := records[pa]; listed && re.Ends > 0 {
-			rg.observe(observation{parts: []poison.Part{pa}, sound: true})
+		rg.served.Add(uint64(pa), anyUpstream, now)
+		if records[pa].Ends > 0 {
+			rg.later(func(ctx context.Context) { rg.recordSound(ctx, pa) })
 		}
 	}
 }
 
 func (rg *Registry) wasServed(pa poison.Part) bool {
-	return rg.served.Contains(uint64(pa), 0, time.Now())
+	return rg.served.Contains(uint64(pa), anyUpstream, time.Now())
 }
 
-func (rg *Registry) observe(ob observation) {
+// later lets a worker record something.
+func (rg *Registry) later(record func(ctx context.Context)) {
 	select {
-	case rg.pending <- ob:
+	case rg.pending <- record:
 	default:
-		rg.opts.meter.Count("poisonDropped", "", "", 1)
+		rg.meter.Count("poisonDropped", "", "", 1)
 	}
 }
--- a/internal/app/poison/sink.go
+++ b/internal/app/poison/sink.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"strconv"
@@ -57,7 +58,7 @@
 		}
 		re, err := rg.decode(ro.Value)
 		if !ok || err != nil {
-			rg.opts.meter.Log(evBadRow, slog.String("key", ro.Key), slog.Uint64("version", ro.Version))
+			rg.meter.Log(evBadRow, slog.String("key", ro.Key), slog.Uint64("version", ro.Version))
 			continue
 		}
 		out[pa] = row{Record: re, version: ro.Version}
@@ -69,7 +70,7 @@
 func (rg *Registry) ruleOut(changed map[poison.Part]row) {
 	for pa, ro := range changed {
 		if ro.Ends > 0 && rg.wasServed(pa) {
-			rg.observe(observation{parts: []poison.Part{pa}, sound: true})
+			rg.later(func(ctx context.Context) { rg.recordSound(ctx, pa) })
 		}
 	}
 }
--- a/internal/core/poison/record.go
+++ b/internal/core/poison/record.go
@@ -103,7 +103,7 @@
 	if re.Ends == 0 || re.Forgotten(nowMs) {
 		return false
 	}
-	return re.Ends > len(re.Upstreams) || slices.ContainsFunc(re.Upstreams, func(up ident.Upstream) bool { return !slices.Contains(tried, up) })
+	return re.Ends > len(re.Upstreams) || !containsAll(tried, re.Upstreams)
 }
 
 // Blocks reports whether a request with the parts is refused unless it is the one
@@ -113,7 +113,16 @@
 	if re.Ends < blockAfter || re.Forgotten(nowMs) {
 		return false
 	}
-	return !slices.ContainsFunc(re.Common, func(pa Part) bool { return !slices.Contains(parts, pa) })
+	return containsAll(parts, re.Common)
+}
+
+func containsAll[T comparable](all, some []T) bool {
+	for _, val := range some {
+		if !slices.Contains(all, val) {
+			return false
+		}
+	}
+	return true
 }
 
 // TrialDue reports whether the time has passed for which requests are refused, so
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -165,7 +165,7 @@
 	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
 	cl := peers.NewClient(ro.peerAddresses)
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
-	ro.parts = poison.NewRegistry(table, codec.PoisonRecord(), pf.Clock, ro.pool.Refuses, poison.WithMeter(me))
+	ro.parts = poison.NewRegistry(table, codec.PoisonRecord(), pf.Clock, pool.Refuses, poison.WithMeter(me))
 	partLoop := follow.NewLoop("parts", pf.PoisonRecords, ro.parts, follow.WithMeter(me), follow.WithLongPoll(partLongPoll))
 	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop, partLoop}
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger()), pf
