--- a/internal/adapt/peers/document_test.go
+++ b/internal/adapt/peers/document_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,10 +18,10 @@
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
 
-// bigConfig is the row of a configuration with as many routes as an operator adds
-// at once.
-func bigConfig() feed.Row { return configOf(1800) }
+// manyRoutes is as many routes as an operator adds at once.
+const manyRoutes = 1800
 
+// configOf returns the row of a configuration with so many routes.
 func configOf(routes int) feed.Row {
 	var sb strings.Builder
 	for no := range routes {
@@ -32,37 +30,38 @@
 	return feed.Row{Key: "config", Value: []byte(sb.String()), Version: 9}
 }
 
+// fetch fetches the row from a router over the link, on virtual time. It reports
+// whether the row is newer and how long the call took.
+func fetch(t *testing.T, row feed.Row, link pipes.Link) (got feed.Row, ok bool, took time.Duration, err error) {
+	t.Helper()
+	dial, stop := pipes.Serve(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }}), link)
+	defer stop()
+	cl := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives())
+	start := time.Now()
+	got, ok, err = cl.FetchConfig(t.Context(), "router", 8)
+	return got, ok, time.Since(start), err
+}
+
 // TestFetchConfigSlowLink guards against a configuration that never arrives
 // because its transfer takes longer than the time limit of a call: while the store
 // refused a router, the router stayed on an old configuration. A transfer that
 // stalls, or that never ends, is given up.
 func TestFetchConfigSlowLink(t *testing.T) {
+	row := configOf(manyRoutes)
 	for _, tc := range []struct {
 		name  string
-		row   feed.Row
 		link  pipes.Link
 		ok    bool
 		after time.Duration
 	}{
-		{"fast link", bigConfig(), pipes.Link{}, true, 0},
-		{"slow link", bigConfig(), pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond}, true, time.Second},
-		{"link that stalls", bigConfig(), pipes.Link{Chunk: 512, Pause: 50 * time.Millisecond, StopsAfter: 4096}, false, 300 * time.Millisecond},
-		{"a byte now and then", bigConfig(), pipes.Link{Chunk: 1, Pause: 250 * time.Millisecond}, false, 300 * time.Millisecond},
+		{"fast link", pipes.Link{}, true, 0},
+		{"slow link", pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond}, true, time.Second},
+		{"link that stalls", pipes.Link{Chunk: 512, Pause: 50 * time.Millisecond, StopsAfter: 4096}, false, 300 * time.Millisecond},
+		{"a byte now and then", pipes.Link{Chunk: 1, Pause: 250 * time.Millisecond}, false, 300 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				row := tc.row
-				li := pipes.NewListener()
-				sv := &http.Server{Handler: peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }})}
-				go func() { _ = sv.Serve(pipes.NewSlowListener(li, tc.link)) }()
-				dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return li.Dial(ctx) }
-				cl := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives())
-				start := time.Now()
-				got, ok, err := cl.FetchConfig(t.Context(), "router", 8)
-				took := time.Since(start)
-				_ = sv.Close()
-				// Writes that are still paused end before the test does.
-				time.Sleep(2 * time.Hour)
+				got, ok, took, err := fetch(t, row, tc.link)
 				if ok != tc.ok || tc.ok != (err == nil) {
 					t.Fatalf("FetchConfig: %v, newer %v after %v", err, ok, took)
 				}
@@ -77,10 +76,25 @@
 	}
 }
 
+// TestFetchConfigAnySize guards against a time limit on a whole transfer: however
+// high it is, a document that is large enough never arrives on a narrow link.
+func TestFetchConfigAnySize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		row := configOf(20_000)
+		got, ok, _, err := fetch(t, row, pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond})
+		if err != nil || !ok {
+			t.Fatalf("FetchConfig: %v, newer %v", err, ok)
+		}
+		if diff := cmp.Diff(row, got, cmp.Comparer(bytes.Equal)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // TestFetchConfigCompressed guards against sending the same document uncompressed
 // to every router that the store refuses: the links are as slow as 10 Mbit/s.
 func TestFetchConfigCompressed(t *testing.T) {
-	row := bigConfig()
+	row := configOf(manyRoutes)
 	rec := httptest.NewRecorder()
 	re := httptest.NewRequest(http.MethodGet, "/v1/config?after=8", nil)
 	re.Header.Set("Accept-Encoding", "gzip")
@@ -93,32 +107,10 @@
 // TestFetchConfigNotNewer guards against taking the missing body of a response
 // without a document for an error.
 func TestFetchConfigNotNewer(t *testing.T) {
-	sv := httptest.NewServer(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return bigConfig(), true }}))
+	sv := httptest.NewServer(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return configOf(manyRoutes), true }}))
 	t.Cleanup(sv.Close)
 	_, ok, err := peers.NewClient(func() []string { return nil }).FetchConfig(t.Context(), strings.TrimPrefix(sv.URL, "http://"), 9)
 	if err != nil || ok {
 		t.Errorf("FetchConfig: %v, newer %v", err, ok)
 	}
 }
-
-// TestFetchConfigAnySize guards against a time limit on a whole transfer: however
-// high it is, a document that is large enough never arrives on a narrow link.
-func TestFetchConfigAnySize(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		row := configOf(20_000)
-		li := pipes.NewListener()
-		sv := &http.Server{Handler: peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }})}
-		go func() { _ = sv.Serve(pipes.NewSlowListener(li, pipes.Link{Chunk: 1024, Pause: 50 * time.Millisecond})) }()
-		dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return li.Dial(ctx) }
-		got, ok, err := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives()).FetchConfig(t.Context(), "router", 8)
-		_ = sv.Close()
-		// Writes that are still paused end before the test does.
-		time.Sleep(time.Hour)
-		if err != nil || !ok {
-			t.Fatalf("FetchConfig: %v, newer %v", err, ok)
-		}
-		if diff := cmp.Diff(row, got, cmp.Comparer(bytes.Equal)); diff != "" {
-			t.Error(diff)
-		}
-	})
-}
--- a/internal/app/poison/registry_test.go
+++ b/internal/app/poison/registry_test.go
@@ -76,6 +76,13 @@
 	fl.settle()
 }
 
+// endThree lets three upstreams end at a router, which blocks the deadly part.
+func (fl *fleet) endThree(router int) {
+	for ix := range 3 {
+		fl.end(router, fmt.Sprint("u", ix), deadly)
+	}
+}
+
 // admitted returns the routers that admit a request with the parts.
 func (fl *fleet) admitted(parts ...poison.Part) []int {
 	out := []int{}
@@ -168,9 +175,7 @@
 func TestRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 1)
-		for ix := range 3 {
-			fl.end(0, fmt.Sprint("u", ix), deadly)
-		}
+		fl.endThree(0)
 		late := newFleet(t, 1)
 		late.table, fl.routers = fl.table, append(fl.routers, late.routers...)
 		before := late.routers[0].Known()
@@ -187,9 +192,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 2)
 		fl.clients[0].SetDown(true)
-		for ix := range 3 {
-			fl.end(0, fmt.Sprint("u", ix), deadly)
-		}
+		fl.endThree(0)
 		if diff := cmp.Diff([]int{1}, fl.admitted(deadly)); diff != "" {
 			t.Errorf("routers that admit (-want +got):\n%s", diff)
 		}
@@ -203,9 +206,7 @@
 		fl := newFleet(t, 2)
 		fl.end(1, "u0", deadly)
 		fl.clients[0].SetDown(true)
-		for ix := range 3 {
-			fl.end(0, fmt.Sprint("u", ix), deadly)
-		}
+		fl.endThree(0)
 		if diff := cmp.Diff([]int{1}, fl.admitted(deadly)); diff != "" {
 			t.Errorf("routers that admit (-want +got):\n%s", diff)
 		}
@@ -250,9 +251,7 @@
 func TestOldRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 2)
-		for ix := range 3 {
-			fl.end(0, fmt.Sprint("u", ix), deadly)
-		}
+		fl.endThree(0)
 		fl.end(1, "v", subject)
 		rows := func() int {
 			items, err := fl.table.Client().Scan(t.Context(), app.Prefix, "", 1000)
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -69,7 +69,8 @@
 	conns   map[net.Conn]bool
 	aborted chan string
 	done    sync.WaitGroup
-	once    sync.Once
+	// crash closes crashed once.
+	crash sync.Once
 }
 
 // New starts an upstream on loopback. Its streams have the given number of events
@@ -118,11 +119,11 @@
 
 // Close stops the upstream and closes all connections.
 func (or *Origin) Close() {
-	or.closeConns()
+	or.closeSockets()
 	or.done.Wait()
 }
 
-func (or *Origin) closeConns() {
+func (or *Origin) closeSockets() {
 	_ = or.ls.Close()
 	or.mu.Lock()
 	defer or.mu.Unlock()
@@ -204,8 +205,8 @@
 		return or.writeResponse(nc, "200 OK", id, "Content-Encoding: gzip\r\n", "zipped")
 	case Crash:
 		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-		or.once.Do(func() { close(or.crashed) })
-		or.closeConns()
+		or.crash.Do(func() { close(or.crashed) })
+		or.closeSockets()
 		return false
 	case Hang:
 		_, _ = br.Peek(1)
--- a/internal/fake/pipes/slow.go
+++ b/internal/fake/pipes/slow.go
@@ -1,10 +1,15 @@
 package pipes
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"time"
 )
 
+// stopTime is the time after StopsAfter for which nothing is written.
+const stopTime = time.Hour
+
 // Link is how slowly a connection writes. The zero value does not slow it down.
 type Link struct {
 	// Chunk is the number of bytes that are written at a time, followed by the pause.
@@ -14,23 +19,32 @@
 	// the link is slow.
 	Burst int
 	// StopsAfter is the number of bytes of one write after which nothing more is
-	// written for an hour. Zero means that the link never stops.
+	// written for stopTime. Zero means that the link never stops.
 	StopsAfter int
 }
 
-// SlowListener accepts connections whose writes are slow.
-type SlowListener struct {
-	net.Listener
-	link Link
+// Serve serves HTTP over the link, on virtual time. It returns the function that opens
+// a connection, whatever the address, and one that stops the server and lets all
+// writes that are paused end.
+func Serve(ha http.Handler, link Link) (dial func(ctx context.Context, network, addr string) (net.Conn, error), stop func()) {
+	li := NewListener()
+	sv := &http.Server{Handler: ha}
+	go func() { _ = sv.Serve(&slowListener{Listener: li, link: link}) }()
+	dial = func(ctx context.Context, _, _ string) (net.Conn, error) { return li.Dial(ctx) }
+	return dial, func() {
+		_ = sv.Close()
+		time.Sleep(2 * stopTime)
+	}
 }
 
-// NewSlowListener returns a listener on li whose connections write over the link.
-func NewSlowListener(li net.Listener, link Link) *SlowListener {
-	return &SlowListener{Listener: li, link: link}
+// slowListener accepts connections whose writes are slow.
+type slowListener struct {
+	net.Listener
+	link Link
 }
 
 // Accept returns the next connection.
-func (sl *SlowListener) Accept() (net.Conn, error) {
+func (sl *slowListener) Accept() (net.Conn, error) {
 	nc, err := sl.Listener.Accept()
 	if err != nil || sl.link.Chunk == 0 {
 		return nc, err
@@ -56,7 +70,7 @@
 	}
 	for len(data) > 0 {
 		if sc.link.StopsAfter > 0 && written >= sc.link.StopsAfter {
-			time.Sleep(time.Hour)
+			time.Sleep(stopTime)
 		}
 		n, err := sc.Conn.Write(data[:min(sc.link.Chunk, len(data))])
 		if written += n; err != nil {
