app/direct: a silent upstream goes on until another one responds

Callers saw streams that were cut in the middle, and requests that failed, because their upstream was silent for a second.

Cause: watchSilence ended the attempt before another upstream had taken the request. When the retry budget was exhausted, all others were full or unreachable, or the next one failed, nothing was left to answer with, although the silent upstream was sound and went on a moment later.

Change: a standby sends the request to another upstream while the first attempt goes on. The attempt is cancelled when the other upstream has begun to respond, and the other way round when the first one sends data again, so that not both work on the request. A failed or refused second send changes nothing for the first one.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -27,31 +27,46 @@
 	minServerError = 500
 )
 
-// errSilent means that the upstream has sent nothing for the silence timeout.
+// errSilent means that the upstream has sent nothing for the silence timeout and
+// that another one has begun to respond to the request.
 var errSilent = errors.New("the upstream is silent")
 
-// attempt sends the request to one upstream and forwards the response. The error
-// is a *refuse.Refusal if the request must not be retried even if the route
-// allows it.
-func (rn *run) attempt(ctx context.Context, ep *place.Endpoint, uncached ident.Tokens) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	start := rn.se.opts.clock.Now()
-	if rn.route.Repeatable() && rn.runs+1 < rn.route.AttemptLimit {
-		defer rn.watchSilence(ep, rn.silenceTimeout(ep, uncached), start, cancel)()
-	}
-	ex := &exchange{rn: rn, ep: ep, sent: ep.Sent(uncached, rn.demand.Prompt.Unshared(), start)}
-	rn.sends++
-	defer func() { ex.sent.Done(rn.se.opts.clock.Now(), ex.complete) }()
-	rsp, err := rn.sender.Send(ctx, proxy.Attempt{
-		Upstream: proxy.Upstream{ID: ep.ID, Address: ep.Address}, Deadline: rn.deadline,
-		Account: rn.account.Name, Urgency: rn.urgency(), LastEvent: rn.lastEvent,
-	})
+// attempt forwards the response to an exchange to the caller, after sending the
+// request if that was not done yet. The error is a *refuse.Refusal if the request must
+// not be retried even if the route allows it. If the upstream was silent and another
+// one has begun to respond, its exchange is returned too.
+func (rn *run) attempt(ctx context.Context, ex *exchange, retries RetryBudget) (*exchange, error) {
+	defer ex.end()
+	sb := rn.newStandby(ctx, ex, retries)
+	err := ex.open()
 	if err == nil {
-		defer rsp.Close()
-		err = ex.forward(ctx, rsp)
+		err = ex.forward()
+	}
+	next := sb.stop(err)
+	rn.merge(sb)
+	return next, ex.classify(err)
+}
+
+// merge takes over what a standby has sent.
+func (rn *run) merge(sb *standby) {
+	rn.sends, rn.runs = sb.sends, sb.runs
+	current := rn.upstream
+	for _, fa := range sb.failures {
+		rn.recordFailure(fa.upstream, fa.err)
 	}
-	return ex.classify(ctx, err)
+	rn.upstream = current
+}
+
+// retryable reports whether the result of an attempt is a failure after which the
+// request may be sent again.
+func retryable(err error) bool {
+	var final *refuse.Refusal
+	return err != nil && !errors.As(err, &final)
+}
+
+// mayHaveRun reports whether an upstream may have executed the request of a failed send.
+func mayHaveRun(err error) bool {
+	return !errors.Is(err, proxy.ErrNotSent) && !errors.Is(err, proxy.ErrNotRun)
 }
 
 // silenceTimeout returns the time without data after which the request is retried
@@ -62,33 +77,6 @@
 	return timeout + prefillAllowance*ep.PrefillTime(uncached)
 }
 
-// watchSilence starts a goroutine that cancels the attempt when the upstream has
-// been silent for the timeout. stop ends the goroutine.
-func (rn *run) watchSilence(ep *place.Endpoint, timeout time.Duration, start time.Time, cancel context.CancelCauseFunc) (stop func()) {
-	done := make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		wait := timeout
-		for {
-			tm := time.NewTimer(wait)
-			select {
-			case <-done:
-				tm.Stop()
-				return
-			case <-tm.C:
-			}
-			silent := ep.SilentFor(start, rn.se.opts.clock.Now())
-			if silent >= timeout {
-				cancel(errSilent)
-				return
-			}
-			wait = timeout - silent
-		}
-	}()
-	return func() { close(done); <-ended }
-}
-
 // silenceTimeoutOf returns the duration of silence after which the response
 // would be late in any case.
 func silenceTimeoutOf(ro intent.Route) time.Duration {
@@ -98,22 +86,65 @@
 	return 2 * ro.LatencyGoal
 }
 
-// exchange is an attempt in progress.
+// exchange is an attempt in progress at one upstream.
 type exchange struct {
 	rn   *run
 	ep   *place.Endpoint
 	sent *place.Sent
+	// uncached is the estimated number of prompt tokens that the upstream has to process.
+	uncached ident.Tokens
+	at       time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	// rsp is the response, or nil before its header has arrived.
+	rsp proxy.Response
+	// progressed is called when data of the response have arrived.
+	progressed func()
 	// complete says that the upstream sent a complete response.
 	complete bool
 	// began says that an event arrived.
 	began bool
 }
 
+// newExchange returns an exchange that was not sent yet. The caller must end it.
+func (rn *run) newExchange(ctx context.Context, ep *place.Endpoint, uncached ident.Tokens) *exchange {
+	now := rn.se.opts.clock.Now()
+	ex := &exchange{rn: rn, ep: ep, uncached: uncached, at: now, progressed: func() {}, sent: ep.Sent(uncached, rn.demand.Prompt.Unshared(), now)}
+	ex.ctx, ex.cancel = context.WithCancelCause(ctx)
+	return ex
+}
+
+// open sends the request and waits for the header of the response, unless that was
+// done before.
+func (ex *exchange) open() error {
+	if ex.rsp != nil {
+		return nil
+	}
+	rn := ex.rn
+	rsp, err := rn.sender.Send(ex.ctx, proxy.Attempt{
+		Upstream: proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, Deadline: rn.deadline,
+		Account: rn.account.Name, Urgency: rn.urgency(), LastEvent: rn.lastEvent.Load(),
+	})
+	if err == nil {
+		ex.rsp = rsp
+	}
+	return err
+}
+
+// end releases the exchange. An upstream that has not completed its response stops
+// processing the request.
+func (ex *exchange) end() {
+	if ex.rsp != nil {
+		ex.rsp.Close()
+	}
+	ex.sent.Done(ex.rn.se.opts.clock.Now(), ex.complete)
+	ex.cancel(nil)
+}
+
 // classify records what the result of the attempt proves about the request and
 // about the endpoint, and returns the error for the retry decision.
-func (ex *exchange) classify(ctx context.Context, err error) error {
-	rn, now := ex.rn, ex.rn.se.opts.clock.Now()
-	var final *refuse.Refusal
+func (ex *exchange) classify(err error) error {
+	rn := ex.rn
 	switch {
 	case err == nil:
 		rn.runs++
@@ -123,43 +154,54 @@
 			rn.se.opts.guard.Served(rn.parts)
 		}
 		return nil
-	case errors.As(err, &final):
+	case !retryable(err):
 		rn.runs++
 		return err
-	case errors.Is(err, proxy.ErrNotSent):
-		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
-			ex.ep.Failed(now)
-		}
-		return err
-	case errors.Is(err, proxy.ErrNotRun):
-		ex.ep.RefusedFull(now)
+	}
+	ex.countFailure(err)
+	if !mayHaveRun(err) {
 		return err
 	}
 	rn.runs++
-	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
-		err = fmt.Errorf("%w: %w", proxy.ErrIncomplete, cause)
-	} else if cause != nil {
-		return err
+	if errors.Is(context.Cause(ex.ctx), errSilent) {
+		err = fmt.Errorf("%w: %w", proxy.ErrIncomplete, errSilent)
 	}
-	ex.ep.Failed(now)
-	if !ex.began && len(rn.parts) > 0 {
+	return err
+}
+
+// countFailure records what a failed send shows about the endpoint and about the parts
+// of the prompt.
+func (ex *exchange) countFailure(err error) {
+	rn, now, cause := ex.rn, ex.rn.se.opts.clock.Now(), context.Cause(ex.ctx)
+	// The standby has counted the failure of an upstream when it fell silent.
+	silent := errors.Is(cause, errSilent)
+	switch {
+	case errors.Is(err, proxy.ErrNotRun):
+		ex.ep.RefusedFull(now)
+		return
+	case cause != nil && !silent:
+		return
+	case !silent:
+		ex.ep.Failed(now)
+	}
+	if mayHaveRun(err) && !ex.began && len(rn.parts) > 0 {
 		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts)
 	}
-	return err
 }
 
 // forward passes the response to the caller.
-func (ex *exchange) forward(ctx context.Context, rsp proxy.Response) error {
-	rn := ex.rn
+func (ex *exchange) forward() error {
+	rn, rsp := ex.rn, ex.rsp
 	now := rn.se.opts.clock.Now()
 	ex.ep.Received(now)
+	ex.progressed()
 	if ld, ok := rsp.Load(); ok {
 		ex.ep.Reported(ld.Running, ld.Waiting, ld.Slots, now)
 	}
 	if rsp.IsStream() {
-		return ex.forwardEvents(ctx, rsp)
+		return ex.forwardEvents()
 	}
-	body, err := rsp.Body(ctx)
+	body, err := rsp.Body(ex.ctx)
 	if err != nil {
 		return err
 	}
@@ -187,10 +229,10 @@
 // forwardEvents passes the events of a stream to the caller as they arrive.
 // Events that the caller already has are skipped, and a missing event ends the
 // attempt.
-func (ex *exchange) forwardEvents(ctx context.Context, rsp proxy.Response) error {
-	rn := ex.rn
+func (ex *exchange) forwardEvents() error {
+	rn, rsp := ex.rn, ex.rsp
 	for {
-		ev, err := rsp.NextEvent(ctx)
+		ev, err := rsp.NextEvent(ex.ctx)
 		if errors.Is(err, io.EOF) {
 			return ex.endStream(rsp)
 		}
@@ -199,13 +241,15 @@
 		}
 		now := rn.se.opts.clock.Now()
 		ex.ep.Received(now)
+		ex.progressed()
 		ex.sent.FirstEvent(now)
 		ex.began = true
-		if rn.lastEvent >= 0 && ev.Number != rn.lastEvent+1 && ev.Number >= 0 {
-			if ev.Number <= rn.lastEvent {
+		lastEvent := rn.lastEvent.Load()
+		if lastEvent >= 0 && ev.Number != lastEvent+1 && ev.Number >= 0 {
+			if ev.Number <= lastEvent {
 				continue
 			}
-			return fmt.Errorf("%w: event %d follows %d", proxy.ErrIncomplete, ev.Number, rn.lastEvent)
+			return fmt.Errorf("%w: event %d follows %d", proxy.ErrIncomplete, ev.Number, lastEvent)
 		}
 		if !rn.started {
 			if err := ex.startStream(rsp, now); err != nil {
@@ -216,7 +260,7 @@
 			return refuse.New(refuse.Cancelled, "cannot write an event to the caller: %v", err).WithOutcome(refuse.Unknown)
 		}
 		// An event without a number, such as a comment, is no point to resume from.
-		rn.lastEvent = max(rn.lastEvent, ev.Number)
+		rn.lastEvent.Store(max(lastEvent, ev.Number))
 		rn.eventsSent++
 	}
 }
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,7 +49,9 @@
 // fakeCaller is a request whose attempts follow a script. It also records the
 // response to the caller.
 type fakeCaller struct {
-	script   []upstreamStep
+	script []upstreamStep
+	// mu guards attempts, which may go on side by side.
+	mu       sync.Mutex
 	attempts []proxy.Attempt
 	events   []int64
 	status   int
@@ -57,8 +60,10 @@
 }
 
 func (ca *fakeCaller) Send(ctx context.Context, at proxy.Attempt) (proxy.Response, error) {
+	ca.mu.Lock()
 	us := ca.script[min(len(ca.attempts), len(ca.script)-1)]
 	ca.attempts = append(ca.attempts, at)
+	ca.mu.Unlock()
 	if us.silent {
 		<-ctx.Done()
 		return nil, fmt.Errorf("%w: %w", proxy.ErrIncomplete, ctx.Err())
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
@@ -46,7 +47,8 @@
 	ranksPerAccount = 3
 )
 
-// run is the state of one request. It is used by one goroutine only.
+// run is the state of one request. One goroutine changes it. A standby only reads
+// what resolve has set, and lastEvent.
 type run struct {
 	se     *Service
 	info   proxy.RequestInfo
@@ -69,9 +71,10 @@
 	delivered bool
 	// sends counts the sends, runs those that the upstream may have executed.
 	sends, runs int
-	// lastEvent is the number of the last event that the caller has, or -1.
+	// lastEvent is the number of the last event that the caller has, or -1. A standby
+	// reads it while events are forwarded.
+	lastEvent atomic.Int64
 	// eventsSent counts the events that were sent to the caller.
-	lastEvent  int64
 	eventsSent int64
 	// escrowWait is the time that the reservation of tokens took.
 	escrowWait time.Duration
@@ -157,14 +160,19 @@
 func (rn *run) serve(ctx context.Context) *refuse.Refusal {
 	retries := rn.se.retryBudget(rn.service.Name)
 	retries.RecordFirst()
+	var ex *exchange
 	for {
-		ep, uncached := rn.choose()
-		if ep == nil {
-			return rn.unavailable("no upstream is available")
+		if ex == nil {
+			ep, uncached := rn.choose(rn.demand)
+			if ep == nil {
+				return rn.unavailable("no upstream is available")
+			}
+			rn.sends++
+			ex = rn.newExchange(ctx, ep, uncached)
 		}
-		rn.upstream, rn.uncached = ep.ID, uncached
-		rn.occupied = ep.EstimatedRequests(rn.se.opts.clock.Now())
-		err := rn.attempt(ctx, ep, uncached)
+		rn.upstream, rn.uncached = ex.ep.ID, ex.uncached
+		rn.occupied = ex.ep.EstimatedRequests(rn.se.opts.clock.Now())
+		next, err := rn.attempt(ctx, ex, retries)
 		if err == nil {
 			return nil
 		}
@@ -172,14 +180,23 @@
 		if errors.As(err, &final) {
 			return final
 		}
-		rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()), slog.String("parts", rn.sharedParts()))...)
-		rn.demand.Tried = append(rn.demand.Tried, ep.ID)
+		rn.recordFailure(ex.ep.ID, err)
+		if ex = next; ex != nil {
+			continue
+		}
 		if re := rn.decideRetry(ctx, err, retries); re != nil {
 			return re
 		}
 	}
 }
 
+// recordFailure logs a failed send and excludes its upstream from further ones.
+func (rn *run) recordFailure(up ident.Upstream, err error) {
+	rn.upstream = up
+	rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()), slog.String("parts", rn.sharedParts()))...)
+	rn.demand.Tried = append(rn.demand.Tried, up)
+}
+
 // decideRetry returns nil if the request is to be sent again after err, or else
 // the refusal for the caller.
 func (rn *run) decideRetry(ctx context.Context, err error, retries RetryBudget) *refuse.Refusal {
@@ -230,13 +247,13 @@
 
 // choose returns the upstream for the next send, or nil, and the estimated number
 // of prompt tokens that it does not have in its cache.
-func (rn *run) choose() (*place.Endpoint, ident.Tokens) {
+func (rn *run) choose(de place.Demand) (*place.Endpoint, ident.Tokens) {
 	list := rn.se.view.Upstreams().Service(rn.service.Name)
 	now := rn.se.opts.clock.Now()
 	if rn.info.Prompt != nil {
-		return rn.se.engines.Choose(list, rn.demand, now)
+		return rn.se.engines.Choose(list, de, now)
 	}
-	return rn.se.plain.Choose(list, rn.demand, now), 0
+	return rn.se.plain.Choose(list, de, now), 0
 }
 
 // urgency returns the rank of the request for engines. The priority of the
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -140,7 +140,8 @@
 // the refusal. If started is true, a part of the response was already written, so
 // that the refusal cannot be sent and the connection must be closed.
 func (se *Service) Serve(ctx context.Context, info proxy.RequestInfo, sender proxy.Sender, writer proxy.ResponseWriter) (started bool, re *refuse.Refusal) {
-	rn := &run{se: se, info: info, sender: sender, writer: writer, conf: se.view.Config(), lastEvent: info.LastEvent}
+	rn := &run{se: se, info: info, sender: sender, writer: writer, conf: se.view.Config()}
+	rn.lastEvent.Store(info.LastEvent)
 	if re := rn.resolve(); re != nil {
 		rn.report(re)
 		return false, re
