adapt/entry: log complete requests whose connection is closed without a response

Callers reported connections that ended with neither a response nor a refusal. Line 1302 does not tell why: its detail is "the caller has left" both when the caller closed the connection and when the router closed it at the end of its drain time, and it does not say whether a refusal could still be written.

Line 1304 is written when the connection of a complete request is closed without a complete response. Its cause is callerLeft, writeFailed, routerStopped or responseBroken; the counter abortedResponses has the same causes.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -15,8 +16,11 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
+var evAborted = meter.Event{Number: 1304, Level: slog.LevelInfo, Text: "connection closed without a complete response"}
+
 const (
 	bufSize = 4 << 10
 	// writeTimeout bounds one write to a caller. A write blocks while the caller
@@ -153,12 +157,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watchDone := make(chan struct{})
+	var readErr error
 	go func() {
 		defer close(watchDone)
 		// Peek returns when the next request arrives early, when the caller has
 		// closed the connection, or when the response is complete and the read
 		// deadline below is set.
 		if _, err := co.br.Peek(1); err != nil && !isTimeout(err) {
+			readErr = err
 			cancel()
 		}
 	}()
@@ -172,14 +178,42 @@
 		return !rw.closing
 	}
 	if started || ctx.Err() != nil || rw.headerWritten {
+		co.logAborted(rw, re, readErr, rw.writeErr)
 		return false
 	}
-	if rw.refuse(re, statusOf(re), co.retryAfter(re, info.Deadline)) != nil {
+	if err := rw.refuse(re, statusOf(re), co.retryAfter(re, info.Deadline)); err != nil {
+		co.logAborted(rw, re, readErr, err)
 		return false
 	}
 	return !rw.closing
 }
 
+// logAborted records that the connection of a complete request is closed without a
+// complete response. readErr is the error of the connection while the request was
+// handled, writeErr that of the response.
+func (co *conn) logAborted(rw *responseWriter, re *refuse.Refusal, readErr, writeErr error) {
+	cause := "responseBroken"
+	switch {
+	case errors.Is(readErr, net.ErrClosed):
+		cause = "routerStopped"
+	case readErr != nil:
+		cause = "callerLeft"
+	case writeErr != nil:
+		cause = "writeFailed"
+	}
+	co.sv.meter.Count("abortedResponses", "cause", cause, 1)
+	co.sv.meter.Log(evAborted, slog.String("request", rw.requestID), slog.String("cause", cause), slog.Bool("header", rw.headerWritten),
+		slog.Int64("events", rw.events), slog.String("reason", string(re.Reason)), slog.String("detail", re.Detail),
+		slog.String("readError", errorText(readErr)), slog.String("writeError", errorText(writeErr)))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // retryAfter returns the wait before a retry that is suggested to the caller, or
 // 0. It is suggested only for requests that did not run.
 func (co *conn) retryAfter(re *refuse.Refusal, deadline time.Time) time.Duration {
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
@@ -32,6 +33,7 @@
 	pool    *pool.Pool
 	terms   terms.HeaderNames
 	limits  func() intent.Limits
+	meter   meter.Meter
 
 	leaving atomic.Bool
 	mu      sync.Mutex
@@ -44,14 +46,24 @@
 	MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithMeter sets the meter. The default discards everything.
+func WithMeter(me meter.Meter) Option { return func(sv *Server) { sv.meter = me } }
+
 // New listens at the address. limits returns the limits that are in force; zero
 // fields stand for the defaults.
-func New(addr string, ha Handler, po *pool.Pool, hn terms.HeaderNames, limits func() intent.Limits) (*Server, error) {
+func New(addr string, ha Handler, po *pool.Pool, hn terms.HeaderNames, limits func() intent.Limits, opts ...Option) (*Server, error) {
 	ls, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{ls: ls, handler: ha, pool: po, terms: hn, limits: limits, conns: map[*conn]struct{}{}}, nil
+	sv := &Server{ls: ls, handler: ha, pool: po, terms: hn, limits: limits, meter: meter.Nop{}, conns: map[*conn]struct{}{}}
+	for _, opt := range opts {
+		opt(sv)
+	}
+	return sv, nil
 }
 
 // Addr returns the address of the listener.
--- a/internal/adapt/entry/writer.go
+++ b/internal/adapt/entry/writer.go
@@ -24,6 +24,10 @@
 	// closing says that the connection is closed after this response.
 	closing       bool
 	headerWritten bool
+	// events counts the events that were written, and writeErr is the first error of a
+	// write.
+	events   int64
+	writeErr error
 }
 
 // writeHeader writes the status line and the header.
@@ -37,6 +41,15 @@
 	_, _ = rw.bw.WriteString("\r\n")
 }
 
+// flush sends what was written and keeps the first error.
+func (rw *responseWriter) flush() error {
+	err := rw.bw.Flush()
+	if rw.writeErr == nil {
+		rw.writeErr = err
+	}
+	return err
+}
+
 // WriteResponse writes a response with the upstream's status, header and body.
 func (rw *responseWriter) WriteResponse(rsp proxy.Response, body []byte) error {
 	return rw.write(rsp.Status(), rsp.(headerProvider).Header(), body)
@@ -52,7 +65,7 @@
 	if rw.re.Method != http.MethodHead {
 		_, _ = rw.bw.Write(body)
 	}
-	return rw.bw.Flush()
+	return rw.flush()
 }
 
 // StartStream starts a stream. Its header is sent together with the first event.
@@ -71,15 +84,16 @@
 // WriteEvent writes one event.
 func (rw *responseWriter) WriteEvent(ev proxy.Event) error {
 	rw.co.extendWriteDeadline()
+	rw.events++
 	if !rw.re.ProtoAtLeast(1, 1) {
 		_, _ = rw.bw.Write(ev.Data)
-		return rw.bw.Flush()
+		return rw.flush()
 	}
 	var size [16]byte
 	_, _ = rw.bw.Write(append(strconv.AppendInt(size[:0], int64(len(ev.Data)), 16), "\r\n"...))
 	_, _ = rw.bw.Write(ev.Data)
 	_, _ = rw.bw.WriteString("\r\n")
-	return rw.bw.Flush()
+	return rw.flush()
 }
 
 // EndStream completes the stream.
@@ -88,7 +102,7 @@
 	if rw.re.ProtoAtLeast(1, 1) {
 		_, _ = rw.bw.WriteString("0\r\n\r\n")
 	}
-	return rw.bw.Flush()
+	return rw.flush()
 }
 
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -180,7 +180,7 @@
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts))
 	var err error
-	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits); err != nil {
+	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me)); err != nil {
 		return nil, err
 	}
 	mx := http.NewServeMux()
