adapt/entry: failing tests of requests that a planned stop leaves without a response

At the end of the drain time the connections of requests in progress are closed without a refusal, and an idle connection is closed although a whole request has arrived on it. Both tests fail: "no response: EOF" and "connection reset by peer".

--- a/internal/adapt/entry/drain_test.go
+++ b/internal/adapt/entry/drain_test.go
@@ -78,3 +78,89 @@
 		t.Errorf("status codes (-want +got):\n%s", diff)
 	}
 }
+
+// endingHandler refuses requests when their context ends.
+type endingHandler struct{ entered chan struct{} }
+
+func (eh endingHandler) Serve(ctx context.Context, _ proxy.RequestInfo, _ proxy.Sender, _ proxy.ResponseWriter) (bool, *refuse.Refusal) {
+	close(eh.entered)
+	<-ctx.Done()
+	return false, refuse.New(refuse.Leaving, "%v", context.Cause(ctx))
+}
+
+// TestStopRefusesInProgress guards against a planned stop that closes the connection of
+// a request in progress without a refusal.
+func TestStopRefusesInProgress(t *testing.T) {
+	eh := endingHandler{make(chan struct{})}
+	hn := terms.Default()
+	sv, err := entry.New("127.0.0.1:0", eh, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = sv.Serve() }()
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+": a1\r\n\r\n")
+	<-eh.entered
+	sv.Drain(time.Now())
+	_ = sv.Close()
+	rsp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if rsp.StatusCode != http.StatusServiceUnavailable || !rsp.Close {
+		t.Errorf("status %d, connection closed: %v; want 503 and a close", rsp.StatusCode, rsp.Close)
+	}
+}
+
+// TestStopAnswersArrived guards against a planned stop that closes an idle connection on
+// which a whole request has arrived.
+func TestStopAnswersArrived(t *testing.T) {
+	// The second call of limits is made by the connection that waits for its second
+	// request, before it reads.
+	calls, waiting, goOn := 0, make(chan struct{}), make(chan struct{})
+	limits := func() intent.Limits {
+		if calls++; calls == 2 {
+			close(waiting)
+			<-goOn
+		}
+		return intent.Limits{}
+	}
+	hn := terms.Default()
+	sv, err := entry.New("127.0.0.1:0", pausingHandler{}, pool.New(hn), hn, limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = sv.Serve() }()
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	br := bufio.NewReader(nc)
+	var got []int
+	for no := range 2 {
+		_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+": a1\r\n\r\n")
+		if no == 1 {
+			sv.Drain(time.Now())
+			close(goOn)
+			defer func() { _ = sv.Close() }()
+		}
+		rsp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Errorf("request %d: no response: %v", no, err)
+			break
+		}
+		_, _ = io.Copy(io.Discard, rsp.Body)
+		got = append(got, rsp.StatusCode)
+		if no == 0 {
+			<-waiting
+		}
+	}
+	if diff := cmp.Diff([]int{503, 503}, got); diff != "" {
+		t.Errorf("status codes (-want +got):\n%s", diff)
+	}
+}
