adapt/entry: a planned stop answers each request that has arrived

Callers of a router that was stopped got neither an answer nor a refusal: requests in progress at the end of the drain time had their connections closed, and so had idle connections on which a whole request had arrived.

Cause: Drain closed idle connections whatever waited on them, a request that was read while that happened was dropped, and Close ended the connections of requests in progress before their handlers could refuse.

Change: an idle connection ends by its read deadline and is looked at once more, so that a request that has arrived is served or refused. The idle timeout does the same. At the end of the drain time the context of all requests ends, with a cause that tells the use case to refuse with what is known, and the refusals are written within 100 ms. adapt/sock holds the look at a socket that adapt/pool already had.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -9,14 +9,16 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
+	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
 var evAborted = meter.Event{Number: 1304, Level: slog.LevelInfo, Text: "connection closed without a complete response"}
@@ -42,16 +44,19 @@
 	nc net.Conn
 	br *bufio.Reader
 	bw *bufio.Writer
-	// state is connIdle, connBusy or connClosed.
-	state atomic.Int32
+	// mu guards state and the read deadline of an idle connection.
+	mu    sync.Mutex
+	state connState
 }
 
-// States of a connection. A connection that is idle when the server drains is
-// closed before it reads another request.
+// connState is the state of a connection. An ending connection was idle when the server
+// drained. It is closed unless a request has arrived on it.
+type connState int
+
 const (
-	connIdle int32 = iota
+	connIdle connState = iota
 	connBusy
-	connClosed
+	connEnding
 )
 
 func newConn(sv *Server, nc net.Conn) *conn {
@@ -71,14 +76,10 @@
 // follow on the connection.
 func (co *conn) serveNext() bool {
 	limits := co.sv.effectiveLimits()
-	_ = co.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := co.br.Peek(1); err != nil {
-		return false
-	}
-	if !co.state.CompareAndSwap(connIdle, connBusy) {
+	if !co.awaitRequest(limits.IdleTimeout) {
 		return false
 	}
-	defer co.state.CompareAndSwap(connBusy, connIdle)
+	defer co.setState(connIdle)
 	_ = co.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	hd, err := readHead(co.br, limits.MaxHeaderBytes)
 	if err != nil {
@@ -95,6 +96,47 @@
 	return co.handle(hd, body, arrived)
 }
 
+// awaitRequest waits until a request begins to arrive and marks the connection as busy.
+// It reports false if none arrives before the idle timeout or the end of an idle
+// connection. A request that has arrived by then is read: the caller has sent it before
+// it could know of the end.
+func (co *conn) awaitRequest(idle time.Duration) bool {
+	co.mu.Lock()
+	if co.state == connIdle {
+		_ = co.nc.SetReadDeadline(time.Now().Add(idle))
+	}
+	co.mu.Unlock()
+	_, err := co.br.Peek(1)
+	if isTimeout(err) && sock.StateOf(co.nc) == sock.Readable {
+		_ = co.nc.SetReadDeadline(time.Time{})
+		_, err = co.br.Peek(1)
+	}
+	co.setState(connBusy)
+	return err == nil
+}
+
+// endIdle ends the connection if it is idle.
+func (co *conn) endIdle() {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.state == connIdle {
+		co.state = connEnding
+		_ = co.nc.SetReadDeadline(past)
+	}
+}
+
+func (co *conn) setState(st connState) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.state = st
+}
+
+func (co *conn) busy() bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.state == connBusy
+}
+
 // body reads the body, after the interim response 100 Continue if the caller
 // expects it.
 func (co *conn) body(hd head, limits intent.Limits) ([]byte, error) {
@@ -154,7 +196,7 @@
 		return false
 	}
 	rw.requestID = string(info.ID)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(co.sv.ctx)
 	defer cancel()
 	watchDone := make(chan struct{})
 	var readErr error
@@ -177,24 +219,24 @@
 	if re == nil {
 		return !rw.closing
 	}
-	if started || ctx.Err() != nil || rw.headerWritten {
-		co.logAborted(rw, re, readErr, rw.writeErr)
+	if started || readErr != nil || rw.headerWritten {
+		co.logAborted(ctx, rw, re, readErr, rw.writeErr)
 		return false
 	}
 	if err := rw.refuse(re, statusOf(re), co.retryAfter(re, info.Deadline)); err != nil {
-		co.logAborted(rw, re, readErr, err)
+		co.logAborted(ctx, rw, re, readErr, err)
 		return false
 	}
 	return !rw.closing
 }
 
 // logAborted records that the connection of a complete request is closed without a
-// complete response. readErr is the error of the connection while the request was
-// handled, writeErr that of the response.
-func (co *conn) logAborted(rw *responseWriter, re *refuse.Refusal, readErr, writeErr error) {
+// complete response. ctx is the context of the request, readErr the error of the
+// connection while it was handled, and writeErr that of the response.
+func (co *conn) logAborted(ctx context.Context, rw *responseWriter, re *refuse.Refusal, readErr, writeErr error) {
 	cause := "responseBroken"
 	switch {
-	case errors.Is(readErr, net.ErrClosed):
+	case errors.Is(context.Cause(ctx), proxy.ErrStopping) || errors.Is(readErr, net.ErrClosed):
 		cause = "routerStopped"
 	case readErr != nil:
 		cause = "callerLeft"
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -36,9 +36,12 @@
 	meter   meter.Meter
 
 	leaving atomic.Bool
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	wg      sync.WaitGroup
+	// ctx is the context of all requests, and stop ends it.
+	ctx   context.Context
+	stop  context.CancelCauseFunc
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	wg    sync.WaitGroup
 }
 
 // defaultLimits replaces limits that the configuration does not set.
@@ -60,6 +63,7 @@
 		return nil, err
 	}
 	sv := &Server{ls: ls, handler: ha, pool: po, terms: hn, limits: limits, meter: meter.Nop{}, conns: map[*conn]struct{}{}}
+	sv.ctx, sv.stop = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(sv)
 	}
@@ -114,31 +118,49 @@
 	defer sv.mu.Unlock()
 	busy := 0
 	for co := range sv.conns {
-		if co.state.Load() == connBusy {
+		if co.busy() {
 			busy++
 		}
 	}
 	return busy
 }
 
-// drainPollInterval is the time between two checks whether all requests have ended.
-const drainPollInterval = 10 * time.Millisecond
+const (
+	// drainPollInterval is the time between two checks whether all requests have ended.
+	drainPollInterval = 10 * time.Millisecond
+	// RefusalTime is how long Drain waits after its deadline until the requests that
+	// it has ended are refused.
+	RefusalTime = 100 * time.Millisecond
+)
 
 // Drain closes the listener and the idle connections, and waits until the requests
-// in progress have ended or the deadline has passed. A request that was read before
-// is not cut off.
+// in progress have ended. A request that has arrived is served, also on an idle
+// connection. The requests that are in progress at the deadline are refused, or cut off
+// if a part of their response was written.
 func (sv *Server) Drain(deadline time.Time) {
+	sv.Leave()
 	_ = sv.ls.Close()
+	if sv.drainUntil(deadline) {
+		return
+	}
+	sv.stop(proxy.ErrStopping)
+	sv.drainUntil(time.Now().Add(RefusalTime))
+}
+
+// drainUntil closes idle connections and reports whether all connections have ended
+// before the deadline.
+func (sv *Server) drainUntil(deadline time.Time) bool {
 	for {
 		sv.mu.Lock()
 		for co := range sv.conns {
-			if co.state.CompareAndSwap(connIdle, connClosed) {
-				_ = co.nc.Close()
-			}
+			co.endIdle()
 		}
 		sv.mu.Unlock()
-		if sv.OpenConns() == 0 || !time.Now().Before(deadline) {
-			return
+		if sv.OpenConns() == 0 {
+			return true
+		}
+		if !time.Now().Before(deadline) {
+			return false
 		}
 		time.Sleep(drainPollInterval)
 	}
@@ -157,6 +179,7 @@
 	}
 	sv.mu.Unlock()
 	sv.wg.Wait()
+	sv.stop(nil)
 	return err
 }
 
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 )
 
 const (
@@ -112,22 +114,8 @@
 	if co.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := co.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	stillIdle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stillIdle = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && stillIdle
+	st := sock.StateOf(co.Conn)
+	return st == sock.Empty || st == sock.Unknown
 }
 
 // idleConns holds the idle connections to one upstream. The most recently used one
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -203,6 +203,9 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return refuse.New(refuse.Cancelled, "the caller has left").WithOutcome(rn.outcome())
+	case errors.Is(context.Cause(ctx), proxy.ErrStopping):
+		return refuse.New(refuse.Leaving, "the router stops before the response is complete").
+			WithOutcome(rn.outcome()).WithRetryAt(rn.se.opts.clock.Now().Add(leavingRetryDelay))
 	case ctx.Err() != nil:
 		return rn.timeoutRefusal()
 	case rn.runs > 0 && !rn.route.Repeatable():
--- a/internal/app/direct/silence_test.go
+++ b/internal/app/direct/silence_test.go
@@ -189,3 +189,18 @@
 		})
 	}
 }
+
+// TestStopping guards against a refusal that says that the caller has left, or that a
+// request did not run which an upstream has, when the router stops.
+func TestStopping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, 1, 10)
+		ca := &fakeCaller{script: []upstreamStep{{silent: true}}}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { cancel(proxy.ErrStopping) })
+		_, re := fx.svc.Serve(ctx, newRequest("/once/"), ca, ca)
+		if re == nil || re.Reason != refuse.Leaving || re.Outcome != refuse.Unknown {
+			t.Errorf("refusal %v, want leaving with an unknown outcome", re)
+		}
+	})
+}
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -20,6 +20,10 @@
 	ErrIncomplete = errors.New("proxy: no complete response arrived")
 )
 
+// ErrStopping is the cause of the end of a request's context when the process is about
+// to exit. The caller still reads a refusal.
+var ErrStopping = errors.New("proxy: the router stops")
+
 // Upstream is an upstream instance and its last known address. Another instance
 // may have taken over the address.
 type Upstream struct {
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -339,7 +339,7 @@
 	ro.leaving.Store(true)
 	ro.entry.Leave()
 	ro.met.Log(evLeaving, slog.Int("connections", ro.entry.OpenConns()), slog.Int("busy", ro.entry.BusyConns()))
-	closeBy := start.Add(ro.settings.Drain - escrowReturnTimeout - statementTimeout)
+	closeBy := start.Add(ro.settings.Drain - escrowReturnTimeout - statementTimeout - entry.RefusalTime)
 	for {
 		now := time.Now()
 		if now.Sub(start) >= refuseStreamsAfter {
