fake/opstor: return from a copy of an earlier state

The stand-in of the operator's store can return from a copy: rows, history and the counter of versions go back, a feed from a version that it does not have gets 410, versions are given out again, and the header Store-Era rises by one. Operator and upstreams write their rows again when a test says so. Responses can be late, the header can be replaced, and the store serves calls in memory for tests on virtual time.

--- a/internal/fake/opstor/store.go
+++ b/internal/fake/opstor/store.go
@@ -1,6 +1,7 @@
 // Package opstor is a stand-in for an operator's store. It has rows with versions
-// from one counter, transactions, feeds of changes and fault injection. It is
-// written from the published protocol and shares no type with the adapter.
+// from one counter, transactions, feeds of changes and fault injection, and it may
+// return from a copy of an earlier state. It is written from the published protocol
+// and shares no type with the adapter.
 package opstor
 
 import (
@@ -31,8 +32,13 @@
 	// Silent sends no response and does not execute the call. It holds the
 	// connection until the client closes it.
 	Silent
+	// Late executes the call and sends the response after DeliverLate.
+	Late
 )
 
+// eraHeader is the header that counts how often the store has returned from a copy.
+const eraHeader = "Store-Era"
+
 // Row is a row of the store, or the deletion of a row if Tombstone is set.
 type Row struct {
 	Table     string
@@ -45,33 +51,63 @@
 
 type rowKey struct{ table, part, key string }
 
+// Option configures a Store.
+type Option func(*Store)
+
+// WithoutServer keeps the store from listening. Calls then go to its ServeHTTP.
+func WithoutServer() Option { return func(st *Store) { st.listens = false } }
+
 // Store is an HTTP server that keeps rows and the log of their changes.
 type Store struct {
+	handler *http.ServeMux
+	listens bool
 	server  *httptest.Server
 	started time.Time
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	content
+	// written holds what the operator and the upstreams have written last.
+	written map[rowKey]Row
+	changed chan struct{}
+	calls   int
+	faults  func(call string) Fault
+	late    chan struct{}
+
+	era       uint64
+	eraHeader func(era uint64) string
+}
+
+// content is what a copy of the store contains.
+type content struct {
 	rows map[rowKey]Row
 	log  []Row
 	ver  uint64
 	// oldest is the lowest version from which a feed can be read.
-	oldest  uint64
-	changed chan struct{}
-	calls   int
-	faults  func(call string) Fault
+	oldest uint64
 }
 
-// New starts an empty store on loopback.
-func New() *Store {
-	st := &Store{started: time.Now(), rows: map[rowKey]Row{}, changed: make(chan struct{}), faults: func(string) Fault { return None }}
-	mx := http.NewServeMux()
-	mx.HandleFunc("POST /api/rows-tx", st.withFaults("rows-tx", st.commit))
-	mx.HandleFunc("GET /api/rows-get", st.withFaults("rows-get", st.get))
-	mx.HandleFunc("GET /api/rows-feed", st.withFaults("rows-feed", st.feed))
-	st.server = httptest.NewServer(mx)
+// New starts an empty store on loopback, whose era is 1.
+func New(opts ...Option) *Store {
+	st := &Store{
+		handler: http.NewServeMux(), listens: true, started: time.Now(), content: content{rows: map[rowKey]Row{}}, written: map[rowKey]Row{},
+		changed: make(chan struct{}), faults: func(string) Fault { return None }, late: make(chan struct{}),
+		era: 1, eraHeader: func(era uint64) string { return strconv.FormatUint(era, 10) },
+	}
+	st.handler.HandleFunc("POST /api/rows-tx", st.withFaults("rows-tx", st.commit))
+	st.handler.HandleFunc("GET /api/rows-get", st.withFaults("rows-get", st.get))
+	st.handler.HandleFunc("GET /api/rows-feed", st.withFaults("rows-feed", st.feed))
+	for _, opt := range opts {
+		opt(st)
+	}
+	if st.listens {
+		st.server = httptest.NewServer(st.handler)
+	}
 	return st
 }
 
+// ServeHTTP serves one call.
+func (st *Store) ServeHTTP(wr http.ResponseWriter, re *http.Request) { st.handler.ServeHTTP(wr, re) }
+
 // Addr returns IP:PORT.
 func (st *Store) Addr() string { return st.server.Listener.Addr().String() }
 
@@ -103,19 +139,22 @@
 	if err != nil {
 		panic(err)
 	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.ver++
-	st.write(Row{Table: table, Key: key, Value: data, Ver: st.ver})
-	st.notifyFeeds()
+	st.writeOwn(Row{Table: table, Key: key, Value: data})
 }
 
 // Remove deletes a row without a partition.
 func (st *Store) Remove(table, key string) {
+	st.writeOwn(Row{Table: table, Key: key, Tombstone: true})
+}
+
+// writeOwn writes a row as the operator or an upstream.
+func (st *Store) writeOwn(ro Row) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.ver++
-	st.write(Row{Table: table, Key: key, Ver: st.ver, Tombstone: true})
+	ro.Ver = st.ver
+	st.written[rowKey{ro.Table, ro.Part, ro.Key}] = ro
+	st.write(ro)
 	st.notifyFeeds()
 }
 
@@ -162,7 +201,8 @@
 	return out
 }
 
-type handler func(re *http.Request) (status int, body any)
+// handler executes a call. It returns the era in which it did.
+type handler func(re *http.Request) (status int, body any, era uint64)
 
 type response struct {
 	Rows    []Row
@@ -175,7 +215,8 @@
 	return func(wr http.ResponseWriter, re *http.Request) {
 		st.mu.Lock()
 		st.calls++
-		fault := st.faults(call)
+		fault, late := st.faults(call), st.late
+		st.setEra(wr, st.era)
 		st.mu.Unlock()
 		switch fault {
 		case Down:
@@ -191,10 +232,19 @@
 			<-re.Context().Done()
 			return
 		}
-		status, body := ha(re)
-		if fault == ResponseLost {
+		status, body, era := ha(re)
+		switch fault {
+		case ResponseLost:
 			panic(http.ErrAbortHandler)
+		case Late:
+			select {
+			case <-late:
+			case <-re.Context().Done():
+			}
 		}
+		st.mu.Lock()
+		st.setEra(wr, era)
+		st.mu.Unlock()
 		wr.Header().Set("Content-Type", "application/json")
 		wr.WriteHeader(status)
 		_ = json.NewEncoder(wr).Encode(body)
@@ -210,10 +260,10 @@
 	Across                bool
 }
 
-func (st *Store) commit(re *http.Request) (int, any) {
+func (st *Store) commit(re *http.Request) (status int, body any, era uint64) {
 	var tx transaction
 	if err := json.NewDecoder(re.Body).Decode(&tx); err != nil {
-		return http.StatusBadRequest, err.Error()
+		return http.StatusBadRequest, err.Error(), st.eraNow()
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -226,11 +276,11 @@
 		}
 		failed = failed || cur.Ver != ro.Ver
 		if ro.Part != tx.IfRev[0].Part && !tx.Across {
-			return http.StatusBadRequest, "the rows are in several partitions and Across is not set"
+			return http.StatusBadRequest, "the rows are in several partitions and Across is not set", st.era
 		}
 	}
 	if failed {
-		return http.StatusPreconditionFailed, st.response(current)
+		return http.StatusPreconditionFailed, st.response(current), st.era
 	}
 	st.ver++
 	for _, ro := range tx.Writes {
@@ -242,10 +292,10 @@
 		st.write(ro)
 	}
 	st.notifyFeeds()
-	return http.StatusOK, st.response(nil)
+	return http.StatusOK, st.response(nil), st.era
 }
 
-func (st *Store) get(re *http.Request) (int, any) {
+func (st *Store) get(re *http.Request) (status int, body any, era uint64) {
 	table, part, from, to := re.FormValue("Table"), re.FormValue("part"), re.FormValue("From"), re.FormValue("To")
 	limit, err := strconv.Atoi(re.FormValue("Limit"))
 	if err != nil {
@@ -258,19 +308,20 @@
 	})
 	rs := st.response(rows[:min(limit, len(rows))])
 	rs.HasMore = len(rows) > limit
-	return http.StatusOK, rs
+	return http.StatusOK, rs, st.era
 }
 
-func (st *Store) feed(re *http.Request) (int, any) {
+func (st *Store) feed(re *http.Request) (status int, body any, era uint64) {
 	since, _ := strconv.ParseUint(re.FormValue("SinceRev"), 10, 64)
 	wait, _ := strconv.Atoi(re.FormValue("WaitMs"))
 	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer end.Stop()
 	for {
 		st.mu.Lock()
-		if since < st.oldest {
+		era = st.era
+		if since < st.oldest || since > st.ver {
 			st.mu.Unlock()
-			return http.StatusGone, struct{}{}
+			return http.StatusGone, struct{}{}, era
 		}
 		var rows []Row
 		for _, ro := range st.log {
@@ -281,14 +332,14 @@
 		rs, changed := st.response(rows), st.changed
 		st.mu.Unlock()
 		if len(rows) > 0 {
-			return http.StatusOK, rs
+			return http.StatusOK, rs, era
 		}
 		select {
 		case <-changed:
 		case <-end.C:
-			return http.StatusOK, rs
+			return http.StatusOK, rs, era
 		case <-re.Context().Done():
-			return http.StatusOK, rs
+			return http.StatusOK, rs, era
 		}
 	}
 }
