port/feed, platform, app/follow: order the states of the store by era

Readers took the store's version for an order that never goes back. After a restore all versions are lower, the feed from the known version gets 410, and all rows that were read then were ignored as older, until the counter had passed the known version. If it passed before the next call, the feed went on from there and skipped changes. Routers also compared the configurations that they passed on to each other by that version.

A row and a batch now carry a position, which core/epoch orders by the era first. At a new era (5105) all rows are read as the state, and a response of an earlier era changes nothing. The configuration never goes back, because its order is the operator's revision: a lower one is not taken, whatever its position, and of rows with the same revision the later one is. Routers ask each other by revision; routers of two releases do not exchange configurations. The check of the catalogue of events also scans platform/.

TestUpstreamsAfterRestore and TestCachedVersionAfterRestore stay red.

--- a/internal/adapt/logs/catalogue_test.go
+++ b/internal/adapt/logs/catalogue_test.go
@@ -73,7 +73,7 @@
 func declaredEvents(t *testing.T, root string) []declaration {
 	t.Helper()
 	var out []declaration
-	for _, dir := range []string{"internal", "cmd"} {
+	for _, dir := range []string{"internal", "cmd", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/adapt/peers/document_test.go
+++ b/internal/adapt/peers/document_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/fake/pipes"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
@@ -27,14 +29,14 @@
 	for no := range routes {
 		fmt.Fprintf(&sb, `{"Name":"r-%08x","Host":"host%d.example","Prefix":"/p%d/","Service":"s%d","TimeoutMs":15000},`, no*2654435761, no%40, no, no%3)
 	}
-	return feed.Row{Key: "config", Value: []byte(sb.String()), Version: 9}
+	return feed.Row{Key: "config", Value: []byte(sb.String()), Position: epoch.At(1, 12)}
 }
 
 // fetch fetches the row from a router over the link, on virtual time. It reports
 // whether the row is newer and how long the call took.
 func fetch(t *testing.T, row feed.Row, link pipes.Link) (got feed.Row, ok bool, took time.Duration, err error) {
 	t.Helper()
-	dial, stop := pipes.Serve(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }}), link)
+	dial, stop := pipes.Serve(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, ident.Revision) { return row, 9 }}), link)
 	defer stop()
 	cl := peers.NewClient(func() []string { return nil }, client.WithDial(dial), client.WithoutKeepAlives())
 	start := time.Now()
@@ -96,9 +98,9 @@
 func TestFetchConfigCompressed(t *testing.T) {
 	row := configOf(manyRoutes)
 	rec := httptest.NewRecorder()
-	re := httptest.NewRequest(http.MethodGet, "/v1/config?after=8", nil)
+	re := httptest.NewRequest(http.MethodGet, "/v1/config?afterRevision=8", nil)
 	re.Header.Set("Accept-Encoding", "gzip")
-	peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return row, true }}).ServeHTTP(rec, re)
+	peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, ident.Revision) { return row, 9 }}).ServeHTTP(rec, re)
 	if got := rec.Body.Len(); got > len(row.Value)/4 {
 		t.Errorf("the response has %d bytes, want at most a quarter of %d", got, len(row.Value))
 	}
@@ -107,7 +109,7 @@
 // TestFetchConfigNotNewer guards against taking the missing body of a response
 // without a document for an error.
 func TestFetchConfigNotNewer(t *testing.T) {
-	sv := httptest.NewServer(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, bool) { return configOf(manyRoutes), true }}))
+	sv := httptest.NewServer(peers.Handler(peers.LocalRouter{CurrentConfig: func() (feed.Row, ident.Revision) { return configOf(manyRoutes), 9 }}))
 	t.Cleanup(sv.Close)
 	_, ok, err := peers.NewClient(func() []string { return nil }).FetchConfig(t.Context(), strings.TrimPrefix(sv.URL, "http://"), 9)
 	if err != nil || ok {
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -26,6 +26,8 @@
 	lendPath      = "/v1/lend"
 	configPath    = "/v1/config"
 	statementPath = "/v1/statement"
+	// afterRevision is the parameter of a call for a configuration.
+	afterRevision = "afterRevision"
 
 	// maxMessageBytes bounds the messages of a loan, and maxDocumentBytes a
 	// configuration or a statement.
@@ -67,9 +69,9 @@
 	// charged. short reports that the budget has no tokens left that could be
 	// drawn.
 	Lend func(ctx context.Context, rf ident.BudgetRef, tokens ident.Tokens, short bool) ident.Tokens
-	// CurrentConfig returns the row of the configuration in force and whether there
-	// is one.
-	CurrentConfig func() (feed.Row, bool)
+	// CurrentConfig returns the row of the configuration in force and its revision,
+	// which is zero while there is none.
+	CurrentConfig func() (feed.Row, ident.Revision)
 	// AddStatement stores the last statement of a router that ends, and reports
 	// whether it did.
 	AddStatement func(st escrow.Statement) bool
@@ -200,12 +202,12 @@
 	return cl.call(re, maxMessageBytes, nil)
 }
 
-// FetchConfig requests a configuration newer than the version after from the
-// router at addr, and reports whether it has one.
-func (cl *Client) FetchConfig(ctx context.Context, addr string, after uint64) (feed.Row, bool, error) {
+// FetchConfig requests a configuration newer than the revision after from
+// the router at addr, and reports whether it has one.
+func (cl *Client) FetchConfig(ctx context.Context, addr string, after ident.Revision) (feed.Row, bool, error) {
 	ctx, stop := client.WithLowestRate(ctx, time.Now().Add(configTimeout), configRate)
 	defer stop()
-	url := "http://" + addr + configPath + "?after=" + strconv.FormatUint(after, 10)
+	url := "http://" + addr + configPath + "?" + afterRevision + "=" + strconv.FormatUint(uint64(after), 10)
 	re, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return feed.Row{}, false, err
@@ -215,7 +217,7 @@
 	if err := cl.call(re, maxDocumentBytes, &doc); err != nil {
 		return feed.Row{}, false, err
 	}
-	return feed.Row{Key: doc.Key, Value: doc.Value, Version: doc.Version}, doc.Version > after, nil
+	return doc.row(), doc.Revision > after, nil
 }
 
 // call sends the request and decodes the response, if it has a body.
--- a/internal/adapt/peers/peers_test.go
+++ b/internal/adapt/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -39,7 +40,9 @@
 			ro.balance -= got
 			return got
 		},
-		CurrentConfig: func() (feed.Row, bool) { return feed.Row{Key: "k", Value: []byte{0, 1}, Version: 8}, true },
+		CurrentConfig: func() (feed.Row, ident.Revision) {
+			return feed.Row{Key: "k", Value: []byte{0, 1}, Position: epoch.At(3, 5)}, 8
+		},
 		AddStatement: func(st escrow.Statement) bool {
 			if !ro.full {
 				ro.statements = append(ro.statements, st)
@@ -71,7 +74,7 @@
 	addr := (&router{}).start(t)
 	cl := peers.NewClient(nil)
 	ro, ok, err := cl.FetchConfig(t.Context(), addr, 7)
-	if diff := cmp.Diff(feed.Row{Key: "k", Value: []byte{0, 1}, Version: 8}, ro); diff != "" || !ok || err != nil {
+	if diff := cmp.Diff(feed.Row{Key: "k", Value: []byte{0, 1}, Position: epoch.At(3, 5)}, ro); diff != "" || !ok || err != nil {
 		t.Errorf("%v %v, row (-want +got):\n%s", ok, err, diff)
 	}
 	if _, ok, err := cl.FetchConfig(t.Context(), addr, 8); ok || err != nil {
--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -53,34 +53,36 @@
 }
 
 // Row returns the row of the configuration in force, which other routers may
-// request, and whether there is one.
-func (co *Config) Row() (feed.Row, bool) {
+// request, and its revision, which is zero while there is none.
+func (co *Config) Row() (feed.Row, ident.Revision) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	return co.row, co.known
+	return co.row, co.cell.Load().Revision()
 }
 
-// Offer decodes a row and puts its configuration in force if it is newer. The
-// source appears in log records.
+// Offer decodes a row and puts its configuration in force if its revision is higher,
+// or if the row has the same revision and was written later. The source appears in
+// log records.
 func (co *Config) Offer(ro feed.Row, source string) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if co.known && ro.Version <= co.row.Version {
+	if co.known && ro.Position == co.row.Position {
 		return
 	}
 	next, ok, err := co.decode(ro)
 	if err != nil {
-		co.meter.Log(evBadConfig, slog.Uint64("version", ro.Version), slog.String("source", source), slog.String("error", err.Error()))
+		co.meter.Log(evBadConfig, slog.Uint64("version", ro.Position.Version), slog.String("source", source), slog.String("error", err.Error()))
 		return
 	}
-	if !ok || next.Revision() < co.cell.Load().Revision() {
+	current := co.cell.Load().Revision()
+	if !ok || next.Revision() < current || co.known && next.Revision() == current && ro.Position.Before(co.row.Position) {
 		return
 	}
 	co.cell.Store(next)
 	co.row, co.known = ro, true
 	close(co.changed)
 	co.changed = make(chan struct{})
-	co.meter.Log(evConfig, slog.Uint64("revision", uint64(next.Revision())), slog.Uint64("version", ro.Version),
+	co.meter.Log(evConfig, slog.Uint64("revision", uint64(next.Revision())), slog.Uint64("version", ro.Position.Version),
 		slog.String("source", source), slog.Any("prepaid", prepaidTotals(next)))
 }
 
--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -5,12 +5,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
 
-// FetchConfig requests a configuration newer than the version after from the
-// router at addr, and reports whether it has one.
-type FetchConfig func(ctx context.Context, addr string, after uint64) (feed.Row, bool, error)
+// FetchConfig requests a configuration newer than the revision after from
+// the router at addr, and reports whether it has one.
+type FetchConfig func(ctx context.Context, addr string, after ident.Revision) (feed.Row, bool, error)
 
 const (
 	// gossipDelay is how long the feed is overdue before other routers are asked.
@@ -50,8 +51,7 @@
 			if asked >= gossipFanout {
 				break
 			}
-			ro, _ := gs.config.Row()
-			newer, ok, err := gs.fetch(ctx, peers[ix], ro.Version)
+			newer, ok, err := gs.fetch(ctx, peers[ix], gs.config.Load().Revision())
 			// An error is ignored, because the next round asks other routers.
 			if err == nil && ok {
 				gs.config.Offer(newer, peers[ix])
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -20,9 +21,13 @@
 	evFeedLost      = meter.Event{Number: 5101, Level: slog.LevelWarn, Text: "feed lost"}
 	evFeedAvailable = meter.Event{Number: 5102, Level: slog.LevelInfo, Text: "feed available again"}
 	evHistoryLost   = meter.Event{Number: 5103, Level: slog.LevelInfo, Text: "feed history lost, all rows are read again"}
+	evNewEra        = meter.Event{Number: 5105, Level: slog.LevelWarn, Text: "the store returned from an older copy, its rows are taken as its state"}
 	evSlowRead      = meter.Event{Number: 5104, Level: slog.LevelInfo, Text: "rows of a feed took long to arrive"}
 )
 
+// errEarlierEra means that a response is older than the known era of the store.
+var errEarlierEra = errors.New("follow: response of an earlier era of the store")
+
 const (
 	// defaultLongPoll is how long the store may hold a call while there is no change.
 	// With the margin that the adapter adds, a connection without responses is
@@ -46,7 +51,8 @@
 
 // Sink receives the rows of a feed. Its methods are called by one goroutine.
 type Sink interface {
-	// Replace replaces all rows that were received before.
+	// Replace replaces all rows that were received before. A batch of a later era
+	// contains rows of an older copy that the store has returned from.
 	Replace(ba feed.Batch, now time.Time)
 	// ApplyChanges applies changed rows in order.
 	ApplyChanges(ba feed.Batch, now time.Time)
@@ -81,7 +87,7 @@
 	// longPoll is how long the feed may hold a call.
 	longPoll time.Duration
 
-	version  uint64
+	position epoch.Position
 	rereadAt time.Time
 	failures int
 	contact  *snap.Cell[contact]
@@ -148,28 +154,34 @@
 // step makes one call to the feed: it reads all rows, or waits for changes.
 func (lo *Loop) step(ctx context.Context) error {
 	now := lo.clock.Now()
-	whole := lo.version == 0 || !now.Before(lo.rereadAt)
+	whole := lo.position.IsZero() || !now.Before(lo.rereadAt)
 	var ba feed.Batch
 	var err error
 	if whole {
 		ba, err = lo.feed.All(ctx)
 	} else {
-		ba, err = lo.feed.Changes(ctx, lo.version, lo.longPoll)
+		ba, err = lo.feed.Changes(ctx, lo.position, lo.longPoll)
 	}
 	truncated := errors.Is(err, feed.ErrHistoryTruncated)
 	if err != nil && !truncated {
 		return err
 	}
+	if !truncated && ba.Position.Era < lo.position.Era {
+		return errEarlierEra
+	}
 	lo.recover(lo.clock.Now())
 	lo.record(ba)
 	switch {
 	case truncated:
-		lo.meter.Log(evHistoryLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version))
+		lo.meter.Log(evHistoryLost, slog.String("feed", lo.name), slog.Uint64("version", lo.position.Version))
 		lo.rereadAt = time.Time{}
 	case whole:
 		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
 		lo.rereadAt = now.Add(interval + rand.N(interval/4))
 		lo.replace(ba)
+	case ba.Position.Era > lo.position.Era:
+		lo.enterEra(ba)
+		lo.rereadAt = time.Time{}
 	default:
 		lo.applyChanges(ba)
 	}
@@ -179,16 +191,28 @@
 // replace passes on all rows, unless the store returned an older state than the known
 // one.
 func (lo *Loop) replace(ba feed.Batch) {
-	if ba.Version < lo.version {
+	if ba.Position.Before(lo.position) {
 		return
 	}
-	lo.version = ba.Version
+	if !lo.position.IsZero() && ba.Position.Era > lo.position.Era {
+		lo.enterEra(ba)
+	}
+	lo.position = ba.Position
 	lo.sink.Replace(ba, lo.clock.Now())
 }
 
+// enterEra forgets the version of the earlier era, but not that there is a later one.
+func (lo *Loop) enterEra(ba feed.Batch) {
+	lo.meter.Log(evNewEra, slog.String("feed", lo.name), slog.Uint64("era", ba.Position.Era), slog.Uint64("version", ba.Position.Version),
+		slog.Uint64("eraBefore", lo.position.Era), slog.Uint64("versionBefore", lo.position.Version))
+	lo.position = ba.Position.WithVersion(0)
+}
+
 // applyChanges passes on changed rows, if there are any.
 func (lo *Loop) applyChanges(ba feed.Batch) {
-	lo.version = max(lo.version, ba.Version)
+	if ba.Position.After(lo.position) {
+		lo.position = ba.Position
+	}
 	if len(ba.Rows) > 0 {
 		lo.sink.ApplyChanges(ba, lo.clock.Now())
 	}
@@ -198,7 +222,7 @@
 func (lo *Loop) record(ba feed.Batch) {
 	lo.meter.Count("feedBytes", "feed", lo.name, int64(ba.Bytes))
 	if ba.Transfer >= slowTransfer {
-		lo.meter.Log(evSlowRead, slog.String("feed", lo.name), slog.Uint64("version", ba.Version), slog.Uint64("after", lo.version),
+		lo.meter.Log(evSlowRead, slog.String("feed", lo.name), slog.Uint64("version", ba.Position.Version), slog.Uint64("after", lo.position.Version),
 			slog.Int("bytes", ba.Bytes), slog.Duration("transfer", ba.Transfer))
 	}
 }
@@ -213,7 +237,7 @@
 	}
 	lo.contact.Store(before.WithLoss(now))
 	lo.sink.Lost(now)
-	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.version), slog.String("error", err.Error()))
+	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.position.Version), slog.String("error", err.Error()))
 }
 
 // recover records a call that succeeded, before its rows are passed on. It marks a
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
@@ -52,7 +53,7 @@
 	}
 	sc.reads++
 	sc.historyLost = false
-	return sc.deliver(feed.Batch{Rows: append([]feed.Row(nil), sc.rows...), Version: sc.version}), nil
+	return sc.deliver(feed.Batch{Rows: append([]feed.Row(nil), sc.rows...), Position: epoch.Position{Version: sc.version}}), nil
 }
 
 // deliver returns the batch once its rows have arrived.
@@ -67,7 +68,7 @@
 	return ba
 }
 
-func (sc *scriptedFeed) Changes(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
+func (sc *scriptedFeed) Changes(ctx context.Context, after epoch.Position, wait time.Duration) (feed.Batch, error) {
 	tm := time.NewTimer(wait)
 	defer tm.Stop()
 	select {
@@ -82,9 +83,9 @@
 	case sc.historyLost:
 		return feed.Batch{}, feed.ErrHistoryTruncated
 	}
-	ba := feed.Batch{Version: sc.version}
+	ba := feed.Batch{Position: epoch.Position{Version: sc.version}}
 	for _, ro := range sc.rows {
-		if ro.Version > after && !sc.omitsChanges {
+		if ro.Position.After(after) && !sc.omitsChanges {
 			ba.Rows = append(ba.Rows, ro)
 		}
 	}
@@ -101,7 +102,7 @@
 }
 
 func row(version uint64, value string) feed.Row {
-	return feed.Row{Key: "config", Value: []byte(value), Version: version}
+	return feed.Row{Key: "config", Value: []byte(value), Position: epoch.Position{Version: version}}
 }
 
 // startFollower starts a loop that passes the feed to a Config.
@@ -177,12 +178,12 @@
 		co, lo := startFollower(t, sc)
 		asked := 0
 		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
-			func(_ context.Context, addr string, after uint64) (feed.Row, bool, error) {
+			func(_ context.Context, addr string, after ident.Revision) (feed.Row, bool, error) {
 				asked++
 				if addr == "a" {
 					return feed.Row{}, false, errDown
 				}
-				return row(20, "7"), after < 20, nil
+				return row(20, "7"), after < 7, nil
 			})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -207,8 +208,8 @@
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
 		co, lo := startFollower(t, sc)
 		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
-			func(_ context.Context, _ string, after uint64) (feed.Row, bool, error) {
-				return row(11, "5"), after < 11, nil
+			func(_ context.Context, _ string, after ident.Revision) (feed.Row, bool, error) {
+				return row(11, "5"), after < 5, nil
 			})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -265,17 +266,17 @@
 func TestExpiredDuringOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
-	us.Replace(feed.Batch{Version: 3, Rows: []feed.Row{
-		{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("2"), Version: 2}, {Key: "c", Value: []byte("3"), Version: 3},
+	us.Replace(feed.Batch{Position: epoch.Position{Version: 3}, Rows: []feed.Row{
+		{Key: "a", Value: []byte("1"), Position: epoch.Position{Version: 1}}, {Key: "b", Value: []byte("2"), Position: epoch.Position{Version: 2}}, {Key: "c", Value: []byte("3"), Position: epoch.Position{Version: 3}},
 	}}, now)
-	us.ApplyChanges(feed.Batch{Version: 4, Rows: []feed.Row{{Key: "c", Version: 4, Deleted: true}}}, now)
+	us.ApplyChanges(feed.Batch{Position: epoch.Position{Version: 4}, Rows: []feed.Row{{Key: "c", Position: epoch.Position{Version: 4}, Deleted: true}}}, now)
 	got := [][]string{ids(us)}
 	us.Lost(now)
 	now = now.Add(5 * time.Second)
 	us.Recovered(now)
-	us.Replace(feed.Batch{Version: 9}, now)
+	us.Replace(feed.Batch{Position: epoch.Position{Version: 9}}, now)
 	got = append(got, ids(us))
-	us.ApplyChanges(feed.Batch{Version: 10, Rows: []feed.Row{{Key: "b", Value: []byte("2"), Version: 10}}}, now.Add(time.Second))
+	us.ApplyChanges(feed.Batch{Position: epoch.Position{Version: 10}, Rows: []feed.Row{{Key: "b", Value: []byte("2"), Position: epoch.Position{Version: 10}}}}, now.Add(time.Second))
 	us.RemoveExpired(now.Add(1900 * time.Millisecond))
 	got = append(got, ids(us))
 	us.RemoveExpired(now.Add(2100 * time.Millisecond))
@@ -292,7 +293,7 @@
 	for _, outage := range []time.Duration{2 * time.Second, 8 * time.Second} {
 		t.Run(outage.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				sc := &scriptedFeed{rows: []feed.Row{{Key: "a", Value: []byte("1"), Version: 10}}, version: 10}
+				sc := &scriptedFeed{rows: []feed.Row{{Key: "a", Value: []byte("1"), Position: epoch.Position{Version: 10}}}, version: 10}
 				us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
 				lo := follow.NewLoop("upstreams", sc, us)
 				ctx, cancel := context.WithCancel(t.Context())
@@ -322,8 +323,8 @@
 // that adds an upstream or prevents other entries from being used.
 func TestForeignEntry(t *testing.T) {
 	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
-	us.Replace(feed.Batch{Version: 2, Rows: []feed.Row{
-		{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("broken"), Version: 2},
+	us.Replace(feed.Batch{Position: epoch.Position{Version: 2}, Rows: []feed.Row{
+		{Key: "a", Value: []byte("1"), Position: epoch.Position{Version: 1}}, {Key: "b", Value: []byte("broken"), Position: epoch.Position{Version: 2}},
 	}}, time.Unix(1000, 0))
 	if diff := cmp.Diff([]string{"a"}, ids(us)); diff != "" {
 		t.Errorf("upstreams (-want +got):\n%s", diff)
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
@@ -46,11 +47,11 @@
 	known      bool
 }
 
-// entry is an upstream with the version of its row. An expired entry was removed
+// entry is an upstream with the position of its row. An expired entry was removed
 // from the store during an outage and stays in use for a grace period.
 type entry struct {
 	upstream place.Upstream
-	version  uint64
+	position epoch.Position
 	expired  bool
 }
 
@@ -82,7 +83,7 @@
 		us.apply(ro, now)
 	}
 	for id, en := range us.entries {
-		if !present[id] && en.version <= ba.Version {
+		if !present[id] && !en.position.After(ba.Position) {
 			us.remove(id, now)
 		}
 	}
@@ -136,11 +137,11 @@
 	}
 }
 
-// apply updates the entry of a row unless its version is older.
+// apply updates the entry of a row unless its position is older.
 func (us *Upstreams) apply(ro feed.Row, now time.Time) {
 	id := ident.Upstream(ro.Key)
 	old, exists := us.entries[id]
-	if exists && ro.Version < old.version {
+	if exists && ro.Position.Before(old.position) {
 		return
 	}
 	if ro.Deleted {
@@ -149,13 +150,13 @@
 	}
 	up, err := us.decode(ro)
 	if err != nil {
-		us.meter.Log(evBadEntry, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Version), slog.String("error", err.Error()))
+		us.meter.Log(evBadEntry, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version), slog.String("error", err.Error()))
 		delete(us.entries, id)
 		return
 	}
-	us.entries[id] = entry{upstream: up, version: ro.Version}
+	us.entries[id] = entry{upstream: up, position: ro.Position}
 	if !exists || old.upstream != up || old.expired {
-		us.meter.Log(evUpstream, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Version),
+		us.meter.Log(evUpstream, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
 			slog.String("service", string(up.Service)), slog.String("address", up.Address), slog.Bool("leaving", up.Leaving))
 	}
 }
@@ -168,14 +169,14 @@
 	}
 	if now.Before(us.graceUntil) {
 		if !en.expired {
-			us.meter.Log(evExpired, slog.String("upstream", string(id)), slog.Uint64("version", en.version))
+			us.meter.Log(evExpired, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
 		}
 		en.expired = true
 		us.entries[id] = en
 		return
 	}
 	delete(us.entries, id)
-	us.meter.Log(evRemoved, slog.String("upstream", string(id)), slog.Uint64("version", en.version))
+	us.meter.Log(evRemoved, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
 }
 
 // publish makes the entries visible to Load.
--- a/internal/app/poison/registry.go
+++ b/internal/app/poison/registry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/poison"
@@ -81,11 +82,11 @@
 	known   atomic.Bool
 }
 
-// row is a record with the version of its row in the feed, which is zero if the
+// row is a record with the position of its row in the feed, which is zero if the
 // record was not read from there.
 type row struct {
 	poison.Record
-	version uint64
+	position epoch.Position
 }
 
 // NewRegistry returns a registry without records.
--- a/internal/app/poison/registry_test.go
+++ b/internal/app/poison/registry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	app "github.com/balsamwood/balsamwood/internal/app/poison"
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/poison"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
@@ -59,10 +60,10 @@
 		if err != nil {
 			fl.t.Fatal(err)
 		}
-		ba := feed.Batch{Version: 1}
+		ba := feed.Batch{Position: epoch.Position{Version: 1}}
 		for _, it := range items {
-			ba.Rows = append(ba.Rows, feed.Row{Key: it.Key[len(app.Prefix):], Value: it.Value, Version: it.Version})
-			ba.Version = max(ba.Version, it.Version)
+			ba.Rows = append(ba.Rows, feed.Row{Key: it.Key[len(app.Prefix):], Value: it.Value, Position: epoch.Position{Version: it.Version}})
+			ba.Position.Version = max(ba.Position.Version, it.Version)
 		}
 		for _, rg := range fl.routers {
 			rg.Replace(ba, time.Now())
--- a/internal/app/poison/sink.go
+++ b/internal/app/poison/sink.go
@@ -17,9 +17,9 @@
 	rg.records.Update(func(old map[poison.Part]row) (map[poison.Part]row, bool) {
 		next := make(map[poison.Part]row, len(changed))
 		for pa, ro := range old {
-			// A record without a version was written by this router, perhaps after the
-			// read, and one with a later version was.
-			if ro.version == 0 || ro.version > ba.Version {
+			// A record without a position was written by this router, perhaps after the
+			// read, and one with a later position was.
+			if ro.position.IsZero() || ro.position.After(ba.Position) {
 				next[pa] = ro
 			}
 		}
@@ -58,10 +58,10 @@
 		}
 		re, err := rg.decode(ro.Value)
 		if !ok || err != nil {
-			rg.meter.Log(evBadRow, slog.String("key", ro.Key), slog.Uint64("version", ro.Version))
+			rg.meter.Log(evBadRow, slog.String("key", ro.Key), slog.Uint64("version", ro.Position.Version))
 			continue
 		}
-		out[pa] = row{Record: re, version: ro.Version}
+		out[pa] = row{Record: re, position: ro.Position}
 	}
 	return out
 }
@@ -87,7 +87,7 @@
 // stays.
 func merge(records, changed map[poison.Part]row) {
 	for pa, ro := range changed {
-		if own, listed := records[pa]; !listed || own.version != 0 || !own.NewerThan(ro.Record) {
+		if own, listed := records[pa]; !listed || !own.position.IsZero() || !own.NewerThan(ro.Record) {
 			records[pa] = ro
 		}
 	}
--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -89,7 +89,7 @@
 	me := newMeter(out, set.Log, set.VM)
 	defer func() { _ = me.Close() }()
 	out.OnDrop(func(lines int64) { me.Count("logLinesDropped", "", "", lines) })
-	ro, err := direct.New(set, me, me.Handler(), platform.New(set.Store))
+	ro, err := direct.New(set, me, me.Handler(), platform.New(set.Store, platform.WithMeter(me)))
 	if err != nil {
 		return err
 	}
