app/follow: upstreams that left stay so when the store returns from a copy

After a restore, upstreams that had registered in the lost time were dropped at once although they run, and upstreams that had left in it were used again, because the copy still lists them as ready.

The first read of an era gave the rows of the copy, which were taken for the state at that moment. Rows up to that read may be those of the copy. An upstream that is known as leaving or removed now stays so until it reports itself again: with a row that was written after that read, in a new lifetime, or with a higher number of its report. An entry that the copy lacks stays in use for the same grace period as after an outage. Removed upstreams are remembered for ten minutes.

--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -245,11 +245,11 @@
 	})
 }
 
-func decodeUpstream(ro feed.Row) (place.Upstream, error) {
+func decodeUpstream(ro feed.Row) (place.Entry, error) {
 	if string(ro.Value) == "broken" {
-		return place.Upstream{}, errors.New("broken")
+		return place.Entry{}, errors.New("broken")
 	}
-	return place.Upstream{ID: ident.Upstream(ro.Key), Service: "s", Address: string(ro.Value)}, nil
+	return place.Entry{Upstream: place.Upstream{ID: ident.Upstream(ro.Key), Service: "s", Address: string(ro.Value)}}, nil
 }
 
 func ids(us *follow.Upstreams) []string {
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -27,12 +27,19 @@
 	// minOutage is the shortest loss of the feed after which entries may have
 	// expired. They expire after three missed writes, at intervals of 1.2 s.
 	minOutage = 1500 * time.Millisecond
+	// removedRetention is how long a removed upstream is remembered. The store returns
+	// from copies that are some seconds old.
+	removedRetention = 10 * time.Minute
 )
 
 // DecodeUpstream decodes the row of an upstream.
-type DecodeUpstream func(ro feed.Row) (place.Upstream, error)
+type DecodeUpstream func(ro feed.Row) (place.Entry, error)
 
 // Upstreams holds the upstreams known from a feed. It is a Sink.
+//
+// When the store returns from an older copy, the rows of the copy are taken as its
+// state, except that an upstream that has left since stays so until it reports itself
+// again.
 type Upstreams struct {
 	cell   *snap.Cell[place.EndpointMap]
 	decode DecodeUpstream
@@ -40,7 +47,12 @@
 
 	mu      sync.Mutex
 	entries map[ident.Upstream]entry
-	lostAt  time.Time
+	// removed holds the last entries of the upstreams that were removed lately.
+	removed map[ident.Upstream]removal
+	// eraStart is the position of the first read in the store's era. Rows up to it may
+	// be those of the copy that the store returned from.
+	eraStart epoch.Position
+	lostAt   time.Time
 	// graceUntil is the end of the grace period. Until then, removed entries are
 	// marked as expired and stay in use.
 	graceUntil time.Time
@@ -50,15 +62,28 @@
 // entry is an upstream with the position of its row. An expired entry was removed
 // from the store during an outage and stays in use for a grace period.
 type entry struct {
-	upstream place.Upstream
+	place.Entry
 	position epoch.Position
 	expired  bool
 }
 
+// WithExpired returns a copy that is expired.
+func (en entry) WithExpired() entry {
+	en.expired = true
+	return en
+}
+
+// removal is an entry that was removed at a time.
+type removal struct {
+	entry
+	at time.Time
+}
+
 // NewUpstreams returns Upstreams without entries.
 func NewUpstreams(decode DecodeUpstream, me meter.Meter) *Upstreams {
 	return &Upstreams{
-		cell: snap.NewCell(place.EndpointMap{}), decode: decode, meter: me, entries: map[ident.Upstream]entry{},
+		cell: snap.NewCell(place.EndpointMap{}), decode: decode, meter: me,
+		entries: map[ident.Upstream]entry{}, removed: map[ident.Upstream]removal{},
 	}
 }
 
@@ -72,10 +97,17 @@
 	return us.known
 }
 
-// Replace replaces all entries.
+// Replace replaces all entries. In a new era, entries that are not among them stay in
+// use for a grace period, because the copy may lack them.
 func (us *Upstreams) Replace(ba feed.Batch, now time.Time) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
+	if ba.Position.Era > us.eraStart.Era || !us.known {
+		us.eraStart = ba.Position
+		if us.known {
+			us.graceUntil = now.Add(expiryGrace)
+		}
+	}
 	us.known = true
 	present := make(map[ident.Upstream]bool, len(ba.Rows))
 	for _, ro := range ba.Rows {
@@ -118,10 +150,15 @@
 }
 
 // RemoveExpired removes expired entries that were not written again in the grace
-// period.
+// period, and forgets upstreams that were removed long ago.
 func (us *Upstreams) RemoveExpired(now time.Time) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
+	for id, rm := range us.removed {
+		if now.Sub(rm.at) >= removedRetention {
+			delete(us.removed, id)
+		}
+	}
 	if now.Before(us.graceUntil) {
 		return
 	}
@@ -148,19 +185,35 @@
 		us.remove(id, now)
 		return
 	}
-	up, err := us.decode(ro)
+	next, err := us.decode(ro)
 	if err != nil {
 		us.meter.Log(evBadEntry, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version), slog.String("error", err.Error()))
 		delete(us.entries, id)
 		return
 	}
-	us.entries[id] = entry{upstream: up, position: ro.Position}
-	if !exists || old.upstream != up || old.expired {
+	switch rm, wasRemoved := us.removed[id]; {
+	case exists && us.outdated(ro, next, old) && next.Report.StartedMs < old.Report.StartedMs:
+		us.remove(id, now)
+		return
+	case exists && us.outdated(ro, next, old) && old.Leaving:
+		return
+	case wasRemoved && us.outdated(ro, next, rm.entry):
+		return
+	}
+	delete(us.removed, id)
+	us.entries[id] = entry{Entry: next, position: ro.Position}
+	if !exists || old.Upstream != next.Upstream || old.expired {
 		us.meter.Log(evUpstream, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
-			slog.String("service", string(up.Service)), slog.String("address", up.Address), slog.Bool("leaving", up.Leaving))
+			slog.String("service", string(next.Service)), slog.String("address", next.Address), slog.Bool("leaving", next.Leaving))
 	}
 }
 
+// outdated reports whether the row may be that of a copy that does not contain what the
+// upstream has reported since.
+func (us *Upstreams) outdated(ro feed.Row, next place.Entry, known entry) bool {
+	return known.position.Era < ro.Position.Era && !ro.Position.After(us.eraStart) && next.Report.Compare(known.Report) <= 0
+}
+
 // remove removes an entry, or marks it as expired during the grace period.
 func (us *Upstreams) remove(id ident.Upstream, now time.Time) {
 	en, ok := us.entries[id]
@@ -171,11 +224,11 @@
 		if !en.expired {
 			us.meter.Log(evExpired, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
 		}
-		en.expired = true
-		us.entries[id] = en
+		us.entries[id] = en.WithExpired()
 		return
 	}
 	delete(us.entries, id)
+	us.removed[id] = removal{en, now}
 	us.meter.Log(evRemoved, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
 }
 
@@ -183,7 +236,7 @@
 func (us *Upstreams) publish() {
 	all := make([]place.Upstream, 0, len(us.entries))
 	for _, en := range us.entries {
-		all = append(all, en.upstream)
+		all = append(all, en.Upstream)
 	}
 	us.cell.Store(us.cell.Load().WithUpstreams(all...))
 }
