app/poison: keep records that the store has lost

With the records of a later era read as the state, a router would forget the part of a prompt under which upstreams end if the store lost its record, and the fleet would lose three upstreams again.

Failed before, on the commit before: app/poison TestRecordsAfterRestore, both routers admit the part after the restore, want none.

--- a/internal/app/poison/registry_test.go
+++ b/internal/app/poison/registry_test.go
@@ -287,3 +287,20 @@
 		}
 	})
 }
+
+// TestRecordsAfterRestore guards against a fleet that loses upstreams again to a part
+// that it knows, because the store has returned from a copy without the record.
+func TestRecordsAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2)
+		fl.endThree(0)
+		got := [][]int{fl.admitted(deadly)}
+		for _, rg := range fl.routers {
+			rg.Replace(feed.Batch{Position: epoch.At(1, 1)}, time.Now())
+		}
+		got = append(got, fl.admitted(deadly))
+		if diff := cmp.Diff([][]int{{}, {}}, got); diff != "" {
+			t.Errorf("routers that admit the part before and after (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/app/poison/sink.go
+++ b/internal/app/poison/sink.go
@@ -22,6 +22,10 @@
 			if ro.position.IsZero() || ro.position.After(ba.Position) {
 				next[pa] = ro
 			}
+			// The store may have lost a record of an earlier era.
+			if ro.position.Era < ba.Position.Era {
+				next[pa] = row{Record: ro.Record}
+			}
 		}
 		merge(next, changed)
 		return next, true
