app/direct: an error response is no evidence that an upstream ended

A complete response with status 500 that was retried counted as a connection that had ended before the first event. If the upstream then ended for another reason before its address was asked, the parts of the prompt were blamed for that end.

The error of such a response now has a type of its own, unusableResponse, and the part guard is not told about it. A response that breaks off is evidence as before.

Before the change:

--- FAIL: TestPartGuard/error_response guard_test.go:76: 2 attempts and 1 ended upstreams, want 2 and 0

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -31,6 +31,18 @@
 // that another one has begun to respond to the request.
 var errSilent = errors.New("the upstream is silent")
 
+// unusableResponse is the error for a complete response that is not passed to the
+// caller.
+type unusableResponse struct{ status int }
+
+// Error returns the text of the error.
+func (ur unusableResponse) Error() string {
+	return fmt.Sprintf("%v: status %d", proxy.ErrIncomplete, ur.status)
+}
+
+// Unwrap returns proxy.ErrIncomplete, because the request has run.
+func (unusableResponse) Unwrap() error { return proxy.ErrIncomplete }
+
 // attempt forwards the response to an exchange to the caller, after sending the
 // request if that was not done yet. The error is a *refuse.Refusal if the request must
 // not be retried even if the route allows it. If the upstream was silent and another
@@ -184,7 +196,9 @@
 	case !silent:
 		ex.ep.Failed(now)
 	}
-	if mayHaveRun(err) && !ex.began && len(rn.parts) > 0 {
+	// An upstream that responds with an error has not ended.
+	var unusable unusableResponse
+	if mayHaveRun(err) && !ex.began && !errors.As(err, &unusable) && len(rn.parts) > 0 {
 		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts)
 	}
 }
@@ -205,11 +219,8 @@
 	if err != nil {
 		return err
 	}
-	if rsp.Status() >= minServerError && rn.started {
-		return fmt.Errorf("%w: status %d for the rest of the stream", proxy.ErrIncomplete, rsp.Status())
-	}
-	if rsp.Status() >= minServerError && rn.canRetry() {
-		return fmt.Errorf("%w: status %d", proxy.ErrIncomplete, rsp.Status())
+	if rsp.Status() >= minServerError && (rn.started || rn.canRetry()) {
+		return unusableResponse{rsp.Status()}
 	}
 	rn.status = rsp.Status()
 	rn.delivered = rn.status < minServerError
--- a/internal/app/direct/guard_test.go
+++ b/internal/app/direct/guard_test.go
@@ -36,8 +36,8 @@
 
 func (sg *scriptedGuard) Served(parts []poison.Part) { sg.served = append(sg.served, parts) }
 
-// TestPartGuard guards against blaming a part for a response that had begun or for an
-// upstream that refused the request, against sending a request again that may end
+// TestPartGuard guards against blaming a part for a response that had begun, for an
+// error response or for an upstream that refused the request, against sending a request again that may end
 // another upstream, and against sending one that is refused. The last part of a prompt
 // is not shared.
 func TestPartGuard(t *testing.T) {
@@ -60,6 +60,8 @@
 		{"ended before a header", scriptedGuard{}, []upstreamStep{{err: errIncomplete}, complete}, 2, 1, [][]poison.Part{parts}, "", ""},
 		{"ended before an event", scriptedGuard{}, []upstreamStep{cutAtOnce, complete}, 2, 1, [][]poison.Part{parts}, "", ""},
 		{"ended after an event", scriptedGuard{}, []upstreamStep{cutLater, rest}, 2, 0, [][]poison.Part{parts}, "", ""},
+		{"error response", scriptedGuard{}, []upstreamStep{{status: 500}, complete}, 2, 0, [][]poison.Part{parts}, "", ""},
+		{"error response that is cut", scriptedGuard{}, []upstreamStep{{status: 500, end: errIncomplete}, complete}, 2, 1, [][]poison.Part{parts}, "", ""},
 		{"not run", scriptedGuard{}, []upstreamStep{{err: errNotRun}, complete}, 2, 0, [][]poison.Part{parts}, "", ""},
 		{"suspect", scriptedGuard{suspects: true}, []upstreamStep{cutAtOnce, complete}, 1, 1, nil, refuse.UpstreamFailed, refuse.Unknown},
 		{"suspect, but not run", scriptedGuard{suspects: true}, []upstreamStep{{err: errNotRun}, complete}, 2, 0, [][]poison.Part{parts}, "", ""},
