app/direct, adapt/entry: no response inside a stream that has started

A stream had begun and broke off, and the upstream that was to continue it responded with a 4xx, a 3xx, 204, 201 or a 200 that is no event stream. The caller found the status line as a malformed chunk, then the header and the body of that response, in its stream; the request counted as served and was not sent to a third upstream. Only statuses from 500 on were failures in a stream, and the writer of the response took a second header at any time.

The port is now split: ResponseWriter gives one header, and StartStream returns the StreamWriter, which can only add events, end or break off. In adapt/entry a second header is an error and writes nothing. In app/direct a run that has a stream takes any response that is no stream as a failed attempt: it is sent again within the retry rules, or the connection is closed without the last chunk. A status below 500 does not make the upstream suspect, and none blames a part of the prompt.

--- a/internal/adapt/entry/abort_test.go
+++ b/internal/adapt/entry/abort_test.go
@@ -48,8 +48,8 @@
 type breakingHandler struct{ wrote chan struct{} }
 
 func (bh breakingHandler) Serve(ctx context.Context, info proxy.RequestInfo, _ proxy.Sender, rw proxy.ResponseWriter) (bool, *refuse.Refusal) {
-	_ = rw.StartStream(startedStream{})
-	_ = rw.WriteEvent(proxy.Event{Number: 0, Data: []byte("id: 0\n\n")})
+	sw, _ := rw.StartStream(startedStream{})
+	_ = sw.WriteEvent(proxy.Event{Number: 0, Data: []byte("id: 0\n\n")})
 	close(bh.wrote)
 	if info.Path == "/wait/" {
 		<-ctx.Done()
--- a/internal/adapt/entry/writer.go
+++ b/internal/adapt/entry/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +15,10 @@
 // headerProvider is a response of an upstream whose header can be forwarded.
 type headerProvider interface{ Header() http.Header }
 
+// errHeaderWritten means that the caller already has a header, so that another one
+// would end up in the body.
+var errHeaderWritten = errors.New("the header of the response is already written")
+
 // responseWriter writes one response to a caller.
 type responseWriter struct {
 	co *conn
@@ -30,8 +35,12 @@
 	writeErr error
 }
 
-// writeHeader writes the status line and the header.
-func (rw *responseWriter) writeHeader(status int, hd http.Header) {
+// writeHeader writes the status line and the header, unless that was done before.
+func (rw *responseWriter) writeHeader(status int, hd http.Header) error {
+	if rw.headerWritten {
+		return errHeaderWritten
+	}
+	rw.headerWritten = true
 	if rw.closing = rw.closing || rw.co.sv.leaving.Load(); rw.closing {
 		hd.Set("Connection", "close")
 	}
@@ -39,6 +48,7 @@
 	// A bufio.Writer returns its first error from Flush.
 	_ = hd.Write(rw.bw)
 	_, _ = rw.bw.WriteString("\r\n")
+	return nil
 }
 
 // flush sends what was written and keeps the first error.
@@ -56,12 +66,13 @@
 }
 
 func (rw *responseWriter) write(status int, hd http.Header, body []byte) error {
-	rw.headerWritten = true
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		hd.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	rw.co.extendWriteDeadline()
-	rw.writeHeader(status, hd)
+	if err := rw.writeHeader(status, hd); err != nil {
+		return err
+	}
 	if rw.re.Method != http.MethodHead {
 		_, _ = rw.bw.Write(body)
 	}
@@ -69,40 +80,49 @@
 }
 
 // StartStream starts a stream. Its header is sent together with the first event.
-func (rw *responseWriter) StartStream(rsp proxy.Response) error {
-	rw.headerWritten = true
+func (rw *responseWriter) StartStream(rsp proxy.Response) (proxy.StreamWriter, error) {
 	hd := rsp.(headerProvider).Header()
-	if rw.re.ProtoAtLeast(1, 1) {
+	chunked := rw.re.ProtoAtLeast(1, 1)
+	if chunked {
 		hd.Set("Transfer-Encoding", "chunked")
 	} else {
 		rw.closing = true
 	}
-	rw.writeHeader(rsp.Status(), hd)
-	return nil
+	if err := rw.writeHeader(rsp.Status(), hd); err != nil {
+		return nil, err
+	}
+	return &streamWriter{rw: rw, chunked: chunked}, nil
+}
+
+// streamWriter writes the events of one stream to a caller, in chunks or up to the
+// end of the connection.
+type streamWriter struct {
+	rw      *responseWriter
+	chunked bool
 }
 
 // WriteEvent writes one event.
-func (rw *responseWriter) WriteEvent(ev proxy.Event) error {
-	rw.co.extendWriteDeadline()
-	rw.events++
-	if !rw.re.ProtoAtLeast(1, 1) {
-		_, _ = rw.bw.Write(ev.Data)
-		return rw.flush()
+func (sw *streamWriter) WriteEvent(ev proxy.Event) error {
+	sw.rw.co.extendWriteDeadline()
+	sw.rw.events++
+	if !sw.chunked {
+		_, _ = sw.rw.bw.Write(ev.Data)
+		return sw.rw.flush()
 	}
 	var size [16]byte
-	_, _ = rw.bw.Write(append(strconv.AppendInt(size[:0], int64(len(ev.Data)), 16), "\r\n"...))
-	_, _ = rw.bw.Write(ev.Data)
-	_, _ = rw.bw.WriteString("\r\n")
-	return rw.flush()
+	_, _ = sw.rw.bw.Write(append(strconv.AppendInt(size[:0], int64(len(ev.Data)), 16), "\r\n"...))
+	_, _ = sw.rw.bw.Write(ev.Data)
+	_, _ = sw.rw.bw.WriteString("\r\n")
+	return sw.rw.flush()
 }
 
-// EndStream completes the stream.
-func (rw *responseWriter) EndStream() error {
-	rw.co.extendWriteDeadline()
-	if rw.re.ProtoAtLeast(1, 1) {
-		_, _ = rw.bw.WriteString("0\r\n\r\n")
+// End completes the stream.
+func (sw *streamWriter) End() error {
+	sw.rw.co.extendWriteDeadline()
+	if sw.chunked {
+		_, _ = sw.rw.bw.WriteString("0\r\n\r\n")
 	}
-	return rw.flush()
+	return sw.rw.flush()
 }
 
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -32,7 +32,7 @@
 var errSilent = errors.New("the upstream is silent")
 
 // unusableResponse is the error for a complete response that is not passed to the
-// caller.
+// caller. The upstream has not ended, and only a server error counts as its failure.
 type unusableResponse struct{ status int }
 
 // Error returns the text of the error.
@@ -187,23 +187,24 @@
 	rn, now, cause := ex.rn, ex.rn.se.opts.clock.Now(), context.Cause(ex.ctx)
 	// The standby has counted the failure of an upstream when it fell silent.
 	silent := errors.Is(cause, errSilent)
+	var ur unusableResponse
+	unusable := errors.As(err, &ur)
 	switch {
 	case errors.Is(err, proxy.ErrNotRun):
 		ex.ep.RefusedFull(now)
 		return
 	case cause != nil && !silent:
 		return
-	case !silent:
+	case !silent && (!unusable || ur.status >= minServerError):
 		ex.ep.Failed(now)
 	}
-	// An upstream that responds with an error has not ended.
-	var unusable unusableResponse
-	if mayHaveRun(err) && !ex.began && !errors.As(err, &unusable) && len(rn.parts) > 0 {
+	if mayHaveRun(err) && !ex.began && !unusable && len(rn.parts) > 0 {
 		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts)
 	}
 }
 
-// forward passes the response to the caller.
+// forward passes the response to the caller. A response that is no stream cannot
+// continue one that has started.
 func (ex *exchange) forward() error {
 	rn, rsp := ex.rn, ex.rsp
 	now := rn.se.opts.clock.Now()
@@ -219,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	if rsp.Status() >= minServerError && (rn.started || rn.canRetry()) {
+	if rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry() {
 		return unusableResponse{rsp.Status()}
 	}
 	rn.status = rsp.Status()
@@ -262,12 +263,12 @@
 			}
 			return fmt.Errorf("%w: event %d follows %d", proxy.ErrIncomplete, ev.Number, lastEvent)
 		}
-		if !rn.started {
+		if rn.stream == nil {
 			if err := ex.startStream(rsp, now); err != nil {
 				return err
 			}
 		}
-		if err := rn.writer.WriteEvent(ev); err != nil {
+		if err := rn.stream.WriteEvent(ev); err != nil {
 			return refuse.New(refuse.Cancelled, "cannot write an event to the caller: %v", err).WithOutcome(refuse.Unknown)
 		}
 		// An event without a number, such as a comment, is no point to resume from.
@@ -280,25 +281,26 @@
 // stream that is resumed at another upstream keeps the first header.
 func (ex *exchange) startStream(rsp proxy.Response, now time.Time) error {
 	rn := ex.rn
-	rn.started, rn.delivered, rn.status = true, true, rsp.Status()
+	sw, err := rn.writer.StartStream(rsp)
+	if err != nil {
+		return refuse.New(refuse.Cancelled, "cannot write the response header to the caller: %v", err).WithOutcome(refuse.Unknown)
+	}
+	rn.stream, rn.delivered, rn.status = sw, true, rsp.Status()
 	rn.timeToFirst = now.Sub(rn.info.Arrived)
 	rn.se.opts.meter.Observe("firstEvent", "route", rn.route.Name, rn.timeToFirst)
 	rn.se.engines.RecordPrompt(ex.ep, rn.demand.Prompt, now)
-	if err := rn.writer.StartStream(rsp); err != nil {
-		return refuse.New(refuse.Cancelled, "cannot write the response header to the caller: %v", err).WithOutcome(refuse.Unknown)
-	}
 	return nil
 }
 
 // endStream completes the stream to the caller.
 func (ex *exchange) endStream(rsp proxy.Response) error {
 	rn := ex.rn
-	if !rn.started {
+	if rn.stream == nil {
 		if err := ex.startStream(rsp, rn.se.opts.clock.Now()); err != nil {
 			return err
 		}
 	}
-	if err := rn.writer.EndStream(); err != nil {
+	if err := rn.stream.End(); err != nil {
 		return refuse.New(refuse.Cancelled, "cannot complete the response to the caller: %v", err).WithOutcome(refuse.Unknown)
 	}
 	return nil
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -83,16 +83,16 @@
 	ca.status, ca.ended = rsp.Status(), true
 	return nil
 }
-func (ca *fakeCaller) StartStream(rsp proxy.Response) error {
+func (ca *fakeCaller) StartStream(rsp proxy.Response) (proxy.StreamWriter, error) {
 	ca.status = rsp.Status()
 	ca.starts++
-	return nil
+	return ca, nil
 }
 func (ca *fakeCaller) WriteEvent(ev proxy.Event) error {
 	ca.events = append(ca.events, ev.Number)
 	return nil
 }
-func (ca *fakeCaller) EndStream() error { ca.ended = true; return nil }
+func (ca *fakeCaller) End() error { ca.ended = true; return nil }
 
 type fakeResponse struct {
 	upstreamStep
@@ -123,6 +123,7 @@
 		"/once/":   func(ro *intent.Route) { ro.Kind = intent.NonIdempotent },
 		"/stream/": func(ro *intent.Route) { ro.Kind = intent.Stream },
 		"/resume/": func(ro *intent.Route) { ro.Kind, ro.Resumable = intent.Stream, true },
+		"/three/":  func(ro *intent.Route) { ro.Kind, ro.Resumable, ro.AttemptLimit = intent.Stream, true, 3 },
 	}
 	var out []intent.Route
 	for prefix, change := range kinds {
@@ -137,6 +138,7 @@
 // fixture is a service with its own upstreams and ledger.
 type fixture struct {
 	svc    *direct.Service
+	ups    place.EndpointMap
 	ledger *budget.Ledger
 	holder *budget.Holder
 }
@@ -159,8 +161,9 @@
 	opts = append(opts, direct.WithRetries(func() direct.RetryBudget {
 		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(reserve))
 	}))
-	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, hd, opts...)
-	return fixture{svc: svc, ledger: le, holder: hd}
+	fx := fixture{ups: place.EndpointMap{}.WithUpstreams(ups...), ledger: le, holder: hd}
+	fx.svc = direct.New(fixedView{conf, fx.ups}, hd, opts...)
+	return fx
 }
 
 func newRequest(path string) proxy.RequestInfo {
@@ -237,6 +240,57 @@
 	}
 }
 
+// TestNoRest guards against charging, retrying or reporting a stream in a wrong way
+// whose next upstream responds with an error, against blaming a part of the prompt for
+// that, and against avoiding an upstream that is sound.
+func TestNoRest(t *testing.T) {
+	cut := upstreamStep{status: 200, events: []int64{0, 1}, end: errIncomplete}
+	rest := upstreamStep{status: 200, events: []int64{2}, end: io.EOF}
+	for _, tc := range []struct {
+		name     string
+		path     string
+		script   []upstreamStep
+		attempts int
+		reason   refuse.Reason
+		charged  ident.Tokens
+		suspects int
+	}{
+		{"client error", "/resume/", []upstreamStep{cut, {status: 404}, rest}, 2, refuse.UpstreamFailed, 110, 1},
+		{"server error", "/resume/", []upstreamStep{cut, {status: 500}, rest}, 2, refuse.UpstreamFailed, 110, 2},
+		{"client error, then the rest", "/three/", []upstreamStep{cut, {status: 404}, rest}, 3, "", 115, 1},
+		{"server error, then the rest", "/three/", []upstreamStep{cut, {status: 500}, rest}, 3, "", 115, 2},
+		{"not run, then the rest", "/resume/", []upstreamStep{cut, {err: errNotRun}, rest}, 3, "", 115, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				guard := &scriptedGuard{}
+				fx := newFixture(t, 4, 10, direct.WithPartGuard(guard))
+				ca := &fakeCaller{script: tc.script}
+				_, re := fx.svc.Serve(t.Context(), newRequest(tc.path), ca, ca)
+				if re == nil {
+					re = &refuse.Refusal{}
+				}
+				suspects := 0
+				for _, ep := range fx.ups.Service("s") {
+					if ep.Suspect(time.Now()) {
+						suspects++
+					}
+				}
+				type result struct {
+					Attempts, Starts, Ended, Suspects int
+					Reason                            refuse.Reason
+					Charged                           ident.Tokens
+				}
+				want := result{tc.attempts, 1, 0, tc.suspects, tc.reason, tc.charged}
+				got := result{len(ca.attempts), ca.starts, len(guard.ended), suspects, re.Reason, fx.holder.Counts(account).Unsettled}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestResumeFrom guards against resuming a stream at another event than the one
 // after the last that the caller has.
 func TestResumeFrom(t *testing.T) {
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -64,8 +64,9 @@
 	// parts are the shared parts of the prompt.
 	parts []poison.Part
 
-	// started says that the header of a stream was sent to the caller.
-	started bool
+	// stream is the stream to the caller, or nil if none was started. Attempts that
+	// follow can only continue it.
+	stream proxy.StreamWriter
 	// delivered says that the caller received at least a part of a response that
 	// does not report a failure of the upstream.
 	delivered bool
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -158,7 +158,7 @@
 		rn.settle(hold)
 	}
 	rn.report(re)
-	return rn.started, re
+	return rn.stream != nil, re
 }
 
 // retryBudget returns the retry budget of a service and creates it if necessary.
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -121,14 +121,20 @@
 	Send(ctx context.Context, at Attempt) (Response, error)
 }
 
-// ResponseWriter writes the response to the caller.
+// ResponseWriter writes the response to the caller. A caller gets one header: once
+// one of the methods was called, both return an error and write nothing.
 type ResponseWriter interface {
 	// WriteResponse writes a response with the upstream's status, header and body.
 	WriteResponse(rsp Response, body []byte) error
 	// StartStream starts a stream with the upstream's status and header.
-	StartStream(rsp Response) error
+	StartStream(rsp Response) (StreamWriter, error)
+}
+
+// StreamWriter writes the events of a stream that has started. A stream without End
+// is broken off.
+type StreamWriter interface {
 	// WriteEvent writes one event.
 	WriteEvent(ev Event) error
-	// EndStream completes the stream.
-	EndStream() error
+	// End completes the stream.
+	End() error
 }
