app/direct: a resumed stream needs an event that continues it

A stream had begun and broke off, and the next upstream responded with an event stream that did not continue it: it ended at once, repeated old events only, or sent events without a number, such as an error event. The caller got a complete end, in the last case with the error's text before it.

An upstream that knows nothing of the request can end its stream at once, and one that ends without a length or chunks may have been cut off. A resumed stream therefore counts as complete only after an event that continues it. An event without a number fails the attempt there, because nothing shows that it belongs to the same stream; comments, which the pool now marks, are dropped. The first upstream's own bytes are still forwarded as they are. The cost: a stream that broke off between its last event and its end is not completed, and the caller resumes it.

--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -241,7 +241,7 @@
 		if end := eventEnd(er.buf[er.from:er.to]); end > 0 {
 			data := er.buf[er.from : er.from+end]
 			er.from += end
-			ev := proxy.Event{Number: eventNumber(data), Data: data}
+			ev := proxy.Event{Number: eventNumber(data), Data: data, Comment: isComment(data)}
 			if ev.Number < 0 {
 				er.unnumbered += end
 			}
@@ -295,3 +295,13 @@
 	}
 	return -1
 }
+
+// isComment reports whether an event has no fields.
+func isComment(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -33,11 +33,14 @@
 
 // unusableResponse is the error for a complete response that is not passed to the
 // caller. The upstream has not ended, and only a server error counts as its failure.
-type unusableResponse struct{ status int }
+type unusableResponse struct {
+	status int
+	reason string
+}
 
 // Error returns the text of the error.
 func (ur unusableResponse) Error() string {
-	return fmt.Sprintf("%v: status %d", proxy.ErrIncomplete, ur.status)
+	return fmt.Sprintf("%v: status %d, %s", proxy.ErrIncomplete, ur.status, ur.reason)
 }
 
 // Unwrap returns proxy.ErrIncomplete, because the request has run.
@@ -221,7 +224,7 @@
 		return err
 	}
 	if rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry() {
-		return unusableResponse{rsp.Status()}
+		return unusableResponse{rsp.Status(), "an error or no stream"}
 	}
 	rn.status = rsp.Status()
 	rn.delivered = rn.status < minServerError
@@ -240,11 +243,16 @@
 
 // forwardEvents passes the events of a stream to the caller as they arrive.
 // Events that the caller already has are skipped, and a missing event ends the
-// attempt.
+// attempt. A stream that continues another one is not complete without a further
+// event, because its upstream may know nothing of the events before.
 func (ex *exchange) forwardEvents() error {
 	rn, rsp := ex.rn, ex.rsp
+	resumed, continued := rn.stream != nil, false
 	for {
 		ev, err := rsp.NextEvent(ex.ctx)
+		if errors.Is(err, io.EOF) && resumed && !continued {
+			return unusableResponse{rsp.Status(), fmt.Sprintf("no event follows %d", rn.lastEvent.Load())}
+		}
 		if errors.Is(err, io.EOF) {
 			return ex.endStream(rsp)
 		}
@@ -256,12 +264,10 @@
 		ex.progressed()
 		ex.sent.FirstEvent(now)
 		ex.began = true
-		lastEvent := rn.lastEvent.Load()
-		if lastEvent >= 0 && ev.Number != lastEvent+1 && ev.Number >= 0 {
-			if ev.Number <= lastEvent {
-				continue
-			}
-			return fmt.Errorf("%w: event %d follows %d", proxy.ErrIncomplete, ev.Number, lastEvent)
+		if forward, err := rn.checkEvent(ev, resumed); err != nil {
+			return err
+		} else if !forward {
+			continue
 		}
 		if rn.stream == nil {
 			if err := ex.startStream(rsp, now); err != nil {
@@ -271,12 +277,31 @@
 		if err := rn.stream.WriteEvent(ev); err != nil {
 			return refuse.New(refuse.Cancelled, "cannot write an event to the caller: %v", err).WithOutcome(refuse.Unknown)
 		}
-		// An event without a number, such as a comment, is no point to resume from.
-		rn.lastEvent.Store(max(lastEvent, ev.Number))
+		continued = true
+		rn.lastEvent.Store(max(rn.lastEvent.Load(), ev.Number))
 		rn.eventsSent++
 	}
 }
 
+// checkEvent reports whether the event is forwarded, and returns an error if it does
+// not follow those that the caller has. Only the first upstream may send events without
+// a number, since nothing shows whether others belong to the same stream.
+func (rn *run) checkEvent(ev proxy.Event, resumed bool) (forward bool, err error) {
+	lastEvent := rn.lastEvent.Load()
+	switch {
+	case ev.Number < 0 && resumed && !ev.Comment:
+		return false, fmt.Errorf("%w: an event without a number follows %d", proxy.ErrIncomplete, lastEvent)
+	case ev.Number < 0:
+		return !resumed, nil
+	case lastEvent < 0 || ev.Number == lastEvent+1:
+		return true, nil
+	case ev.Number <= lastEvent:
+		return false, nil
+	default:
+		return false, fmt.Errorf("%w: event %d follows %d", proxy.ErrIncomplete, ev.Number, lastEvent)
+	}
+}
+
 // startStream starts the stream to the caller with the header of the response. A
 // stream that is resumed at another upstream keeps the first header.
 func (ex *exchange) startStream(rsp proxy.Response, now time.Time) error {
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -241,8 +241,8 @@
 }
 
 // TestNoRest guards against charging, retrying or reporting a stream in a wrong way
-// whose next upstream responds with an error, against blaming a part of the prompt for
-// that, and against avoiding an upstream that is sound.
+// whose next upstream responds with an error or without an event, against blaming a
+// part of the prompt for that, and against avoiding an upstream that is sound.
 func TestNoRest(t *testing.T) {
 	cut := upstreamStep{status: 200, events: []int64{0, 1}, end: errIncomplete}
 	rest := upstreamStep{status: 200, events: []int64{2}, end: io.EOF}
@@ -259,6 +259,9 @@
 		{"server error", "/resume/", []upstreamStep{cut, {status: 500}, rest}, 2, refuse.UpstreamFailed, 110, 2},
 		{"client error, then the rest", "/three/", []upstreamStep{cut, {status: 404}, rest}, 3, "", 115, 1},
 		{"server error, then the rest", "/three/", []upstreamStep{cut, {status: 500}, rest}, 3, "", 115, 2},
+		{"no event", "/resume/", []upstreamStep{cut, {status: 200, events: []int64{}, end: io.EOF}, rest}, 2, refuse.UpstreamFailed, 110, 1},
+		{"no event, then the rest", "/three/", []upstreamStep{cut, {status: 200, events: []int64{}, end: io.EOF}, rest}, 3, "", 115, 1},
+		{"old events", "/three/", []upstreamStep{cut, {status: 200, events: []int64{0, 1}, end: io.EOF}, rest}, 3, "", 115, 1},
 		{"not run, then the rest", "/resume/", []upstreamStep{cut, {err: errNotRun}, rest}, 3, "", 115, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/app/direct/resume_test.go
+++ b/internal/app/direct/resume_test.go
@@ -163,3 +163,20 @@
 		t.Run(name, func(t *testing.T) { checkResume(t, second) })
 	}
 }
+
+// TestStreamNotContinued guards against a complete end, and against events that do not
+// belong there, when the next upstream does not continue a stream that broke off.
+func TestStreamNotContinued(t *testing.T) {
+	for name, second := range map[string]string{
+		"no events":                secondHead + lastChunk,
+		"no events and no framing": strings.Replace(secondHead, "Transfer-Encoding: chunked\r\n", "", 1),
+		"only old events":          secondHead + eventOf(0) + eventOf(1) + lastChunk,
+		"gap":                      secondHead + eventOf(3) + lastChunk,
+		"error event":              secondHead + chunkOf("event: error\ndata: failed\n\n") + lastChunk,
+		"error event after old":    secondHead + eventOf(1) + chunkOf("data: failed\n\n") + lastChunk,
+		"comment":                  secondHead + chunkOf(": failed\n\n") + lastChunk,
+		"text":                     secondHead + chunkOf("HTTP/1.1 500 Internal Server Error\r\n\r\n") + lastChunk,
+	} {
+		t.Run(name, func(t *testing.T) { checkResume(t, second) })
+	}
+}
--- a/internal/app/direct/standby.go
+++ b/internal/app/direct/standby.go
@@ -171,7 +171,7 @@
 func (sb *standby) check(ex *exchange) error {
 	stream := sb.rn.route.Kind == intent.Stream
 	if stream != ex.rsp.IsStream() || ex.rsp.Status() >= minServerError {
-		return unusableResponse{ex.rsp.Status()}
+		return unusableResponse{ex.rsp.Status(), "an error or no stream"}
 	}
 	return nil
 }
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -109,10 +109,12 @@
 }
 
 // Event is one event of a stream. Number is -1 if the event has none. Data holds
-// the bytes as received and is valid until the next event is read.
+// the bytes as received and is valid until the next event is read. Comment says that
+// the event has no fields.
 type Event struct {
-	Number int64
-	Data   []byte
+	Number  int64
+	Data    []byte
+	Comment bool
 }
 
 // Sender is a caller's request that can be sent to upstreams.
