app/direct: no other run in a stream that cannot be resumed

A stream whose events have no numbers broke off, and the whole stream of another run followed in the same response, because the resumption started from the beginning. The same held for an event without a number after numbered ones, which would have come again, and for event streams on idempotent routes: these may run again, but the route does not say that a run can be resumed.

A stream that has started is now continued only on resumable stream routes, and only if all its events but comments have numbers. Otherwise the connection is closed without the last chunk. A stream of which the caller has comments only is still sent again.

Before the change:

--- FAIL: TestNotResumable/route_that_may_repeat 2 attempts --- FAIL: TestNotResumable/events_without_numbers 2 attempts, response (-want +got): - Body: "data: x\n\n" + Body: "data: x\n\nid: 0\ndata: x\n\n" --- FAIL: TestNotResumable/event_without_a_number_at_last 2 attempts

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -278,6 +278,9 @@
 			return refuse.New(refuse.Cancelled, "cannot write an event to the caller: %v", err).WithOutcome(refuse.Unknown)
 		}
 		continued = true
+		if ev.Number < 0 && !ev.Comment {
+			rn.fixed.Store(true)
+		}
 		rn.lastEvent.Store(max(rn.lastEvent.Load(), ev.Number))
 		rn.eventsSent++
 	}
@@ -311,6 +314,9 @@
 		return refuse.New(refuse.Cancelled, "cannot write the response header to the caller: %v", err).WithOutcome(refuse.Unknown)
 	}
 	rn.stream, rn.delivered, rn.status = sw, true, rsp.Status()
+	if rn.route.Kind != intent.Stream || !rn.route.Resumable {
+		rn.fixed.Store(true)
+	}
 	rn.timeToFirst = now.Sub(rn.info.Arrived)
 	rn.se.opts.meter.Observe("firstEvent", "route", rn.route.Name, rn.timeToFirst)
 	rn.se.engines.RecordPrompt(ex.ep, rn.demand.Prompt, now)
--- a/internal/app/direct/resume_test.go
+++ b/internal/app/direct/resume_test.go
@@ -44,7 +44,7 @@
 // newScriptedRouter starts a router whose upstreams answer the requests in the order of the
 // script, whichever of them receives one, and returns its address and the number of
 // requests that arrived.
-func newScriptedRouter(t *testing.T, attemptLimit int, script ...string) (string, *atomic.Int64) {
+func newScriptedRouter(t *testing.T, kind intent.Kind, attemptLimit int, script ...string) (string, *atomic.Int64) {
 	t.Helper()
 	arrived := &atomic.Int64{}
 	respond := func(nc net.Conn) {
@@ -72,7 +72,7 @@
 		ups = append(ups, place.Upstream{ID: ident.Upstream(fmt.Sprint("i", no)), Address: ls.Addr().String(), Service: "s", Slots: 8})
 	}
 	conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
-		Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 20 * time.Second,
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Resumable: kind == intent.Stream, Timeout: 20 * time.Second,
 		LatencyGoal: 10 * time.Second, AttemptLimit: attemptLimit, Targets: []intent.Target{{Service: "s", Weight: 1}},
 	})
 	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, nil, direct.WithRetries(func() direct.RetryBudget {
@@ -133,7 +133,7 @@
 		2: {Status: 200, Stamp: "s1", Body: begun},
 		3: {Status: 200, Stamp: "s1", Body: begun + "id: 2\ndata: x\n\n", Complete: true},
 	} {
-		addr, arrived := newScriptedRouter(t, attempts, first, second, rest)
+		addr, arrived := newScriptedRouter(t, intent.Stream, attempts, first, second, rest)
 		got := readResponse(t, addr)
 		if diff := cmp.Diff(result{int64(attempts), want}, result{arrived.Load(), got}); diff != "" {
 			t.Errorf("with %d attempts (-want +got):\n%s", attempts, diff)
@@ -180,3 +180,37 @@
 		t.Run(name, func(t *testing.T) { checkResume(t, second) })
 	}
 }
+
+// TestNotResumable guards against joining pieces of two runs: a stream of a route that
+// is not resumable, or with an event whose place is not known, ends where it broke off.
+func TestNotResumable(t *testing.T) {
+	for name, tc := range map[string]struct {
+		kind  intent.Kind
+		first string
+		want  string
+	}{
+		"route that may repeat":          {intent.Idempotent, eventOf(0), "id: 0\ndata: x\n\n"},
+		"events without numbers":         {intent.Stream, chunkOf("data: x\n\n"), "data: x\n\n"},
+		"event without a number at last": {intent.Stream, eventOf(0) + chunkOf("data: y\n\n"), "id: 0\ndata: x\n\ndata: y\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole := secondHead + eventOf(0) + chunkOf("data: y\n\n") + eventOf(1) + lastChunk
+			addr, arrived := newScriptedRouter(t, tc.kind, 2, streamHead+"Server-Stamp: s1\r\n\r\n"+tc.first, whole)
+			want := callerResponse{Status: 200, Stamp: "s1", Body: tc.want}
+			if diff := cmp.Diff(want, readResponse(t, addr)); diff != "" || arrived.Load() != 1 {
+				t.Errorf("%d attempts, response (-want +got):\n%s", arrived.Load(), diff)
+			}
+		})
+	}
+}
+
+// TestCommentBeforeStream guards against a stream that ends broken off because a comment
+// reached the caller, though no event did.
+func TestCommentBeforeStream(t *testing.T) {
+	first := streamHead + "Server-Stamp: s1\r\n\r\n" + chunkOf(": ping\n\n")
+	addr, _ := newScriptedRouter(t, intent.Stream, 2, first, secondHead+eventOf(0)+eventOf(1)+lastChunk)
+	want := callerResponse{Status: 200, Stamp: "s1", Body: ": ping\n\nid: 0\ndata: x\n\nid: 1\ndata: x\n\n", Complete: true}
+	if diff := cmp.Diff(want, readResponse(t, addr)); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+}
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -48,7 +48,7 @@
 )
 
 // run is the state of one request. One goroutine changes it. A standby only reads
-// what resolve has set, and lastEvent.
+// what resolve has set, lastEvent and fixed.
 type run struct {
 	se     *Service
 	info   proxy.RequestInfo
@@ -67,6 +67,10 @@
 	// stream is the stream to the caller, or nil if none was started. Attempts that
 	// follow can only continue it.
 	stream proxy.StreamWriter
+	// fixed says that the caller has a part of a stream that no other upstream can
+	// continue: the route does not allow it, or an event without a number leaves
+	// unknown where to go on. A standby reads it while events are forwarded.
+	fixed atomic.Bool
 	// delivered says that the caller received at least a part of a response that
 	// does not report a failure of the upstream.
 	delivered bool
@@ -211,6 +215,8 @@
 		return rn.timeoutRefusal()
 	case rn.runs > 0 && !rn.route.Repeatable():
 		return refuse.New(refuse.UpstreamFailed, "%v", err)
+	case rn.fixed.Load():
+		return refuse.New(refuse.UpstreamFailed, "%v, and the stream cannot be resumed", err)
 	case rn.runs >= rn.route.AttemptLimit:
 		return refuse.New(refuse.UpstreamFailed, "%v, after %d attempts", err, rn.runs)
 	case rn.runs > 0 && rn.se.opts.guard.Suspect(rn.parts, rn.demand.Tried):
--- a/internal/app/direct/standby.go
+++ b/internal/app/direct/standby.go
@@ -119,7 +119,7 @@
 // current one goes on. It reports whether the standby has to watch on.
 func (sb *standby) send() bool {
 	paid := false
-	for !sb.stopped() && sb.mayRun() && sb.sends < maxSends && !sb.suspect() {
+	for !sb.stopped() && sb.mayRun() && !sb.rn.fixed.Load() && sb.sends < maxSends && !sb.suspect() {
 		ep, uncached := sb.rn.choose(sb.demand)
 		if ep == nil || !paid && !sb.retries.Take() {
 			return false
