adapt/entry: a broken stream to an HTTP/1.0 caller does not look complete

A caller with HTTP/1.0 gets a stream without chunks, which is complete when the connection is closed. A stream that was broken off was closed in the same way, so the caller took it for complete.

Until the stream has ended, closing its connection now resets it, whichever part of the process closes it.

Before the change:

--- FAIL: TestBrokenStream HTTP/1.0, complete false: body "data: a\n\n", error <nil>

--- a/internal/adapt/entry/writer.go
+++ b/internal/adapt/entry/writer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -91,7 +92,11 @@
 	if err := rw.writeHeader(rsp.Status(), hd); err != nil {
 		return nil, err
 	}
-	return &streamWriter{rw: rw, chunked: chunked}, nil
+	sw := &streamWriter{rw: rw, chunked: chunked}
+	if !chunked {
+		sw.resetOnClose(true)
+	}
+	return sw, nil
 }
 
 // streamWriter writes the events of one stream to a caller, in chunks or up to the
@@ -121,8 +126,25 @@
 	sw.rw.co.extendWriteDeadline()
 	if sw.chunked {
 		_, _ = sw.rw.bw.WriteString("0\r\n\r\n")
+		return sw.rw.flush()
+	}
+	if err := sw.rw.flush(); err != nil {
+		return err
+	}
+	sw.resetOnClose(false)
+	return nil
+}
+
+// resetOnClose sets whether closing the connection resets it. Without chunks, an
+// ordinary close means that the stream is complete.
+func (sw *streamWriter) resetOnClose(reset bool) {
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tc, ok := sw.rw.co.nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(linger)
 	}
-	return sw.rw.flush()
 }
 
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
--- a/internal/adapt/entry/writer_test.go
+++ b/internal/adapt/entry/writer_test.go
@@ -93,3 +93,29 @@
 		t.Errorf("errors (-want +got):\n%s", diff)
 	}
 }
+
+// TestBrokenStream guards against a stream that was broken off and looks complete to the
+// caller, whether it gets chunks or a body up to the end of the connection.
+func TestBrokenStream(t *testing.T) {
+	rsp := headerResponse{status: http.StatusOK, header: http.Header{}}
+	event := proxy.Event{Data: []byte("data: a\n\n")}
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, complete := range []bool{true, false} {
+			ha := handlerFunc(func(rw proxy.ResponseWriter) (bool, *refuse.Refusal) {
+				sw, err := rw.StartStream(rsp)
+				if err != nil {
+					return false, nil
+				}
+				_ = sw.WriteEvent(event)
+				if !complete {
+					return true, refuse.New(refuse.UpstreamFailed, "broken off")
+				}
+				_ = sw.End()
+				return true, nil
+			})
+			if _, body, err := callOnce(t, ha, version); complete != (err == nil) || complete && body != string(event.Data) {
+				t.Errorf("%s, complete %v: body %q, error %v", version, complete, body, err)
+			}
+		}
+	}
+}
