adapt/caller: a failed stream is cut after its error event

A stream of a chat completion that failed ended with an error event and without [DONE], but its HTTP response was completed. A caller that goes by the framing, or that skips events without choices, took the stream for complete.

The handler now closes the connection without the last chunk once the error event is flushed, by http.ErrAbortHandler; with HTTP/2 the stream is reset. The error event stays, for callers that read it. TestBrokenStream uses a connection instead of a recorder, with the same checks and one for the end of the body.

Before the change:

--- FAIL: TestBrokenStream failed after the first chunk: the body ended with error <nil>

--- a/internal/adapt/caller/chat.go
+++ b/internal/adapt/caller/chat.go
@@ -160,7 +160,8 @@
 	return body, nil
 }
 
-// streamChat forwards each event to the caller as it arrives.
+// streamChat forwards each event to the caller as it arrives. A stream that fails is
+// broken off after an error event.
 func (fe *Frontend) streamChat(ec echo.Context, rq front.Request, withUsage bool) error {
 	rs := ec.Response()
 	var out []byte
@@ -182,7 +183,11 @@
 		if !rs.Committed {
 			return err
 		}
-		return writeErrorEvent(rs, rq.ID, refuse.From(err))
+		if err := writeErrorEvent(rs, rq.ID, refuse.From(err)); err != nil {
+			return err
+		}
+		// Closes the connection without the last chunk.
+		panic(http.ErrAbortHandler)
 	}
 	if !rs.Committed {
 		startEventStream(rs)
@@ -198,8 +203,8 @@
 	rs.WriteHeader(http.StatusOK)
 }
 
-// writeErrorEvent ends a stream that has already started. It writes no [DONE], so
-// that a client does not take the response for complete.
+// writeErrorEvent reports the failure of a stream that has already started. It writes
+// no [DONE], so that a client does not take the response for complete.
 func writeErrorEvent(rs *echo.Response, id ident.Request, rf *refuse.Refusal) error {
 	data, err := json.Marshal(newProblem(id, statusOf(rf.Reason), rf))
 	if err != nil {
--- a/internal/adapt/caller/refusal_test.go
+++ b/internal/adapt/caller/refusal_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -128,7 +130,7 @@
 }
 
 // TestBrokenStream guards against a failed stream that looks complete to the
-// client because it ends with [DONE].
+// client because it ends with [DONE] or because its last chunk is sent.
 func TestBrokenStream(t *testing.T) {
 	streamingChat := strings.Replace(validChat, "{", `{"stream":true,`, 1)
 	for name, tc := range map[string]struct {
@@ -143,13 +145,36 @@
 		"refused before the first chunk": {&fakeServer{err: refuse.New(refuse.Busy, "full").WithRetryAt(time.Now().Add(90 * time.Second))}, streamingChat, 503, false, "90"},
 		"failed, not streamed":           {&fakeServer{chunks: []string{testChunk}, err: refuse.New(refuse.UpstreamFailed, "gone")}, validChat, 502, false, ""},
 	} {
-		rs := post(t, handler(tc.sv), chatPath, tc.body, nil)
-		complete := strings.HasSuffix(rs.Body.String(), "data: [DONE]\n\n")
-		if rs.Code != tc.status || complete != tc.complete || rs.Header().Get("Retry-After") != tc.retryAfter {
-			t.Errorf("%s: status %d, complete %t, Retry-After %q\n%s", name, rs.Code, complete, rs.Header().Get("Retry-After"), rs.Body)
+		rs, body, err := postOver(t, handler(tc.sv), tc.body)
+		complete := strings.HasSuffix(body, "data: [DONE]\n\n")
+		if rs.StatusCode != tc.status || complete != tc.complete || rs.Header.Get("Retry-After") != tc.retryAfter {
+			t.Errorf("%s: status %d, complete %t, Retry-After %q\n%s", name, rs.StatusCode, complete, rs.Header.Get("Retry-After"), body)
 		}
-		if !tc.complete && !strings.Contains(rs.Body.String(), `"outcome"`) {
-			t.Errorf("%s: no outcome in %s", name, rs.Body)
+		if !tc.complete && !strings.Contains(body, `"outcome"`) {
+			t.Errorf("%s: no outcome in %s", name, body)
 		}
+		if cut := tc.status == http.StatusOK && !tc.complete; cut != errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%s: the body ended with error %v", name, err)
+		}
+	}
+}
+
+// postOver sends a chat request over a connection and returns the response, its body and
+// the error that ended the body.
+func postOver(t *testing.T, ha http.Handler, body string) (*http.Response, string, error) {
+	t.Helper()
+	srv := httptest.NewServer(ha)
+	defer srv.Close()
+	rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL+chatPath, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rq.Header.Set("Authorization", "Bearer "+apiKey)
+	rs, err := srv.Client().Do(rq)
+	if err != nil {
+		t.Fatal(err)
 	}
+	defer func() { _ = rs.Body.Close() }()
+	data, err := io.ReadAll(rs.Body)
+	return rs, string(data), err
 }
