adapt/entry: no last chunk after a response to HEAD

The response to a HEAD request whose upstream announced a stream was followed by the last chunk, so that a caller that kept the connection found bytes that are no response before the next one.

The front end now writes only the header.

Before the change:

--- FAIL: TestHeadOfStream "0\r\n\r\n" follows the header, error <nil>

--- a/internal/adapt/entry/writer.go
+++ b/internal/adapt/entry/writer.go
@@ -92,6 +92,9 @@
 	if err := rw.writeHeader(rsp.Status(), hd); err != nil {
 		return nil, err
 	}
+	if rw.re.Method == http.MethodHead {
+		return headWriter{rw}, nil
+	}
 	sw := &streamWriter{rw: rw, chunked: chunked}
 	if !chunked {
 		sw.resetOnClose(true)
@@ -147,6 +150,15 @@
 	}
 }
 
+// headWriter completes the response to a HEAD request, which has no body.
+type headWriter struct{ rw *responseWriter }
+
+// WriteEvent writes nothing.
+func (headWriter) WriteEvent(proxy.Event) error { return nil }
+
+// End sends the header.
+func (hw headWriter) End() error { return hw.rw.flush() }
+
 // problem is the body of a refusal in the format of RFC 9457 (problem details).
 type problem struct {
 	Type    string         `json:"type"`
--- a/internal/app/direct/resume_test.go
+++ b/internal/app/direct/resume_test.go
@@ -214,3 +214,19 @@
 		t.Errorf("response (-want +got):\n%s", diff)
 	}
 }
+
+// TestHeadOfStream guards against chunks after a response to HEAD, which the caller would
+// take for the next response.
+func TestHeadOfStream(t *testing.T) {
+	addr, _ := newScriptedRouter(t, intent.Stream, 2, streamHead+"\r\n")
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_, _ = io.WriteString(nc, "HEAD / HTTP/1.1\r\nHost: h\r\n"+scriptedField+"Connection: close\r\n\r\n")
+	data, err := io.ReadAll(nc)
+	if _, rest, ok := strings.Cut(string(data), "\r\n\r\n"); err != nil || !ok || rest != "" {
+		t.Errorf("%q follows the header, error %v", rest, err)
+	}
+}
