app/follow: keep the version of an entry that cannot be used

What callers saw: nothing here so far. An invalid entry among those of the upstreams was logged (event 5124) at every read of all rows, each 5 s at each router for as long as it existed, and an older state of an entry could come back into use after an invalid one.

Cause: an entry that cannot be decoded was deleted from memory, and with it the version up to which the row is known.

Change: the entry stays with its version and without an upstream. It is logged once for each version, no older state replaces it, and it is dropped with its row, without a grace period after an outage. That an invalid entry takes the upstream that it replaces out of use at once stays as it was: the protocol says that it names none to use, and a valid entry brings the upstream back.

Evidence: before the change --- FAIL: TestForeignEntryLoggedOnce records of the invalid entry after each read (-want +got): - 1, 1, 1, 2, 2, 2, 3, + 2, 4, 6, 8, 10, 10, 12, --- FAIL: TestForeignEntryOverLive upstreams after each change (-want +got): {"a", "z"}, {"z"}, { + "a", "z" }, {"a", "z"}, {"z"}, ... // 2 identical elements TestForeignEntryGone passed before and guards the new state of an entry.

--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -331,6 +332,72 @@
 	}
 }
 
+// eventLog counts the log records of each event.
+type eventLog struct {
+	meter.Nop
+	counts map[int]int
+}
+
+func (el eventLog) Log(ev meter.Event, _ ...slog.Attr) { el.counts[ev.Number]++ }
+
+// TestForeignEntryLoggedOnce guards against logs that fill up because an invalid entry
+// is reported again whenever all entries are read again.
+func TestForeignEntryLoggedOnce(t *testing.T) {
+	const evBadEntry = 5124
+	now := time.Unix(1000, 0)
+	log := eventLog{counts: map[int]int{}}
+	us := follow.NewUpstreams(decodeUpstream, log)
+	bad := func(version uint64) feed.Row {
+		return feed.Row{Key: "b", Value: []byte("broken"), Position: epoch.Position{Version: version}}
+	}
+	var got []int
+	for _, rows := range [][]feed.Row{{bad(1)}, {bad(1)}, {bad(1)}, {bad(5)}, {bad(5)}, {}, {bad(7)}} {
+		us.Replace(feed.Batch{Position: epoch.Position{Version: 7}, Rows: rows}, now)
+		us.ApplyChanges(feed.Batch{Position: epoch.Position{Version: 7}, Rows: rows}, now)
+		got = append(got, log.counts[evBadEntry])
+	}
+	if diff := cmp.Diff([]int{1, 1, 1, 2, 2, 2, 3}, got); diff != "" {
+		t.Errorf("records of the invalid entry after each read (-want +got):\n%s", diff)
+	}
+}
+
+// TestForeignEntryOverLive guards against an upstream that stays in use although its
+// entry was overwritten by an invalid one, is used again because of an older state of
+// its entry, or is not used again once it has written a valid entry.
+func TestForeignEntryOverLive(t *testing.T) {
+	now := time.Unix(1000, 0)
+	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
+	row := func(version uint64, value string) feed.Row {
+		return feed.Row{Key: "a", Value: []byte(value), Position: epoch.Position{Version: version}}
+	}
+	got := [][]string{}
+	for _, ro := range []feed.Row{row(2, "1"), row(4, "broken"), row(3, "1"), row(5, "1"), row(6, "broken"), {Key: "a", Position: epoch.Position{Version: 7}, Deleted: true}, row(8, "1")} {
+		us.ApplyChanges(feed.Batch{Position: ro.Position, Rows: []feed.Row{ro, {Key: "z", Value: []byte("2"), Position: epoch.Position{Version: 1}}}}, now)
+		got = append(got, ids(us))
+	}
+	want := [][]string{{"a", "z"}, {"z"}, {"z"}, {"a", "z"}, {"z"}, {"z"}, {"a", "z"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("upstreams after each change (-want +got):\n%s", diff)
+	}
+}
+
+// TestForeignEntryGone guards against an invalid entry that becomes an upstream in the
+// grace period after an outage, in which removed entries stay in use.
+func TestForeignEntryGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	us := follow.NewUpstreams(decodeUpstream, meter.Nop{})
+	us.Replace(feed.Batch{Position: epoch.Position{Version: 3}, Rows: []feed.Row{
+		{Key: "a", Value: []byte("1"), Position: epoch.Position{Version: 1}}, {Key: "b", Value: []byte("broken"), Position: epoch.Position{Version: 2}},
+	}}, now)
+	us.Lost(now)
+	now = now.Add(5 * time.Second)
+	us.Recovered(now)
+	us.Replace(feed.Batch{Position: epoch.Position{Version: 9}}, now)
+	if diff := cmp.Diff([]string{"a"}, ids(us)); diff != "" {
+		t.Errorf("upstreams (-want +got):\n%s", diff)
+	}
+}
+
 type incarnations []budget.Incarnation
 
 func (in incarnations) Incarnations(context.Context) ([]budget.Incarnation, error) { return in, nil }
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -60,11 +60,13 @@
 }
 
 // entry is an upstream with the position of its row. An expired entry was removed
-// from the store during an outage and stays in use for a grace period.
+// from the store during an outage and stays in use for a grace period. The row of an
+// unusable entry cannot be decoded, and its upstream is not used.
 type entry struct {
 	place.Entry
 	position epoch.Position
 	expired  bool
+	unusable bool
 }
 
 // WithExpired returns a copy that is expired.
@@ -73,6 +75,13 @@
 	return en
 }
 
+// WithUnusable returns a copy with the position of a row that cannot be decoded. It
+// keeps what the upstream reported before.
+func (en entry) WithUnusable(po epoch.Position) entry {
+	en.position, en.unusable, en.expired = po, true, false
+	return en
+}
+
 // removal is an entry that was removed at a time.
 type removal struct {
 	entry
@@ -187,8 +196,10 @@
 	}
 	next, err := us.decode(ro)
 	if err != nil {
-		us.meter.Log(evBadEntry, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version), slog.String("error", err.Error()))
-		delete(us.entries, id)
+		us.entries[id] = old.WithUnusable(ro.Position)
+		if !old.unusable || old.position != ro.Position {
+			us.meter.Log(evBadEntry, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version), slog.String("error", err.Error()))
+		}
 		return
 	}
 	switch rm, wasRemoved := us.removed[id]; {
@@ -202,7 +213,7 @@
 	}
 	delete(us.removed, id)
 	us.entries[id] = entry{Entry: next, position: ro.Position}
-	if !exists || old.Upstream != next.Upstream || old.expired {
+	if !exists || old.Upstream != next.Upstream || old.expired || old.unusable {
 		us.meter.Log(evUpstream, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
 			slog.String("service", string(next.Service)), slog.String("address", next.Address), slog.Bool("leaving", next.Leaving))
 	}
@@ -220,6 +231,10 @@
 	if !ok {
 		return
 	}
+	if en.unusable {
+		delete(us.entries, id)
+		return
+	}
 	if now.Before(us.graceUntil) {
 		if !en.expired {
 			us.meter.Log(evExpired, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
@@ -236,7 +251,9 @@
 func (us *Upstreams) publish() {
 	all := make([]place.Upstream, 0, len(us.entries))
 	for _, en := range us.entries {
-		all = append(all, en.Upstream)
+		if !en.unusable {
+			all = append(all, en.Upstream)
+		}
 	}
 	us.cell.Store(us.cell.Load().WithUpstreams(all...))
 }
