app/budget, platform: one unreadable row does not hide all routers

What callers saw: nothing here so far; no other program is expected to write to the list of routers. A row in it that this program did not write, or cannot decode, would have left each router without the addresses of all others: no configuration and no loan from them, and no escrow of a killed predecessor reclaimed.

Cause: Table.Scan failed for the whole page if a row had no version in front of its value, and Ledger.Incarnations ended at the first row that it could not decode.

Change: Scan returns such a row without a value and without a version, so that its readers decide and no conditional write can replace it. Incarnations omits rows that it cannot decode; Holdings and Balance, which operators read, still name them. The stand-in for the store gets PutValue for values that are no JSON documents.

--- a/internal/app/budget/balance.go
+++ b/internal/app/budget/balance.go
@@ -59,16 +59,14 @@
 	Row escrow.IncarnationRow
 }
 
-// Incarnations lists the incarnations that are not closed.
+// Incarnations lists the incarnations that are not closed. It omits rows that cannot be
+// decoded, so that one of them does not hide all routers; Holdings returns their error.
 func (le *Ledger) Incarnations(ctx context.Context) ([]Incarnation, error) {
 	var all []Incarnation
 	prefix := incarnationKey("")
 	err := scan(ctx, le.table, prefix, func(it store.Item) error {
 		ir, err := le.codecs.Incarnation.Decode(it.Value)
-		if err != nil {
-			return fmt.Errorf("budget: row %s: %w", it.Key, err)
-		}
-		if ir.State != escrow.Closed {
+		if err == nil && ir.State != escrow.Closed {
 			all = append(all, Incarnation{ID: ident.Incarnation(strings.TrimPrefix(it.Key, prefix)), Row: ir})
 		}
 		return nil
--- a/internal/fake/opstor/store.go
+++ b/internal/fake/opstor/store.go
@@ -139,7 +139,12 @@
 	if err != nil {
 		panic(err)
 	}
-	st.writeOwn(Row{Table: table, Key: key, Value: data})
+	st.PutValue(table, key, data)
+}
+
+// PutValue writes any value to a row without a partition.
+func (st *Store) PutValue(table, key string, value []byte) {
+	st.writeOwn(Row{Table: table, Key: key, Value: value})
 }
 
 // Remove deletes a row without a partition.
--- a/internal/port/store/table.go
+++ b/internal/port/store/table.go
@@ -83,7 +83,8 @@
 	// Get returns the row and whether it exists.
 	Get(ctx context.Context, key string) (Item, bool, error)
 	// Scan returns up to limit rows whose keys start with prefix and sort
-	// after the key after, in key order.
+	// after the key after, in key order. A row that was not written by a Table has
+	// neither a value nor a version.
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Item, error)
 	// Commit applies all writes or none. Implementations must not retry it after
 	// an uncertain result.
