app/follow: report a configuration that cannot be used once for each version

What callers saw: nothing here so far; the store accepts valid configurations only. A row that cannot be decoded was logged as an error (event 5112) at every read of it, every 5 s at each router.

Cause: the version of a refused row was not kept.

Change: it is kept, and the row is logged when the version changes.

Evidence: before the change --- FAIL: TestBadConfigLoggedOnce records after each offer (-want +got): - 1, 1, 2, 2, 2, 3, 3 + 1, 2, 3, 4, 4, 5, 6

Result: the tests of app/follow and role/direct pass with the race detector, the linters too.

--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
@@ -32,6 +33,8 @@
 	row     feed.Row
 	changed chan struct{}
 	known   bool
+	// refused is the position of the last row that could not be decoded.
+	refused epoch.Position
 }
 
 // NewConfig returns a Config without a configuration.
@@ -71,7 +74,10 @@
 	}
 	next, ok, err := co.decode(ro)
 	if err != nil {
-		co.meter.Log(evBadConfig, slog.Uint64("version", ro.Position.Version), slog.String("source", source), slog.String("error", err.Error()))
+		if ro.Position != co.refused {
+			co.meter.Log(evBadConfig, slog.Uint64("version", ro.Position.Version), slog.String("source", source), slog.String("error", err.Error()))
+		}
+		co.refused = ro.Position
 		return
 	}
 	current := co.cell.Load().Revision()
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -361,6 +361,22 @@
 	}
 }
 
+// TestBadConfigLoggedOnce guards against logs that fill up because a configuration that
+// cannot be used is reported again whenever it is read again.
+func TestBadConfigLoggedOnce(t *testing.T) {
+	const evBadConfig = 5112
+	log := eventLog{counts: map[int]int{}}
+	co := follow.NewConfig(decode, log)
+	var got []int
+	for _, ro := range []feed.Row{row(3, "broken"), row(3, "broken"), row(4, "broken"), row(4, "broken"), row(5, "1"), row(6, "broken"), row(6, "broken")} {
+		co.Offer(ro, "store")
+		got = append(got, log.counts[evBadConfig])
+	}
+	if diff := cmp.Diff([]int{1, 1, 2, 2, 2, 3, 3}, got); diff != "" || co.Load().Revision() != 1 {
+		t.Errorf("revision %d, records after each offer (-want +got):\n%s", co.Load().Revision(), diff)
+	}
+}
+
 // TestForeignEntryOverLive guards against an upstream that stays in use although its
 // entry was overwritten by an invalid one, is used again because of an older state of
 // its entry, or is not used again once it has written a valid entry.
