--- a/internal/adapt/pool/pool_test.go
+++ b/internal/adapt/pool/pool_test.go
@@ -258,3 +258,19 @@
 		t.Errorf("the upstream saw the connection of %q close, want a1", id)
 	}
 }
+
+// TestUnusableAddress guards against an address out of range that ends the process, or
+// after which a request counts as sent.
+func TestUnusableAddress(t *testing.T) {
+	po := pool.New(testHeaderNames())
+	for _, addr := range []string{"", "127.0.0.1", "127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:99999999999999999999", "[::1:80", "127.0.0.1:80:80"} {
+		up := proxy.Upstream{ID: "i", Address: addr}
+		_, err := po.Send(t.Context(), pool.Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h"}, proxy.Attempt{Upstream: up, LastEvent: -1})
+		if !errors.Is(err, proxy.ErrNotSent) {
+			t.Errorf("%q: %v, want ErrNotSent", addr, err)
+		}
+		if pool.Refuses(t.Context(), up) {
+			t.Errorf("%q counts as the address of a process that has ended", addr)
+		}
+	}
+}
