adapt/pool: tests of copies of earlier refusals

Other operators saw a faulty engine write an earlier refusal once more on a kept connection, which was taken for the response to the next request.

Change: tests of copies with the id of the refused request, without an id, with status 421, without a length, as an interim response, begun before the next request is written, before another refusal, after responses without a body, and while a body of 16 MiB is being written.

After a copy without an id, and after one whose end is not known, the outcome is unknown.

--- /dev/null
+++ b/internal/adapt/pool/refusal_test.go
@@ -0,0 +1,191 @@
+package pool_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/port/proxy"
+)
+
+// rawOK returns a response to the request that was run.
+func rawOK(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// rawRefusal returns a response that says that the request was not run.
+func rawRefusal(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 0.25\r\nAttempt-Id: %s\r\nContent-Length: 4\r\n\r\nfull", id)
+}
+
+// unnamedRefusal is a refusal that names no request.
+const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+
+// serveRaw writes replies[c][n] when it has read request n of connection c, and then
+// waits for the next request. The channel receives each connection.
+func serveRaw(t *testing.T, replies [][]string) (addr string, conns <-chan struct{}) {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	accepted := make(chan struct{}, len(replies))
+	go func() {
+		for _, texts := range replies {
+			nc, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for _, text := range texts {
+					re, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, re.Body)
+					_, _ = io.WriteString(nc, text)
+				}
+				_, _ = br.Peek(1)
+			}()
+		}
+	}()
+	return ls.Addr().String(), accepted
+}
+
+// sendRaw sends a request and returns the body of the response, or what the error says
+// about the request.
+func sendRaw(t *testing.T, po *pool.Pool, addr string, rq pool.Request) string {
+	t.Helper()
+	at := proxy.Attempt{Upstream: proxy.Upstream{ID: "i-1", Address: addr}, Deadline: time.Now().Add(time.Hour), LastEvent: -1}
+	rsp, err := po.Send(t.Context(), rq, at)
+	if err == nil {
+		defer rsp.Close()
+		var body []byte
+		if body, err = rsp.Body(t.Context()); err == nil {
+			return string(body)
+		}
+	}
+	for text, kind := range map[string]error{"not sent": proxy.ErrNotSent, "not run": proxy.ErrNotRun, "unknown": proxy.ErrIncomplete} {
+		if errors.Is(err, kind) {
+			return text
+		}
+	}
+	return err.Error()
+}
+
+// TestSecondCopyOfRefusal guards against taking the copy of an earlier refusal for the
+// response to a request that the upstream runs. The copy arrives when the connection
+// is already in use again.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nNot-Executed: 1\r\nAttempt-Id: a2\r\n\r\n"
+	for _, tc := range []struct {
+		name    string
+		replies [][]string
+		ids     []string
+		want    []string
+		conns   int
+	}{
+		{"no copy", [][]string{{rawRefusal("a1"), rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
+		{"with its id", [][]string{{rawRefusal("a1"), rawRefusal("a1") + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
+		{"without an id", [][]string{{rawRefusal("a1"), unnamedRefusal + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "unknown"}, 1},
+		{"of a refusal without an id", [][]string{{unnamedRefusal, unnamedRefusal + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "unknown"}, 1},
+		{"status 421", [][]string{{rawOK("a1", "one"), "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"one", "unknown"}, 1},
+		{"without a length", [][]string{{rawRefusal("a1"), "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: a1\r\n\r\n" + strings.Repeat("x", 70_000)}}, []string{"a1", "a2"}, []string{"not run", "unknown"}, 1},
+		{"as an interim response", [][]string{{rawRefusal("a1"), interim + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
+		{"begun before the next request", [][]string{{rawRefusal("a1") + rawRefusal("a1")[:20], rawRefusal("a1")[20:]}, {rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 2},
+		{"before a refusal", [][]string{{rawRefusal("a1"), rawRefusal("a1") + rawRefusal("a2")}, {rawOK("a3", "three")}}, []string{"a1", "a2", "a3"}, []string{"not run", "not run", "three"}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, conns := serveRaw(t, tc.replies)
+			po := pool.New(testHeaderNames())
+			var got []string
+			for _, id := range tc.ids {
+				got = append(got, sendRaw(t, po, addr, request(id)))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" || len(conns) != tc.conns {
+				t.Errorf("%d connections, want %d (-want +got):\n%s", len(conns), tc.conns, diff)
+			}
+		})
+	}
+}
+
+// TestCopyOfResponseWithoutBody guards against a refusal that is read from within the
+// response after the copy of one that has no body.
+func TestCopyOfResponseWithoutBody(t *testing.T) {
+	for _, tc := range []struct{ name, method, first, want string }{
+		{"HEAD", http.MethodHead, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 9\r\n\r\n", "unknown"},
+		{"status 204", http.MethodPost, "HTTP/1.1 204 No Content\r\nAttempt-Id: a1\r\n\r\n", "two"},
+		{"status 304", http.MethodPost, "HTTP/1.1 304 Not Modified\r\nAttempt-Id: a1\r\nContent-Length: 9\r\n\r\n", "two"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, _ := serveRaw(t, [][]string{{tc.first, tc.first + rawOK("a2", "two")}})
+			po, rq := pool.New(testHeaderNames()), request("a1")
+			rq.Method = tc.method
+			got := []string{sendRaw(t, po, addr, rq), sendRaw(t, po, addr, request("a2"))}
+			if diff := cmp.Diff([]string{"", tc.want}, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRefusalBeforeBody guards against reusing a connection on which the upstream has
+// refused a request before it has read its body, and against taking the copy of an
+// earlier refusal that arrives meanwhile for the response.
+func TestRefusalBeforeBody(t *testing.T) {
+	for _, tc := range []struct{ name, reply, want string }{
+		{"refusal", rawRefusal("a2"), "not run"},
+		{"copy of an earlier one", rawRefusal("a1"), "unknown"},
+		{"copy without an id", unnamedRefusal, "unknown"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ls, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = ls.Close() })
+			go func() {
+				nc, err := ls.Accept()
+				if err != nil {
+					return
+				}
+				br := bufio.NewReader(nc)
+				re, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, re.Body)
+				_, _ = io.WriteString(nc, rawRefusal("a1"))
+				// The body of the second request is not read.
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(nc, tc.reply)
+					_ = nc.(*net.TCPConn).CloseWrite()
+				}
+				if nc, err = ls.Accept(); err == nil {
+					if _, err = http.ReadRequest(bufio.NewReader(nc)); err == nil {
+						_, _ = io.WriteString(nc, rawOK("a3", "three"))
+					}
+				}
+			}()
+			po, addr, large := pool.New(testHeaderNames()), ls.Addr().String(), request("a2")
+			large.Body = make([]byte, 16<<20)
+			got := []string{sendRaw(t, po, addr, request("a1")), sendRaw(t, po, addr, large), sendRaw(t, po, addr, request("a3"))}
+			if diff := cmp.Diff([]string{"not run", tc.want, "three"}, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
