adapt/pool: send a request id only once on a connection

Callers could be told "not run" for a request that an upstream runs, and the request could run at a second upstream: a request was refused, the same id was sent again on the kept connection, and a late copy of the refusal was read as the response to the second sending. A router sends a request to an upstream only once; a caller that repeats an id reaches this case.

Cause: a response is bound to a request by its id only, which is the same for both sendings.

Change: a connection keeps the hashes of the ids that were sent on it and is not taken for one of these again; other requests still reuse it. After 1024 requests it is closed, which bounds the list.

TestBoundRequests: 2,000 requests in sequence use two connections.

--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 )
 
@@ -34,7 +37,10 @@
 	// idleMargin is subtracted from a timeout that the upstream announces.
 	idleMargin = 500 * time.Millisecond
 	// maxIdle bounds the number of idle connections to one upstream.
-	maxIdle     = 32
+	maxIdle = 32
+	// maxRequests bounds the requests on one connection, because the connection
+	// remembers the id of each.
+	maxRequests = 1024
 	readBufSize = 4 << 10
 	// maxHeadBytes bounds what is read before the header of a response is complete,
 	// with interim responses and second copies of the response before it.
@@ -76,6 +82,8 @@
 	net.Conn
 	br   *bufio.Reader
 	head *headLimiter
+	// sentIDs holds the hashes of the ids of all requests on the connection.
+	sentIDs []uint64
 	// lastID is the id of the last request that was completed on the connection.
 	lastID string
 	// expiresAt is the time from which the idle connection must not be reused.
@@ -107,6 +115,14 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, fresh: true}, nil
 }
 
+// hasSent reports whether a request with the id was sent on the connection. The id
+// alone cannot tell the response to a second one from a late copy of the first, so an id
+// is sent only once on a connection. Where hashes collide, it is true for another id.
+func (co *conn) hasSent(id string) bool { return slices.Contains(co.sentIDs, xxhash.Sum64String(id)) }
+
+// recordSent records that a request with the id is sent on the connection.
+func (co *conn) recordSent(id string) { co.sentIDs = append(co.sentIDs, xxhash.Sum64String(id)) }
+
 // stillIdle reports whether the connection is open and no byte has arrived on it
 // since the last response. Such bytes belong to no request, so a connection that
 // has them is not reused.
@@ -125,26 +141,32 @@
 	conns []*conn
 }
 
-// take returns a usable idle connection, or nil. It closes those that it finds
-// unusable.
-func (ic *idleConns) take(now time.Time) *conn {
+// take returns a usable idle connection on which the id was not sent, or nil. It closes
+// those that it finds unusable.
+func (ic *idleConns) take(id string, now time.Time) *conn {
 	for {
-		ic.mu.Lock()
-		n := len(ic.conns)
-		if n == 0 {
-			ic.mu.Unlock()
-			return nil
-		}
-		co := ic.conns[n-1]
-		ic.conns = ic.conns[:n-1]
-		ic.mu.Unlock()
-		if now.Before(co.expiresAt) && co.stillIdle() {
+		co := ic.remove(id)
+		if co == nil || now.Before(co.expiresAt) && co.stillIdle() {
 			return co
 		}
 		_ = co.Close()
 	}
 }
 
+// remove removes and returns the most recently used connection on which the id was not
+// sent, or nil.
+func (ic *idleConns) remove(id string) *conn {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	for ix, co := range slices.Backward(ic.conns) {
+		if !co.hasSent(id) {
+			ic.conns = slices.Delete(ic.conns, ix, ix+1)
+			return co
+		}
+	}
+	return nil
+}
+
 // put adds a connection and closes the least recently used one if there are more
 // than maxIdle.
 func (ic *idleConns) put(co *conn) {
--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -89,7 +89,7 @@
 // one of the errors of the port, which say what is known about the request.
 func (po *Pool) Send(ctx context.Context, rq Request, at proxy.Attempt) (proxy.Response, error) {
 	ic := po.idleConns(at.Upstream)
-	co := ic.take(time.Now())
+	co := ic.take(rq.ID, time.Now())
 	if co == nil {
 		var err error
 		if co, err = dial(ctx, at.Upstream.Address); err != nil {
@@ -117,6 +117,7 @@
 // roundTrip writes the request and reads the header of its response.
 func (po *Pool) roundTrip(rsp *response, rq Request, at proxy.Attempt) error {
 	header := po.header(rq, at)
+	rsp.conn.recordSent(rq.ID)
 	if len(rq.Body) <= maxInlineBody {
 		header.Write(rq.Body)
 		n, err := rsp.conn.Write(header.Bytes())
--- a/internal/adapt/pool/refusal_test.go
+++ b/internal/adapt/pool/refusal_test.go
@@ -31,7 +31,8 @@
 const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
 
 // serveRaw writes replies[c][n] when it has read request n of connection c, and then
-// waits for the next request. The channel receives each connection.
+// waits for the next request. Further connections are refused. The channel receives each
+// connection.
 func serveRaw(t *testing.T, replies [][]string) (addr string, conns <-chan struct{}) {
 	t.Helper()
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
@@ -41,6 +42,7 @@
 	t.Cleanup(func() { _ = ls.Close() })
 	accepted := make(chan struct{}, len(replies))
 	go func() {
+		defer func() { _ = ls.Close() }()
 		for _, texts := range replies {
 			nc, err := ls.Accept()
 			if err != nil {
@@ -189,3 +191,57 @@
 		})
 	}
 }
+
+// TestSameIDOnConnection guards against taking the copy of a refusal for the response
+// to the same request, which is sent again and runs.
+func TestSameIDOnConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		replies [][]string
+		ids     []string
+		want    []string
+	}{
+		{"refusal", [][]string{{rawRefusal("a1"), rawRefusal("a1") + rawOK("a1", "one")}, {rawOK("a1", "one")}},
+			[]string{"a1", "a1"}, []string{"not run", "one"}},
+		{"refusal before another request", [][]string{{rawRefusal("a1"), rawOK("a2", "two"), rawRefusal("a1") + rawOK("a1", "one")}, {rawOK("a1", "one")}},
+			[]string{"a1", "a2", "a1"}, []string{"not run", "two", "one"}},
+		{"refusal without an id", [][]string{{unnamedRefusal, rawRefusal("a1") + rawOK("a1", "one")}, {rawOK("a1", "one")}},
+			[]string{"a1", "a1"}, []string{"not run", "one"}},
+		{"success", [][]string{{rawOK("a1", "first"), rawOK("a1", "first") + rawOK("a1", "one")}, {rawOK("a1", "one")}},
+			[]string{"a1", "a1"}, []string{"first", "one"}},
+		{"the connection serves other requests", [][]string{{rawRefusal("a1"), rawOK("a2", "again")}, {rawOK("a1", "one"), rawOK("a2", "two")}},
+			[]string{"a1", "a1", "a2", "a2"}, []string{"not run", "one", "two", "again"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, conns := serveRaw(t, tc.replies)
+			po := pool.New(testHeaderNames())
+			var got []string
+			for _, id := range tc.ids {
+				got = append(got, sendRaw(t, po, addr, request(id)))
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" || len(conns) != 2 {
+				t.Errorf("%d connections, want 2 (-want +got):\n%s", len(conns), diff)
+			}
+		})
+	}
+}
+
+// TestBoundRequests guards against a connection whose list of ids grows without end, and
+// against a new connection for each request.
+func TestBoundRequests(t *testing.T) {
+	const requests, requestsPerConn = 2000, 1024
+	var texts []string
+	for num := range requests {
+		texts = append(texts, rawOK(fmt.Sprint("a", num), "x"))
+	}
+	addr, conns := serveRaw(t, [][]string{texts[:requestsPerConn], texts[requestsPerConn:]})
+	po := pool.New(testHeaderNames())
+	for num := range requests {
+		if got := sendRaw(t, po, addr, request(fmt.Sprint("a", num))); got != "x" {
+			t.Fatalf("request %d: %s", num, got)
+		}
+	}
+	if len(conns) != 2 {
+		t.Errorf("%d connections for %d requests, want 2", len(conns), requests)
+	}
+}
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -190,7 +190,7 @@
 
 // reusable reports whether the connection can be used for another request.
 func (rsp *response) reusable() bool {
-	if !rsp.complete || rsp.surplus || rsp.httpResp.Close || rsp.conn.br.Buffered() > 0 {
+	if !rsp.complete || rsp.surplus || rsp.httpResp.Close || rsp.conn.br.Buffered() > 0 || len(rsp.conn.sentIDs) >= maxRequests {
 		return false
 	}
 	if rsp.httpResp.ContentLength < 0 && len(rsp.httpResp.TransferEncoding) == 0 {
