app/direct: do not pass on the status of a refusal without proof

Callers were told "not run" for requests that an upstream may have run: a response with status 503, 429, 408 or 421 that did not say that the request was not run was passed on with its status, which promises that. 429, 408 and 421 were charged as served, too.

Cause: a response with a status under 500, and one over it for a request that cannot be retried, was forwarded whatever the status promises.

Change: such a response proves nothing. Repeatable requests are sent again, others end with the outcome unknown (502) and without the field values of the upstream.

--- FAIL: TestRepeat/once:_status_503_without_proof (0.00s) Attempts: 1, - Reason: "upstreamFailed", + Reason: "", - Outcome: "unknown", + Outcome: "", - Ended: false, + Ended: true, --- FAIL: TestRepeat/once:_status_429_without_proof (0.00s) - Charged: 0, + Charged: 100, and with status 408 and 421, after a refusal, in a stream, and twice on an idempotent route; TestRepeat/idempotent:_status_429_is_retried: 1 attempt, want 2

New cases that passed before: a refusal after an event of a stream and one after a run leave the outcome unknown.

Result: the tests of app/direct and role/direct pass with the race detector.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -27,6 +28,10 @@
 	minServerError = 500
 )
 
+// notRunStatuses are the statuses that promise a caller that the request did not and
+// will not run.
+var notRunStatuses = []int{408, 421, 429, 503}
+
 // errSilent means that the upstream has sent nothing for the silence timeout and
 // that another one has begun to respond to the request.
 var errSilent = errors.New("the upstream is silent")
@@ -223,7 +228,10 @@
 	if err != nil {
 		return err
 	}
-	if rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry() {
+	switch {
+	case slices.Contains(notRunStatuses, rsp.Status()):
+		return unusableResponse{rsp.Status(), "without proof that the request was not run"}
+	case rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry():
 		return unusableResponse{rsp.Status(), "an error or no stream"}
 	}
 	rn.status = rsp.Status()
--- a/internal/app/direct/standby.go
+++ b/internal/app/direct/standby.go
@@ -170,7 +170,7 @@
 // exchange.
 func (sb *standby) check(ex *exchange) error {
 	stream := sb.rn.route.Kind == intent.Stream
-	if stream != ex.rsp.IsStream() || ex.rsp.Status() >= minServerError {
+	if stream != ex.rsp.IsStream() || ex.rsp.Status() >= minServerError || slices.Contains(notRunStatuses, ex.rsp.Status()) {
 		return unusableResponse{ex.rsp.Status(), "an error or no stream"}
 	}
 	return nil
