adapt/pool: detect a response joined to the beginning of another one

Callers could be told "not run" for a request that an upstream runs, and the request could run at a second upstream: the copy of an earlier refusal broke off inside a line of its header, the response to the next request followed, and the joined header had the status and the Not-Executed field of the copy with the id of the response.

Cause: the header was taken for that of one response whatever its values contain.

Change: a header with a status line inside its own status line or inside a field makes the outcome unknown. A header that breaks off elsewhere cannot be read, or has another id, as before.

--- a/internal/adapt/pool/refusal_test.go
+++ b/internal/adapt/pool/refusal_test.go
@@ -245,3 +245,28 @@
 		t.Errorf("%d connections for %d requests, want 2", len(conns), requests)
 	}
 }
+
+// TestJoinedHeads guards against a refusal that is read from the beginning of a copy and
+// the rest of the response that follows it, and likewise against a joined success.
+func TestJoinedHeads(t *testing.T) {
+	refusal, misdirected := rawRefusal("a1"), "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: a1\r\n"
+	for _, tc := range []struct{ name, cut string }{
+		{"inside a field", refusal[:strings.Index(refusal, "25\r\n")]},
+		{"inside the name of a field", refusal[:strings.Index(refusal, "y-After")]},
+		{"inside the id", refusal[:strings.Index(refusal, "\r\nContent-Length")]},
+		{"inside the field after the id", refusal[:strings.Index(refusal, "4\r\n\r\n")]},
+		{"inside the status line", misdirected[:strings.Index(misdirected, "Request")]},
+		{"after the status code", misdirected[:strings.Index(misdirected, " Misdirected")]},
+		{"inside the status code", misdirected[:strings.Index(misdirected, "1 Misdirected")]},
+		{"success inside a field", "HTTP/1.1 200 OK\r\nServer-Stamp: s"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, _ := serveRaw(t, [][]string{{refusal, tc.cut + rawOK("a2", "two")}})
+			po := pool.New(testHeaderNames())
+			got := []string{sendRaw(t, po, addr, request("a1")), sendRaw(t, po, addr, request("a2"))}
+			if diff := cmp.Diff([]string{"not run", "unknown"}, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -94,6 +96,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
 		}
+		if hasJoinedHeads(httpResp) {
+			return fmt.Errorf("%w: the header contains the status line of another response", proxy.ErrIncomplete)
+		}
 		if httpResp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -123,6 +128,24 @@
 	return nil
 }
 
+// statusLine matches the beginning of the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+
+// hasJoinedHeads reports whether the header begins with a part of another header, as
+// after a copy of an earlier response that breaks off inside a line. Its status and
+// fields then belong to two responses.
+func hasJoinedHeads(httpResp *http.Response) bool {
+	if statusLine.MatchString(httpResp.Status) {
+		return true
+	}
+	for _, vals := range httpResp.Header {
+		if slices.ContainsFunc(vals, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // isCopy reports whether the response is a further copy of the one to the previous
 // request on the connection.
 func (rsp *response) isCopy(httpResp *http.Response, rq Request) bool {
