adapt/client, adapt/openai: no call on a connection after an error status

A call that an engine runs could be refused as not run, and run at a second engine: the engine wrote an earlier refusal (503) once more on a kept connection, after the next call had been written, and the sidecar took it for the response to that call.

Cause: the connections of the sidecar to its engine are reused after refusals, and the engine's responses name no request.

Change: an option of the shared client, which the adapter uses: nothing is written to a connection on which a response with an error status was read, so that the transport opens another one; connections are still reused after successes. A call that was written just before the first refusal was recorded gets the outcome unknown for a second one.

--- FAIL: TestSecondCopyOfRefusal (0.00s) reasons (-want +got): []refuse.Reason{ "busy", - "", + "busy", "", }

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -26,7 +26,9 @@
 	dialTimeout       time.Duration
 	idleTimeout       time.Duration
 	disableKeepAlives bool
-	dial              func(ctx context.Context, network, addr string) (net.Conn, error)
+	// noReuseAfterErrors says that connections are not reused after error statuses.
+	noReuseAfterErrors bool
+	dial               func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Option configures a client.
@@ -64,6 +66,9 @@
 	if se.dial == nil {
 		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
 	}
+	if se.noReuseAfterErrors {
+		se.dial = withErrorConns(se.dial)
+	}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         se.dial,
@@ -83,13 +88,21 @@
 // have reached the server; it is false only if no connection was obtained. A lowest
 // rate of the request's context applies.
 func Do(hc *http.Client, re *http.Request) (resp *http.Response, sent bool, err error) {
-	var conn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { conn.Store(true) }}
+	var conn atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) }}
 	resp, err = hc.Do(re.WithContext(httptrace.WithClientTrace(re.Context(), trace)))
-	if err == nil {
-		resp.Body = bodyWithProgress(re.Context(), resp.Body)
+	used := conn.Load()
+	if err != nil {
+		return resp, used != nil, err
+	}
+	if used != nil {
+		if err := checkStatus(*used, resp); err != nil {
+			_ = resp.Body.Close()
+			return nil, true, err
+		}
 	}
-	return resp, conn.Load(), err
+	resp.Body = bodyWithProgress(re.Context(), resp.Body)
+	return resp, used != nil, nil
 }
 
 // ReadAll reads the body up to limit bytes and closes it. The error of a read says
--- a/internal/adapt/openai/openai.go
+++ b/internal/adapt/openai/openai.go
@@ -67,7 +67,7 @@
 		opt(en)
 	}
 	if en.hc == nil {
-		en.hc = client.New()
+		en.hc = client.New(client.WithoutReuseAfterErrors())
 	}
 	return en
 }
--- a/internal/adapt/openai/openai_test.go
+++ b/internal/adapt/openai/openai_test.go
@@ -1,10 +1,13 @@
 package openai_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -285,3 +288,50 @@
 		t.Errorf("load %v, %v (-want +got):\n%s", lo.At, err, diff)
 	}
 }
+
+// TestSecondCopyOfRefusal guards against taking the late copy of a refusal for the
+// response to the next call, which the engine runs.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	const event = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event), event)
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ls.Close() }()
+	go func() {
+		for _, texts := range [][]string{{refusal, refusal + answer}, {answer, answer}} {
+			nc, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for _, text := range texts {
+					re, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, re.Body)
+					_, _ = io.WriteString(nc, text)
+				}
+				_, _ = br.Peek(1)
+			}()
+		}
+		_ = ls.Close()
+	}()
+	up := openai.New("http://" + ls.Addr().String())
+	var got []refuse.Reason
+	for _, id := range []string{"c1", "c2", "c3"} {
+		reason := refuse.Reason("")
+		if _, err := up.Run(t.Context(), call(id, ""), (&collector{}).emit); err != nil {
+			reason = refuse.From(err).Reason
+		}
+		got = append(got, reason)
+	}
+	if diff := cmp.Diff([]refuse.Reason{refuse.Busy, "", ""}, got); diff != "" {
+		t.Errorf("reasons (-want +got):\n%s", diff)
+	}
+}
