adapt/pool: skip late copies of responses to any earlier request

A request that an upstream had served ended with the outcome unknown: a copy of the response to the request before the last on the connection arrived first, or a copy, with an id, of a refusal without one.

Cause: only copies with the id of the last response were known.

Change: the ids that were sent on the connection identify copies. They replace the last id and the flag of a new connection.

--- FAIL: TestSecondCopyOfRefusal/of_the_request_before_the_last (0.00s) "not run", "two", - "three", + "unknown", --- FAIL: TestSecondCopyOfRefusal/of_a_refusal_that_named_no_request (0.00s) "not run", - "two", + "unknown",

--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -84,12 +84,8 @@
 	head *headLimiter
 	// sentIDs holds the hashes of the ids of all requests on the connection.
 	sentIDs []uint64
-	// lastID is the id of the last request that was completed on the connection.
-	lastID string
 	// expiresAt is the time from which the idle connection must not be reused.
 	expiresAt time.Time
-	// fresh is true until a request on the connection has been completed.
-	fresh bool
 }
 
 func dial(ctx context.Context, addr string) (*conn, error) {
@@ -112,7 +108,7 @@
 		return nil, err
 	}
 	hl := &headLimiter{src: nc}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, fresh: true}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl}, nil
 }
 
 // hasSent reports whether a request with the id was sent on the connection. The id
@@ -123,6 +119,9 @@
 // recordSent records that a request with the id is sent on the connection.
 func (co *conn) recordSent(id string) { co.sentIDs = append(co.sentIDs, xxhash.Sum64String(id)) }
 
+// isFirst reports whether the request in progress is the first one on the connection.
+func (co *conn) isFirst() bool { return len(co.sentIDs) == 1 }
+
 // stillIdle reports whether the connection is open and no byte has arrived on it
 // since the last response. Such bytes belong to no request, so a connection that
 // has them is not reused.
--- a/internal/adapt/pool/refusal_test.go
+++ b/internal/adapt/pool/refusal_test.go
@@ -102,6 +102,8 @@
 	}{
 		{"no copy", [][]string{{rawRefusal("a1"), rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
 		{"with its id", [][]string{{rawRefusal("a1"), rawRefusal("a1") + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
+		{"of the request before the last", [][]string{{rawRefusal("a1"), rawOK("a2", "two"), rawRefusal("a1") + rawOK("a3", "three")}}, []string{"a1", "a2", "a3"}, []string{"not run", "two", "three"}, 1},
+		{"of a refusal that named no request", [][]string{{unnamedRefusal, rawRefusal("a1") + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "two"}, 1},
 		{"without an id", [][]string{{rawRefusal("a1"), unnamedRefusal + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "unknown"}, 1},
 		{"of a refusal without an id", [][]string{{unnamedRefusal, unnamedRefusal + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"not run", "unknown"}, 1},
 		{"status 421", [][]string{{rawOK("a1", "one"), "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" + rawOK("a2", "two")}}, []string{"a1", "a2"}, []string{"one", "unknown"}, 1},
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -42,7 +42,7 @@
 	// bodyWritten receives the result of writing the request body concurrently. It
 	// is nil if the body was written before.
 	bodyWritten chan error
-	// surplus says that a copy of the previous response was skipped. The connection
+	// surplus says that a copy of an earlier response was skipped. The connection
 	// is not reused, because further copies may follow.
 	surplus bool
 	// notRun says that the upstream reported that it did not run the request.
@@ -86,7 +86,7 @@
 }
 
 // readHeader reads the header and checks that the response belongs to the request.
-// Interim responses and late copies of the previous response are skipped.
+// Interim responses and late copies of earlier responses are skipped.
 func (rsp *response) readHeader(rq Request) error {
 	rsp.conn.head.limit(maxHeadBytes)
 	defer rsp.conn.head.lift()
@@ -107,7 +107,7 @@
 			break
 		}
 		if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
-			return fmt.Errorf("%w: copy of the response before: %w", proxy.ErrIncomplete, err)
+			return fmt.Errorf("%w: copy of an earlier response: %w", proxy.ErrIncomplete, err)
 		}
 		rsp.surplus = true
 	}
@@ -116,7 +116,7 @@
 	switch {
 	case got == rq.ID:
 		rsp.notRun = refused
-	case got == "" && refused && rsp.conn.fresh:
+	case got == "" && refused && rsp.conn.isFirst():
 		// A response on a new connection cannot belong to an earlier request.
 		rsp.notRun = true
 	default:
@@ -146,11 +146,11 @@
 	return false
 }
 
-// isCopy reports whether the response is a further copy of the one to the previous
-// request on the connection.
+// isCopy reports whether the response is a further copy of the one to an earlier request
+// on the connection.
 func (rsp *response) isCopy(httpResp *http.Response, rq Request) bool {
 	id := httpResp.Header.Get(rsp.pool.terms.RequestID)
-	return id != "" && id != rq.ID && id == rsp.conn.lastID
+	return id != "" && id != rq.ID && rsp.conn.hasSent(id)
 }
 
 // Body returns the complete body.
@@ -205,8 +205,6 @@
 		_ = rsp.conn.Close()
 		return
 	}
-	rsp.conn.fresh = false
-	rsp.conn.lastID = rsp.httpResp.Header.Get(rsp.pool.terms.RequestID)
 	rsp.conn.expiresAt = time.Now().Add(idleTimeout(rsp.httpResp.Header))
 	rsp.idleConns.put(rsp.conn)
 }
