adapt/plain: no call on a connection after an error status

A caller could get the error status of an earlier call for one that the service runs: the service wrote the response once more on a kept connection, after the next call had been written.

Cause: the connections of the sidecar to a plain service are reused after error statuses, and the responses name no request.

--- FAIL: TestSecondCopyOfRefusal (0.00s) statuses (-want +got): []int{ 503, - 200, + 503, }

--- a/internal/adapt/plain/plain.go
+++ b/internal/adapt/plain/plain.go
@@ -65,7 +65,7 @@
 	sv := &Service{
 		base: strings.TrimSuffix(baseURL, "/"), maxResponseBytes: 16 << 20, clk: clock.System{},
 		headers: []string{"Accept", "Accept-Language", "Content-Type", "Traceparent", "Tracestate"},
-		hc:      client.New(), noKeepAlive: client.New(client.WithoutKeepAlives()),
+		hc:      client.New(client.WithoutReuseAfterErrors()), noKeepAlive: client.New(client.WithoutKeepAlives()),
 	}
 	for _, opt := range opts {
 		opt(sv)
--- a/internal/adapt/plain/plain_test.go
+++ b/internal/adapt/plain/plain_test.go
@@ -1,8 +1,11 @@
 package plain_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/plain"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/action"
 	"github.com/balsamwood/balsamwood/internal/fake/fault"
@@ -178,3 +182,48 @@
 		t.Errorf("Load = %+v, %v, want 3 slots and leaving", lo, err)
 	}
 }
+
+// TestSecondCopyOfRefusal guards against passing on the late copy of an error response as
+// the result of the next call, which the service runs.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ls.Close() }()
+	go func() {
+		for _, texts := range [][]string{{refusal, refusal + answer}, {answer, answer}} {
+			nc, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				for _, text := range texts {
+					re, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, re.Body)
+					_, _ = io.WriteString(nc, text)
+				}
+				_, _ = br.Peek(1)
+			}()
+		}
+	}()
+	up := plain.New("http://" + ls.Addr().String())
+	var got []int
+	for _, key := range []ident.Key{"k1", "k2"} {
+		res, err := up.Run(t.Context(), engine.Call{Method: http.MethodPost, Path: "/vouchers", Key: key, Body: []byte(`{}`)}, discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, res.Status)
+	}
+	if diff := cmp.Diff([]int{http.StatusServiceUnavailable, http.StatusOK}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+}
