adapt/entry: idle connections follow the timeout in force, a stop waits for accepted ones

Callers that reuse a connection within the timeout of the newest configuration found it closed, because an idle connection kept the timeout that was in force when it became idle. A connection that was accepted while the server stopped could be missed by Drain and Close.

Change: at the end of its timeout an idle connection looks at the one in force. Drain and Close wait until Serve has registered its last connection.

The second fault was found by reading and has no test of its own.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -75,11 +75,11 @@
 // serveNext reads and handles one request, and reports whether another one may
 // follow on the connection.
 func (co *conn) serveNext() bool {
-	limits := co.sv.effectiveLimits()
-	if !co.awaitRequest(limits.IdleTimeout) {
+	if !co.awaitRequest() {
 		return false
 	}
 	defer co.setState(connIdle)
+	limits := co.sv.effectiveLimits()
 	_ = co.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	hd, err := readHead(co.br, limits.MaxHeaderBytes)
 	if err != nil {
@@ -100,21 +100,36 @@
 // It reports false if none arrives before the idle timeout or the end of an idle
 // connection. A request that has arrived by then is read: the caller has sent it before
 // it could know of the end.
-func (co *conn) awaitRequest(idle time.Duration) bool {
-	co.mu.Lock()
-	if co.state == connIdle {
-		_ = co.nc.SetReadDeadline(time.Now().Add(idle))
-	}
-	co.mu.Unlock()
+func (co *conn) awaitRequest() bool {
+	since := time.Now()
+	co.setIdleDeadline(since)
 	_, err := co.br.Peek(1)
-	if isTimeout(err) && sock.StateOf(co.nc) == sock.Readable {
-		_ = co.nc.SetReadDeadline(time.Time{})
+	for isTimeout(err) {
+		// The timeout of a newer configuration may be longer.
+		if sock.StateOf(co.nc) == sock.Readable {
+			_ = co.nc.SetReadDeadline(time.Time{})
+		} else if !co.setIdleDeadline(since) {
+			break
+		}
 		_, err = co.br.Peek(1)
 	}
 	co.setState(connBusy)
 	return err == nil
 }
 
+// setIdleDeadline sets the read deadline of a connection that is idle since the time.
+// It reports whether the connection may stay idle.
+func (co *conn) setIdleDeadline(since time.Time) bool {
+	deadline := since.Add(co.sv.effectiveLimits().IdleTimeout)
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.state != connIdle || !time.Now().Before(deadline) {
+		return false
+	}
+	_ = co.nc.SetReadDeadline(deadline)
+	return true
+}
+
 // endIdle ends the connection if it is idle.
 func (co *conn) endIdle() {
 	co.mu.Lock()
--- a/internal/adapt/entry/drain_test.go
+++ b/internal/adapt/entry/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,21 +118,30 @@
 	}
 }
 
+// recordingHandler refuses requests and records that it has handled one.
+type recordingHandler struct{ handled *atomic.Bool }
+
+func (rh recordingHandler) Serve(_ context.Context, info proxy.RequestInfo, _ proxy.Sender, _ proxy.ResponseWriter) (bool, *refuse.Refusal) {
+	rh.handled.Store(info.ID == "a0")
+	return false, refuse.New(refuse.NoUpstream, "none")
+}
+
 // TestStopAnswersArrived guards against a planned stop that closes an idle connection on
 // which a whole request has arrived.
 func TestStopAnswersArrived(t *testing.T) {
-	// The second call of limits is made by the connection that waits for its second
-	// request, before it reads.
-	calls, waiting, goOn := 0, make(chan struct{}), make(chan struct{})
+	// The first call of limits after a request was handled is made by the connection
+	// that waits for its second request, before it reads.
+	var handled atomic.Bool
+	waiting, goOn := make(chan struct{}), make(chan struct{})
 	limits := func() intent.Limits {
-		if calls++; calls == 2 {
+		if handled.CompareAndSwap(true, false) {
 			close(waiting)
 			<-goOn
 		}
 		return intent.Limits{}
 	}
 	hn := terms.Default()
-	sv, err := entry.New("127.0.0.1:0", pausingHandler{}, pool.New(hn), hn, limits)
+	sv, err := entry.New("127.0.0.1:0", recordingHandler{&handled}, pool.New(hn), hn, limits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,7 +154,7 @@
 	br := bufio.NewReader(nc)
 	var got []int
 	for no := range 2 {
-		_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+": a1\r\n\r\n")
+		_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+fmt.Sprintf(": a%d\r\n\r\n", no))
 		if no == 1 {
 			sv.Drain(time.Now())
 			close(goOn)
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -42,6 +42,8 @@
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	wg    sync.WaitGroup
+	// accepting ends when Serve has registered its last connection.
+	accepting sync.WaitGroup
 }
 
 // defaultLimits replaces limits that the configuration does not set.
@@ -79,6 +81,8 @@
 
 // Serve accepts connections until Close.
 func (sv *Server) Serve() error {
+	sv.accepting.Add(1)
+	defer sv.accepting.Done()
 	for {
 		nc, err := sv.ls.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -140,6 +144,7 @@
 func (sv *Server) Drain(deadline time.Time) {
 	sv.Leave()
 	_ = sv.ls.Close()
+	sv.accepting.Wait()
 	if sv.drainUntil(deadline) {
 		return
 	}
@@ -173,6 +178,7 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
+	sv.accepting.Wait()
 	sv.mu.Lock()
 	for co := range sv.conns {
 		_ = co.nc.Close()
