app/direct: a second send that did not run counts as no run

A second send that was refused or did not reach its upstream, while the first upstream went on, counted as a run, which took an attempt from the request. Found by reading; the errors of such a send now keep what they prove. The tests of the package pass with the race detector.

--- a/internal/app/direct/standby.go
+++ b/internal/app/direct/standby.go
@@ -147,7 +147,7 @@
 			sb.current.cancel(errSilent)
 			return true
 		}
-		if goesOn {
+		if goesOn && mayHaveRun(err) {
 			err = errNotNeeded
 		}
 		sb.recordFailure(ex, err)
