app/budget: the end of a request is no outage of the table

After a draw that the deadline of its request had ended, the next requests of all accounts were refused with escrowUnavailable although the table responded.

Cause: the error of the draw was taken for an outage of the table, whoever had ended the call. Change: a draw whose request has ended refuses that request and changes nothing else.

--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -166,6 +166,7 @@
 	if re := hg.refusalFor(now, tokens); re != nil {
 		return re
 	}
+	request := ctx
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
 	if !hg.lockRows(ctx) {
@@ -190,6 +191,10 @@
 				WithRetryAt(now.Add(hd.opts.refusalTTL))
 		}
 		err := hd.unlockOrDraw(ctx, hg, tokens)
+		if err != nil && request.Err() != nil {
+			// A request that has ended says nothing about the table.
+			return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn before the request ended")
+		}
 		if hd.recordTableDown(err); hd.tableDown.Load() {
 			continue
 		}
