tests: one scripted server, one start of the entry server, no wall clock at the idle timeout

The checks are the same.

TestLongerIdleTimeout waited 300 ms and 2 s of real time, so that a busy machine could fail it. It now waits for the call at which the connection looks at the limits again.

--- a/internal/adapt/entry/abort_test.go
+++ b/internal/adapt/entry/abort_test.go
@@ -12,8 +12,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/entry"
-	"github.com/balsamwood/balsamwood/internal/adapt/pool"
-	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -71,18 +69,8 @@
 		t.Run(tc.cause, func(t *testing.T) {
 			am := abortMeter{aborts: make(chan map[string]string, 1)}
 			bh := breakingHandler{wrote: make(chan struct{})}
-			hn := terms.Default()
-			sv, err := entry.New("127.0.0.1:0", bh, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} }, entry.WithMeter(am))
-			if err != nil {
-				t.Fatal(err)
-			}
-			go func() { _ = sv.Serve() }()
-			t.Cleanup(func() { _ = sv.Close() })
-			nc, err := net.Dial("tcp", sv.Addr())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = nc.Close() }()
+			sv := startServerWith(t, bh, func() intent.Limits { return intent.Limits{} }, entry.WithMeter(am))
+			nc := dialServer(t, sv)
 			_, _ = io.WriteString(nc, "GET "+tc.path+" HTTP/1.1\r\nHost: h\r\n"+idField+"\r\n")
 			<-bh.wrote
 			tc.end(nc, sv)
--- a/internal/adapt/entry/drain_test.go
+++ b/internal/adapt/entry/drain_test.go
@@ -13,8 +13,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/balsamwood/balsamwood/internal/adapt/entry"
-	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
@@ -37,18 +35,9 @@
 func TestDrain(t *testing.T) {
 	ph := pausingHandler{make(chan struct{}), make(chan struct{})}
 	hn := terms.Default()
-	sv, err := entry.New("127.0.0.1:0", ph, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	t.Cleanup(func() { _ = sv.Close() })
+	sv := startServer(t, ph, intent.Limits{})
 	open := func(path string) (net.Conn, *bufio.Reader) {
-		nc, err := net.Dial("tcp", sv.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = nc.Close() })
+		nc := dialServer(t, sv)
 		_, _ = io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+": a1\r\n\r\n")
 		return nc, bufio.NewReader(nc)
 	}
@@ -95,16 +84,8 @@
 func TestStopRefusesInProgress(t *testing.T) {
 	eh := endingHandler{make(chan struct{})}
 	hn := terms.Default()
-	sv, err := entry.New("127.0.0.1:0", eh, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = nc.Close() }()
+	sv := startServer(t, eh, intent.Limits{})
+	nc := dialServer(t, sv)
 	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+hn.RequestID+": a1\r\n\r\n")
 	<-eh.entered
 	sv.Drain(time.Now())
@@ -141,16 +122,8 @@
 		return intent.Limits{}
 	}
 	hn := terms.Default()
-	sv, err := entry.New("127.0.0.1:0", recordingHandler{&handled}, pool.New(hn), hn, limits)
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = nc.Close() }()
+	sv := startServerWith(t, recordingHandler{&handled}, limits)
+	nc := dialServer(t, sv)
 	br := bufio.NewReader(nc)
 	var got []int
 	for no := range 2 {
--- a/internal/adapt/entry/entry_test.go
+++ b/internal/adapt/entry/entry_test.go
@@ -44,9 +44,15 @@
 	return false, ha.re
 }
 
-func startServer(t *testing.T, ha *fakeHandler, limits intent.Limits) *entry.Server {
+func startServer(t *testing.T, ha entry.Handler, limits intent.Limits) *entry.Server {
 	t.Helper()
-	sv, err := entry.New("127.0.0.1:0", ha, pool.New(terms.Default()), terms.Default(), func() intent.Limits { return limits })
+	return startServerWith(t, ha, func() intent.Limits { return limits })
+}
+
+// startServerWith starts a server whose limits may change.
+func startServerWith(t *testing.T, ha entry.Handler, limits func() intent.Limits, opts ...entry.Option) *entry.Server {
+	t.Helper()
+	sv, err := entry.New("127.0.0.1:0", ha, pool.New(terms.Default()), terms.Default(), limits, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,6 +61,17 @@
 	return sv
 }
 
+// dialServer opens a connection to the server.
+func dialServer(t *testing.T, sv *entry.Server) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc
+}
+
 // sendRaw sends raw bytes on a new connection and returns the status codes of all
 // responses until the connection ends.
 func sendRaw(t *testing.T, addr, raw string) []int {
--- a/internal/adapt/entry/idle_test.go
+++ b/internal/adapt/entry/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,77 +10,57 @@
 	"testing"
 	"time"
 
-	"github.com/balsamwood/balsamwood/internal/adapt/entry"
-	"github.com/balsamwood/balsamwood/internal/adapt/pool"
-	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
-	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestLongerIdleTimeout guards against closing an idle connection at the timeout of a
 // configuration that a newer one has replaced: callers reuse it for as long as the
 // newer one allows.
 func TestLongerIdleTimeout(t *testing.T) {
-	var idle atomic.Int64
-	idle.Store(int64(300 * time.Millisecond))
-	hn := terms.Default()
-	ha := &fakeHandler{re: refuse.New(refuse.NoUpstream, "none")}
-	sv, err := entry.New("127.0.0.1:0", ha, pool.New(hn), hn, func() intent.Limits {
-		return intent.Limits{IdleTimeout: time.Duration(idle.Load())}
+	// The first call after a request was handled is made when the connection becomes
+	// idle, and the second one when that timeout has passed.
+	var handled atomic.Bool
+	var calls atomic.Int64
+	expired := make(chan struct{})
+	sv := startServerWith(t, recordingHandler{&handled}, func() intent.Limits {
+		if !handled.Load() {
+			return intent.Limits{}
+		}
+		switch calls.Add(1) {
+		case 1:
+			return intent.Limits{IdleTimeout: time.Millisecond}
+		case 2:
+			close(expired)
+		}
+		return intent.Limits{IdleTimeout: time.Hour}
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	t.Cleanup(func() { _ = sv.Close() })
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = nc.Close() }()
+	nc := dialServer(t, sv)
 	br := bufio.NewReader(nc)
-	send := func() error {
-		if _, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+idField+"\r\n"); err != nil {
-			return err
-		}
+	var got []int
+	for no := range 2 {
+		_, _ = fmt.Fprintf(nc, "GET / HTTP/1.1\r\nHost: h\r\nBalsamwood-Request: a%d\r\n\r\n", no)
 		rsp, err := http.ReadResponse(br, nil)
 		if err != nil {
-			return err
+			t.Fatalf("request %d: %v", no, err)
+		}
+		_, _ = io.Copy(io.Discard, rsp.Body)
+		got = append(got, rsp.StatusCode)
+		if no == 0 {
+			<-expired
 		}
-		_, err = io.Copy(io.Discard, rsp.Body)
-		return err
-	}
-	if err := send(); err != nil {
-		t.Fatal(err)
-	}
-	idle.Store(int64(time.Minute))
-	// Only the end of the connection ends this read early.
-	_ = nc.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if _, err := br.Peek(1); err == io.EOF {
-		t.Fatal("the connection was closed at the idle timeout of the earlier configuration")
 	}
-	_ = nc.SetReadDeadline(time.Time{})
-	if err := send(); err != nil {
-		t.Errorf("request on the kept connection: %v", err)
+	if diff := cmp.Diff([]int{503, 503}, got); diff != "" {
+		t.Errorf("status codes (-want +got):\n%s", diff)
 	}
 }
 
 // TestHalfClosedRequest guards against closing the connection without a response when
 // a caller has sent a complete request and closed its write side.
 func TestHalfClosedRequest(t *testing.T) {
-	hn := terms.Default()
 	ph := pausingHandler{make(chan struct{}), make(chan struct{})}
-	sv, err := entry.New("127.0.0.1:0", ph, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	t.Cleanup(func() { _ = sv.Close() })
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = nc.Close() }()
+	sv := startServer(t, ph, intent.Limits{})
+	nc := dialServer(t, sv)
 	_, _ = io.WriteString(nc, "GET /slow/ HTTP/1.1\r\nHost: h\r\n"+idField+"\r\n")
 	<-ph.entered
 	_ = nc.(*net.TCPConn).CloseWrite()
--- a/internal/adapt/entry/writer_test.go
+++ b/internal/adapt/entry/writer_test.go
@@ -4,15 +4,12 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/entry"
-	"github.com/balsamwood/balsamwood/internal/adapt/pool"
-	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
@@ -39,18 +36,8 @@
 // its body, and the error that ended the body.
 func callOnce(t *testing.T, ha entry.Handler, version string) (*http.Response, string, error) {
 	t.Helper()
-	hn := terms.Default()
-	sv, err := entry.New("127.0.0.1:0", ha, pool.New(hn), hn, func() intent.Limits { return intent.Limits{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	t.Cleanup(func() { _ = sv.Close() })
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = nc.Close() })
+	sv := startServer(t, ha, intent.Limits{})
+	nc := dialServer(t, sv)
 	_, _ = io.WriteString(nc, "GET / "+version+"\r\nHost: h\r\n"+idField+"Connection: close\r\n\r\n")
 	rsp, err := http.ReadResponse(bufio.NewReader(nc), nil)
 	if err != nil {
--- a/internal/adapt/openai/openai_test.go
+++ b/internal/adapt/openai/openai_test.go
@@ -1,13 +1,10 @@
 package openai_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +20,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/fault"
 	"github.com/balsamwood/balsamwood/internal/fake/model"
+	"github.com/balsamwood/balsamwood/internal/fake/script"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 )
 
@@ -295,34 +293,12 @@
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
 	const event = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n"
 	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event), event)
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	sv, err := script.New([]string{refusal, refusal + answer}, []string{answer, answer})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ls.Close() }()
-	go func() {
-		for _, texts := range [][]string{{refusal, refusal + answer}, {answer, answer}} {
-			nc, err := ls.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for _, text := range texts {
-					re, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, re.Body)
-					_, _ = io.WriteString(nc, text)
-				}
-				_, _ = br.Peek(1)
-			}()
-		}
-		_ = ls.Close()
-	}()
-	up := openai.New("http://" + ls.Addr().String())
+	defer sv.Close()
+	up := openai.New("http://" + sv.Addr())
 	var got []refuse.Reason
 	for _, id := range []string{"c1", "c2", "c3"} {
 		reason := refuse.Reason("")
--- a/internal/adapt/plain/plain_test.go
+++ b/internal/adapt/plain/plain_test.go
@@ -1,11 +1,8 @@
 package plain_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +16,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/action"
 	"github.com/balsamwood/balsamwood/internal/fake/fault"
+	"github.com/balsamwood/balsamwood/internal/fake/script"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
 )
 
@@ -188,33 +186,12 @@
 func TestSecondCopyOfRefusal(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	sv, err := script.New([]string{refusal, refusal + answer}, []string{answer, answer})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ls.Close() }()
-	go func() {
-		for _, texts := range [][]string{{refusal, refusal + answer}, {answer, answer}} {
-			nc, err := ls.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for _, text := range texts {
-					re, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, re.Body)
-					_, _ = io.WriteString(nc, text)
-				}
-				_, _ = br.Peek(1)
-			}()
-		}
-	}()
-	up := plain.New("http://" + ls.Addr().String())
+	defer sv.Close()
+	up := plain.New("http://" + sv.Addr())
 	var got []int
 	for _, key := range []ident.Key{"k1", "k2"} {
 		res, err := up.Run(t.Context(), engine.Call{Method: http.MethodPost, Path: "/vouchers", Key: key, Body: []byte(`{}`)}, discard)
--- a/internal/adapt/pool/refusal_test.go
+++ b/internal/adapt/pool/refusal_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/fake/script"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
@@ -30,41 +31,16 @@
 // unnamedRefusal is a refusal that names no request.
 const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
 
-// serveRaw writes replies[c][n] when it has read request n of connection c, and then
-// waits for the next request. Further connections are refused. The channel receives each
-// connection.
+// serveRaw starts a server with the replies and returns its address and a channel that
+// receives each connection.
 func serveRaw(t *testing.T, replies [][]string) (addr string, conns <-chan struct{}) {
 	t.Helper()
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	sv, err := script.New(replies...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ls.Close() })
-	accepted := make(chan struct{}, len(replies))
-	go func() {
-		defer func() { _ = ls.Close() }()
-		for _, texts := range replies {
-			nc, err := ls.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- struct{}{}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				br := bufio.NewReader(nc)
-				for _, text := range texts {
-					re, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, re.Body)
-					_, _ = io.WriteString(nc, text)
-				}
-				_, _ = br.Peek(1)
-			}()
-		}
-	}()
-	return ls.Addr().String(), accepted
+	t.Cleanup(sv.Close)
+	return sv.Addr(), sv.Conns()
 }
 
 // sendRaw sends a request and returns the body of the response, or what the error says
