review: sound requests are refused after engines ended under them

Cause: each request that waits at an engine which ends reports its parts as suspect, sound ones too. The first report about an engine counts, and the parts that the reports have in common can be a sound shared part alone. Requests with it are then refused for 30 s, so that none can be served and clear it.

Done: a script with two routers and three engines; the product is unchanged.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/case4 review/4
