--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,13 +1,12 @@
-// Command 4 shows that sound requests are refused for half a minute because they were
-// waiting at engines that a part of other prompts has ended.
+// Command 4 shows that a router which the store turns away goes on sending requests to
+// an engine whose answers say that it is leaving.
 package main
 
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,119 +14,141 @@
 )
 
 const (
-	deadlyPart = "dead0001"
-	// contact is ContactMs. The rule counts from twice that after the last crash.
-	contact  = 3 * time.Second
-	downTime = 2 * time.Second
-	prefill  = 400 * time.Millisecond
-	// calm is how long the clients send without the disruption, and rush how long with it.
-	calm     = 8 * time.Second
-	rush     = 30 * time.Second
-	engines  = 3
-	maxCalls = 2000
+	// drain is DrainMs, and margin what the check allows beyond it.
+	drain  = 2 * time.Second
+	margin = 50 * time.Millisecond
+	// turnedAway is how long the store turns one of three machines away.
+	turnedAway = 9 * time.Second
+	// serveOn is how long the leaving engine serves after drain.
+	serveOn  = 3 * time.Second
+	work     = 200 * time.Millisecond
+	interval = 40 * time.Millisecond
+	// maxCalls bounds the requests of each client.
+	maxCalls = 1000
 )
 
 func main() { rig.Main(run) }
 
-// share counts sound requests and those that began to run at their first attempt.
-type share struct{ sent, begun int }
-
-type tally struct {
-	mu        sync.Mutex
-	begun     map[string]bool
-	sent      map[string]time.Time
-	crashes   int
-	lastCrash time.Time
+// ledger holds when clients sent their requests and which of them the engine received.
+type ledger struct {
+	mu      sync.Mutex
+	sent    map[string]time.Time
+	arrived []string
+	// told is when the first answer with the announcement was passed on by a router.
+	told map[string]time.Time
+	lost map[string]int
 }
 
+func routerOf(id string) string { name, _, _ := strings.Cut(id, "-"); return name }
+
 func run(ctx context.Context, de *rig.Deployment, trouble bool) (bool, error) {
-	ta := &tally{begun: map[string]bool{}, sent: map[string]time.Time{}}
+	le := &ledger{sent: map[string]time.Time{}, told: map[string]time.Time{}, lost: map[string]int{}}
+	var mu sync.Mutex
+	leaving := false
+	isLeaving := func() bool { mu.Lock(); defer mu.Unlock(); return leaving }
 	answer := func(en *rig.Engine, nc net.Conn, rq rig.Request) bool {
-		deadly := slices.Contains(rq.Parts(), deadlyPart)
-		de.Add("request %s at %s, deadly part: %v", rq.ID, en.ID(), deadly)
-		if !deadly || !trouble {
-			time.Sleep(prefill)
-			ta.mu.Lock()
-			ta.begun[rq.ID] = true
-			ta.mu.Unlock()
-			return rig.Stream(nc, rq.ID, 10, 30*time.Millisecond)
+		de.Add("ran %s at %s", rq.ID, en.ID())
+		if en.ID() != "app-0" {
+			time.Sleep(work)
+			return rig.Write(nc, 200, rq.ID, []string{"Server-Stamp: stamp-" + rq.ID, "Instance-Load: 1,0,8"}, "done")
 		}
-		_, _ = io.WriteString(nc, rig.StreamHead(rq.ID))
-		if !en.Stop() {
-			return false
+		le.mu.Lock()
+		le.arrived = append(le.arrived, rq.ID)
+		le.mu.Unlock()
+		time.Sleep(work)
+		fields := []string{"Server-Stamp: stamp-" + rq.ID, "Instance-Load: 1,0,8"}
+		if isLeaving() {
+			fields = append(fields, "Server-Leaving: 1", "Connection: close")
 		}
-		ta.mu.Lock()
-		ta.crashes++
-		ta.lastCrash = time.Now()
-		de.Add("crash %d: %s", ta.crashes, en.ID())
-		ta.mu.Unlock()
-		time.AfterFunc(downTime, func() {
-			de.Store.Remove("servers", en.ID())
-			en.SetID(en.ID() + "x")
-			err := en.Start()
-			rig.CheckinOnce(de.Store, en, "ready")
-			de.Add("%s is back: %v", en.ID(), err)
-		})
-		return false
+		return rig.Write(nc, 200, rq.ID, fields, "done") && !isLeaving()
 	}
 	de.Store.Put("op", "config", rig.Config{
-		Routes:  []rig.Route{{Prefix: "/summary/", Kind: "stream", Service: "llm", TimeoutMs: 5000, GoalMs: 800, MaxAttempts: 2, Resumable: true}},
-		Models:  []string{"llm"},
-		Stride:  5,
-		Tenants: []rig.Tenant{{Name: "desk", Key: "key-desk", Prepaid: 100_000_000}},
+		Routes:  []rig.Route{{Prefix: "/voucher/", Kind: "non_idempotent", Service: "app", TimeoutMs: 1200, GoalMs: 150, MaxAttempts: 1}},
+		Plain:   []string{"app"},
+		Tenants: []rig.Tenant{{Name: "desk", Key: "key-desk"}},
 	}.Doc(1))
-	for no := range engines {
-		if _, err := de.AddEngine(ctx, fmt.Sprint("engine-", no), "llm", answer, rig.Ready); err != nil {
+	for no := range 3 {
+		state := rig.Ready
+		if no == 0 {
+			state = func() string {
+				if isLeaving() {
+					return "draining"
+				}
+				return "ready"
+			}
+		}
+		if _, err := de.AddEngine(ctx, fmt.Sprint("app-", no), "app", answer, state); err != nil {
 			return false, err
 		}
 	}
-	if err := de.AddRouters(ctx, 2); err != nil {
+	if err := de.AddRouters(ctx, 3); err != nil {
 		return false, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, 13*time.Second)
+	defer cancel()
 	var senders sync.WaitGroup
-	send := func(name, parts string, interval, length time.Duration) {
-		ctx, cancel := context.WithTimeout(ctx, length)
-		defer cancel()
-		cl := rig.NewClient()
-		for no := 0; ctx.Err() == nil && no < maxCalls; no++ {
-			ca := rig.Call{
-				ID: fmt.Sprintf("%s-%04d", name, no), Method: "POST", Path: "/summary/1", Key: "key-desk", Body: "prompt",
-				Input: 300, Output: 50, Parts: fmt.Sprintf(parts, name, no), DeadlineMs: 5000,
+	for no, ro := range de.Routers {
+		senders.Go(func() {
+			cl := rig.NewClient()
+			for count := 0; ctx.Err() == nil && count < maxCalls; count++ {
+				id := fmt.Sprintf("edge%d-%04d", no, count)
+				senders.Go(func() { le.send(de, cl, ro.Front, id) })
+				rig.Pause(ctx, interval)
 			}
-			senders.Go(func() {
-				ta.mu.Lock()
-				ta.sent[ca.ID] = time.Now()
-				ta.mu.Unlock()
-				rp := cl.Send(context.Background(), de.Routers[no%len(de.Routers)].Front, ca)
-				de.Add("answered %s status %d events %d error %v", ca.ID, rp.Status, rp.Events(), rp.Err)
-			})
-			rig.Pause(ctx, interval)
-		}
+		})
+	}
+	rig.Pause(ctx, 2*time.Second)
+	if trouble {
+		de.Proxies[0].SetClosed(true)
+		de.Add("the store turns edge-0 away")
+		time.AfterFunc(turnedAway, func() { de.Proxies[0].SetClosed(false); de.Add("the store serves edge-0 again") })
 	}
-	send("calm", "aaaa0001:100,%s%04d:200", 50*time.Millisecond, calm)
-	senders.Go(func() { send("sound", "bbbb0001:100,%s%04d:200", 20*time.Millisecond, rush) })
-	senders.Go(func() { send("deadly", "bbbb0001:100,"+deadlyPart+":100,%s%04d:100", 100*time.Millisecond, rush) })
+	rig.Pause(ctx, time.Second)
+	mu.Lock()
+	leaving = true
+	mu.Unlock()
+	rig.CheckinOnce(de.Store, de.Engines[0], "draining")
+	de.Add("app-0 is draining, and the store has accepted that")
+	rig.Pause(ctx, drain+serveOn)
+	de.Engines[0].Stop()
+	de.Store.Remove("servers", "app-0")
+	de.Add("app-0 has ended")
 	senders.Wait()
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	var before, after share
-	for id, at := range ta.sent {
-		sh := &before
-		switch {
-		case id[:5] == "sound" && at.After(ta.lastCrash.Add(2*contact)):
-			sh = &after
-		case id[:4] != "calm":
-			continue
-		}
-		sh.sent++
-		if ta.begun[id] {
-			sh.begun++
-		}
+	late := le.late(de)
+	de.Say("%d requests reached the leaving engine that clients had sent later than %s after the machine had passed on Server-Leaving", late, drain)
+	de.Say("requests that ended with 502 or without a complete answer, by router: %v", le.lost)
+	return late > 0, nil
+}
+
+func (le *ledger) send(de *rig.Deployment, cl *rig.Client, front, id string) {
+	le.mu.Lock()
+	le.sent[id] = time.Now()
+	le.mu.Unlock()
+	de.Add("sent %s", id)
+	rp := cl.Send(context.Background(), front, rig.Call{ID: id, Method: "POST", Path: "/voucher/1", Key: "key-desk", Body: "voucher", DeadlineMs: 2500})
+	announced := rp.Header.Get("Server-Leaving") != ""
+	de.Add("answered %s status %d leaving %v error %v", id, rp.Status, announced, rp.Err)
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	if announced && le.told[routerOf(id)].IsZero() {
+		le.told[routerOf(id)] = time.Now()
 	}
-	de.Say("%d crashes; sound requests that began at the first attempt: %d of %d before, %d of %d later than %s after the last crash",
-		ta.crashes, before.begun, before.sent, after.begun, after.sent, 2*contact)
-	if before.sent < 20 || after.sent < 20 || before.begun == 0 {
-		return false, fmt.Errorf("too few requests")
+	if rp.Err != nil || rp.Status == 502 {
+		le.lost[routerOf(id)]++
+	}
+}
+
+// late counts the requests that break the rule.
+func (le *ledger) late(de *rig.Deployment) int {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	count := 0
+	for _, id := range le.arrived {
+		told, ok := le.told[routerOf(id)]
+		if after := le.sent[id].Sub(told); ok && after > drain+margin {
+			count++
+			de.Add("%s was sent %.3f s after the announcement and reached app-0", id, after.Seconds())
+		}
 	}
-	return 2*after.begun*before.sent < before.begun*after.sent, nil
+	return count
 }
