--- a/review/1/main.go
+++ b/review/1/main.go
@@ -132,6 +132,7 @@
 		ID: id, Method: "POST", Path: "/question/1", Key: fmt.Sprint("key-", tenant), Body: "prompt",
 		Input: input, Output: events * stride, Parts: "c0ffee:100," + id + ":300", DeadlineMs: 5000,
 	}
+	de.Add("sent %s of tenant-%d", id, tenant)
 	rp := cl.Send(context.Background(), de.Routers[tenant%len(de.Routers)].Front, ca)
 	de.Add("answered %s of tenant-%d status %d events %d error %v", id, tenant, rp.Status, rp.Events(), rp.Err)
 	us.mu.Lock()
--- a/review/rig/run.go
+++ b/review/rig/run.go
@@ -28,16 +28,16 @@
 	dir     string
 }
 
-// Main runs a case in the folder that the first argument names, and exits. The function
-// returns whether the rule was broken. trouble is false if the environment has
-// TROUBLE=0.
+// Main runs a case and exits. The first argument names the folder for the record; the
+// second one is the value of TROUBLE, which is 0 for a run without the disruption. The
+// function returns whether the rule was broken.
 func Main(run func(ctx context.Context, de *Deployment, trouble bool) (bool, error)) {
 	os.Exit(mainCode(run))
 }
 
 func mainCode(run func(ctx context.Context, de *Deployment, trouble bool) (bool, error)) int {
-	if len(os.Args) != 2 {
-		fmt.Println("usage: case FOLDER")
+	if len(os.Args) != 3 {
+		fmt.Println("usage: case FOLDER TROUBLE")
 		return notRun
 	}
 	rc, err := NewRecord(filepath.Join(os.Args[1], "record.txt"))
@@ -56,7 +56,7 @@
 	defer cancel()
 	de := &Deployment{Record: rc, Store: opstor.New(), dir: dir}
 	defer de.close()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[2] != "0"
 	rc.Say("disruption: %v", trouble)
 	failed, err := run(ctx, de, trouble)
 	switch {
