--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -35,12 +35,11 @@
 func NewRouter(dir, node, store string, seeds ...string) (*Router, error) {
 	var ports [4]string
 	for ix := range ports {
-		ls, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := freeAddr()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = ls.Close() }()
-		ports[ix] = ls.Addr().String()
+		ports[ix] = addr
 	}
 	text, err := os.ReadFile(template)
 	if err != nil {
@@ -67,6 +66,35 @@
 	return ro, os.WriteFile(ro.file, []byte(out), 0o600)
 }
 
+const (
+	// firstPort begins a range below that of ephemeral ports, from which another process
+	// could take a port before the router listens on it. Cases that run at the same time
+	// use different blocks of the range.
+	firstPort = 18000
+	blockSize = 64
+	blocks    = 200
+)
+
+// portsUsed counts the ports of the block that were tried.
+var portsUsed int
+
+// freeAddr returns an address on loopback on which nothing listens. It returns each
+// address once.
+func freeAddr() (string, error) {
+	var last error
+	for portsUsed < blockSize {
+		port := firstPort + os.Getpid()%blocks*blockSize + portsUsed
+		portsUsed++
+		ls, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			last = err
+			continue
+		}
+		return ls.Addr().String(), ls.Close()
+	}
+	return "", fmt.Errorf("no free port: %w", last)
+}
+
 // Control returns the Control address.
 func (ro *Router) Control() string { return ro.control }
 
@@ -93,6 +121,9 @@
 		case <-time.After(pollInterval):
 		}
 	}
+	if !ro.Running() {
+		return fmt.Errorf("router %s has ended; last output: %q", ro.Node, ro.Tail(3))
+	}
 	return nil
 }
 
--- a/review/rig/run.go
+++ b/review/rig/run.go
@@ -76,6 +76,9 @@
 func (de *Deployment) close() {
 	for _, ro := range de.Routers {
 		if ro.Proc != nil {
+			if !ro.Running() {
+				de.Say("router %s has ended by itself; last output: %q", ro.Node, ro.Tail(3))
+			}
 			ro.Kill()
 		}
 		if keep := os.Getenv("KEEP_LOGS"); keep != "" {
