app/follow, core/place, platform, adapt/peers: closed failure domains

Cause: routers ignored the operator's rows evacuate/DOMAIN and kept sending requests to upstreams in the named failure domain.

Change: follow.Closures is a second sink of the feed with the operator's rows. It sets the closed domains of place.EndpointMap, so that an upstream in one of them is neither usable nor a candidate of the rendezvous order. Routers fetch the state from each other while the feed is overdue, separately from the configuration, which may be slow to arrive. A router is ready, and sends requests, only when the state is known.

--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
+	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -26,6 +27,7 @@
 	lendPath      = "/v1/lend"
 	configPath    = "/v1/config"
 	statementPath = "/v1/statement"
+	closuresPath  = "/v1/closures"
 	// afterRevision is the parameter of a call for a configuration.
 	afterRevision = "afterRevision"
 
@@ -72,6 +74,8 @@
 	// CurrentConfig returns the row of the configuration in force and its revision,
 	// which is zero while there is none.
 	CurrentConfig func() (feed.Row, ident.Revision)
+	// Closures returns the closed failure domains, and false while they are not known.
+	Closures func() (follow.ClosureState, bool)
 	// AddStatement stores the last statement of a router that ends, and reports
 	// whether it did.
 	AddStatement func(st escrow.Statement) bool
@@ -92,6 +96,7 @@
 		writeJSON(wr, lo)
 	})
 	mx.Handle("GET "+configPath, newDocuments(local.CurrentConfig))
+	mx.HandleFunc("GET "+closuresPath, serveClosures(local.Closures))
 	mx.HandleFunc("POST "+statementPath, func(wr http.ResponseWriter, re *http.Request) {
 		var st escrow.Statement
 		err := json.NewDecoder(http.MaxBytesReader(wr, re.Body, maxDocumentBytes)).Decode(&st)
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -131,6 +131,13 @@
 // Load returns the upstreams in force.
 func (us *Upstreams) Load() place.EndpointMap { return us.cell.Load() }
 
+// SetClosed sets the failure domains that are closed.
+func (us *Upstreams) SetClosed(ds place.DomainSet) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	us.cell.Store(us.cell.Load().WithClosed(ds))
+}
+
 // Known reports whether the entries have been read at least once.
 func (us *Upstreams) Known() bool {
 	us.mu.Lock()
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -23,6 +23,18 @@
 	StartedMs int64
 	// Leaving upstreams finish their requests and accept no new ones.
 	Leaving bool
+	// Closed says that the operator has closed the failure domain. Requests in progress
+	// complete, and no further ones are sent.
+	Closed bool
+}
+
+// Accepting reports whether new requests may be sent to the upstream at all.
+func (up Upstream) Accepting() bool { return !up.Leaving && !up.Closed }
+
+// WithClosed returns a copy whose failure domain is or is not closed.
+func (up Upstream) WithClosed(closed bool) Upstream {
+	up.Closed = closed
+	return up
 }
 
 // WithLeaving returns a copy that is or is not leaving.
@@ -241,12 +253,12 @@
 	}
 }
 
-// Usable reports whether a request may be sent to the upstream: it is not leaving, and
-// has not asked for quiet. After that time, requests are sent one by one until one is
+// Usable reports whether a request may be sent to the upstream: it is not leaving, its
+// failure domain is not closed, and it has not asked for quiet. After that time, requests are sent one by one until one is
 // accepted, so that not all that wait for it arrive at once.
 func (ep *Endpoint) Usable(now time.Time) bool {
 	until, ms := ep.state.quietUntil.Load(), ep.state.millis(now)
-	return !ep.Leaving && (until == 0 || ms >= max(until, ep.state.trialAt.Load()+trialInterval.Milliseconds()))
+	return ep.Accepting() && (until == 0 || ms >= max(until, ep.state.trialAt.Load()+trialInterval.Milliseconds()))
 }
 
 // QuietEnd returns the time until which the upstream wants no request, and false if it
--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -154,7 +154,7 @@
 	key := pr.Shared[len(pr.Shared)-1].Hash
 	var score [len(cachedProbability)]uint64
 	for _, ep := range list {
-		if ep.Leaving {
+		if !ep.Accepting() {
 			continue
 		}
 		sc := mix(key ^ ep.hash)
--- a/internal/core/place/map.go
+++ b/internal/core/place/map.go
@@ -14,18 +14,39 @@
 	byID      map[ident.Upstream]*Endpoint
 	byService map[ident.Service][]*Endpoint
 	profiles  map[ident.Service]*Profile
+	closed    DomainSet
+}
+
+// WithClosed returns a map of the same upstreams in which exactly these failure domains
+// are closed.
+func (mp EndpointMap) WithClosed(ds DomainSet) EndpointMap {
+	mp.closed = ds
+	return mp.WithUpstreams(mp.Upstreams()...)
+}
+
+// DomainLen returns the number of upstreams in a failure domain.
+func (mp EndpointMap) DomainLen(domain ident.Domain) int {
+	count := 0
+	for _, ep := range mp.byID {
+		if ep.Domain == domain {
+			count++
+		}
+	}
+	return count
 }
 
 // WithUpstreams returns a map of exactly these upstreams. An upstream whose
 // address, service or lifetime changed starts with new counters, because it is another
-// instance or knows nothing of before. What was learned about a service is kept.
+// instance or knows nothing of before. What was learned about a service is kept, and so
+// are the closed failure domains.
 func (mp EndpointMap) WithUpstreams(upstreams ...Upstream) EndpointMap {
 	next := EndpointMap{
 		byID: make(map[ident.Upstream]*Endpoint, len(upstreams)), byService: map[ident.Service][]*Endpoint{},
-		profiles: make(map[ident.Service]*Profile, len(mp.profiles)),
+		profiles: make(map[ident.Service]*Profile, len(mp.profiles)), closed: mp.closed,
 	}
 	maps.Copy(next.profiles, mp.profiles)
 	for _, up := range upstreams {
+		up = up.WithClosed(mp.closed.Contains(up.Domain))
 		if next.profiles[up.Service] == nil {
 			next.profiles[up.Service] = NewProfile()
 		}
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -54,13 +54,13 @@
 }
 
 // QuietEnd returns the earliest time at which an upstream wants requests again, if all
-// that are not leaving have asked for quiet.
+// that may be sent new ones have asked for quiet.
 func QuietEnd(list []*Endpoint, now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, ep := range list {
 		end, quiet := ep.QuietEnd(now)
 		switch {
-		case ep.Leaving:
+		case !ep.Accepting():
 		case !quiet:
 			return time.Time{}, false
 		case earliest.IsZero() || end.Before(earliest):
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -118,6 +118,7 @@
 	// PoisonRecords is the feed of the rows with the prefix poison.Prefix.
 	PoisonRecords  feed.Feed
 	DecodeConfig   follow.DecodeConfig
+	DecodeClosure  follow.DecodeClosure
 	DecodeUpstream follow.DecodeUpstream
 	HeaderNames    terms.HeaderNames
 	// Clock returns a lower bound of the store's clock in milliseconds. Started
@@ -136,6 +137,7 @@
 	incarnation ident.Incarnation
 	configs     *follow.Config
 	upstreams   *follow.Upstreams
+	closures    *follow.Closures
 	feedLoops   []*follow.Loop
 	fleet       *follow.Fleet
 	ledger      *budget.Ledger
@@ -148,7 +150,7 @@
 	readyServer *serve.Server
 	peerServer  *serve.Server
 	opsServer   *serve.Server
-	gossip      *follow.Gossip
+	gossips     []*follow.Gossip
 	peers       *peers.Client
 
 	statements *budget.Statements
@@ -166,7 +168,8 @@
 	ro := &Router{settings: set, met: me, incarnation: ident.NewIncarnation(), pool: newPool(set, pf), seeds: snap.NewCell(set.Seeds)}
 	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
 	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
-	configLoop := follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me))
+	ro.closures = follow.NewClosures(pf.DecodeClosure, ro.upstreams, me)
+	configLoop := follow.NewLoop("configuration", pf.Configs, follow.Sinks{ro.closures, ro.configs.Sink()}, follow.WithMeter(me))
 	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
 	cl := peers.NewClient(ro.peerAddresses)
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
@@ -176,7 +179,10 @@
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger(), budget.WithEra(pf.Era)), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
-	ro.gossip = follow.NewGossip(ro.configs, configLoop, ro.peerAddresses, cl.FetchConfig)
+	ro.gossips = []*follow.Gossip{
+		follow.NewGossip(ro.configs, configLoop, ro.peerAddresses, cl.FetchConfig),
+		follow.NewClosureGossip(ro.closures, configLoop, ro.peerAddresses, cl.FetchClosures),
+	}
 	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger,
 		budget.WithMeter(me), budget.WithPrepaid(ro.prepaid), budget.WithAddress(func() string { return set.PeerListen }),
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithHeadroom(headroom), budget.WithReadInterval(budgetReadInterval),
@@ -195,6 +201,7 @@
 	}
 	if ro.peerServer, err = serve.New(set.PeerListen, peers.Handler(peers.LocalRouter{
 		Lend: ro.holder.Lend, CurrentConfig: ro.configs.Row, AddStatement: ro.statements.AddStatement, Table: table.DirectTable(),
+		Closures: ro.closures.State,
 	})); err != nil {
 		return nil, err
 	}
@@ -223,8 +230,14 @@
 // Config returns the configuration in force.
 func (vi view) Config() intent.Config { return vi.ro.configs.Load() }
 
-// Upstreams returns the upstreams in force.
-func (vi view) Upstreams() place.EndpointMap { return vi.ro.upstreams.Load() }
+// Upstreams returns the upstreams in force, or none while it is not known which failure
+// domains are closed.
+func (vi view) Upstreams() place.EndpointMap {
+	if !vi.ro.closures.Known() {
+		return place.EndpointMap{}
+	}
+	return vi.ro.upstreams.Load()
+}
 
 func (ro *Router) limits() intent.Limits { return ro.configs.Load().Limits() }
 
@@ -271,6 +284,8 @@
 		return errors.New("no configuration is in force yet")
 	case !ro.upstreams.Known():
 		return errors.New("the upstreams are not known yet")
+	case !ro.closures.Known():
+		return errors.New("it is not known yet which failure domains are closed")
 	case !ro.parts.Known():
 		return errors.New("it is not known yet which prompt parts are refused")
 	case !ro.registered.Load():
@@ -308,7 +323,9 @@
 	}
 	workers.Go(func() { ro.pool.Run(workCtx) })
 	workers.Go(func() { ro.expireUpstreams(workCtx) })
-	workers.Go(func() { ro.gossip.Run(workCtx) })
+	for _, gs := range ro.gossips {
+		workers.Go(func() { gs.Run(workCtx) })
+	}
 	workers.Go(func() { ro.statements.Run(workCtx) })
 	workers.Go(func() { ro.parts.Run(workCtx) })
 	workers.Go(func() { ro.runHolder(workCtx) })
@@ -331,7 +348,7 @@
 }
 
 // expireUpstreams removes upstreams whose entries expired during an outage and were
-// not written again.
+// not written again, and closures that the store has lost.
 func (ro *Router) expireUpstreams(ctx context.Context) {
 	tk := time.NewTicker(expireInterval)
 	defer tk.Stop()
@@ -341,6 +358,7 @@
 			return
 		case now := <-tk.C:
 			ro.upstreams.RemoveExpired(now)
+			ro.closures.RemoveEnded(now)
 		}
 	}
 }
--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -110,9 +110,12 @@
 	})
 }
 
-func (fl *testFleet) router(vm string) *testRouter {
+func (fl *testFleet) router(vm string) *testRouter { return fl.routerAt(vm, fl.store.Addr()) }
+
+// routerAt starts a router that reaches the store at an address.
+func (fl *testFleet) routerAt(vm, store string) *testRouter {
 	set := conf.DirectRouter{
-		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: fl.store.Addr(), MetricsListen: freePort(fl.t),
+		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: store, MetricsListen: freePort(fl.t),
 		PeerListen: freePort(fl.t), ReadinessCheck: conf.ReadinessCheck{Listen: freePort(fl.t), Path: "/ready"},
 		Drain: 2 * time.Second, RetryBudget: conf.RetryBudget{Ratio: 0.2, Reserve: 100, Routers: 4},
 	}
