adapt/pool, core/place: load reports with a pace

An upstream may report its pace as a fourth figure. Such reports were dropped, so that the router knew no load of these upstreams and chose by its own requests only.

The adapter decodes three or four figures; an invalid figure is ignored alone, and event 1305 is logged once for each lifetime of an upstream. Costs are multiplied by it.

--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -74,19 +74,41 @@
 
 // Load returns the load that the response reports, and whether it reports one.
 func (rsp *response) Load() (proxy.Load, bool) {
-	parts := strings.Split(rsp.httpResp.Header.Get(rsp.pool.terms.Load), ",")
-	if len(parts) != 3 {
+	return parseLoad(rsp.httpResp.Header.Get(rsp.pool.terms.Load))
+}
+
+const (
+	// maxReportedRequests bounds the numbers of requests and slots in a load report, and
+	// maxReportedPace the pace. Greater figures are errors of the upstream.
+	maxReportedRequests = 100_000
+	maxReportedPace     = 100_000
+)
+
+// parseLoad decodes a load report: the numbers of running and waiting requests, the
+// number of slots, and the pace, which may be missing. An invalid figure does not affect
+// the others.
+func parseLoad(text string) (proxy.Load, bool) {
+	var ld proxy.Load
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 && len(parts) != 4 {
 		return proxy.Load{}, false
 	}
-	var nums [3]int
+	figures := [...]struct {
+		field              *int
+		low, high, missing int
+	}{
+		{&ld.Running, 0, maxReportedRequests, proxy.Unreported}, {&ld.Waiting, 0, maxReportedRequests, proxy.Unreported},
+		{&ld.Slots, 1, maxReportedRequests, 0}, {&ld.Pace, 1, maxReportedPace, 0},
+	}
 	for ix, pa := range parts {
+		fi := figures[ix]
 		num, err := strconv.Atoi(strings.TrimSpace(pa))
-		if err != nil {
-			return proxy.Load{}, false
+		if err != nil || num < fi.low || num > fi.high {
+			num, ld.Invalid = fi.missing, true
 		}
-		nums[ix] = num
+		*fi.field = num
 	}
-	return proxy.Load{Running: nums[0], Waiting: nums[1], Slots: nums[2]}, true
+	return ld, true
 }
 
 // Notice returns what the upstream says of itself. A misdirected request was answered by
--- a/internal/adapt/terms/terms.go
+++ b/internal/adapt/terms/terms.go
@@ -25,7 +25,8 @@
 	// NotRun is set by an upstream that did not run the request.
 	NotRun string
 	// Load is the number of running requests, of waiting requests and of slots of
-	// an upstream, separated by commas.
+	// an upstream, separated by commas, and optionally its pace: the current duration
+	// of work in percent of the usual one.
 	Load string
 	// Leaving is set by an upstream that is about to end.
 	Leaving string
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -32,6 +33,8 @@
 	// prompt is known not to end the upstream. An upstream that a part of a prompt ends
 	// ends when it begins to respond, and may write events before that.
 	soundAfter = time.Second
+	// usualPace is the reported pace of an upstream that works as fast as usual.
+	usualPace = 100
 	// minServerError is the lowest status that reports a failure of the upstream.
 	minServerError = 500
 )
@@ -323,7 +326,7 @@
 	now := rn.se.opts.clock.Now()
 	ex.ep.Received(now)
 	if ld, ok := rsp.Load(); ok {
-		ex.ep.Reported(ld.Running, ld.Waiting, ld.Slots, now)
+		ex.recordLoad(ld, now)
 	}
 	if rsp.IsStream() {
 		return ex.forwardEvents()
@@ -341,6 +344,19 @@
 	return ex.deliver()
 }
 
+// recordLoad records the figures of a load report that are valid.
+func (ex *exchange) recordLoad(ld proxy.Load, now time.Time) {
+	if ld.Running != proxy.Unreported && ld.Waiting != proxy.Unreported {
+		ex.ep.Reported(ld.Running, ld.Waiting, ld.Slots, now)
+	}
+	if ld.Pace != 0 {
+		ex.ep.ReportedPace(float64(ld.Pace)/usualPace, now)
+	}
+	if ld.Invalid && ex.ep.FirstInvalidReport() {
+		ex.rn.se.opts.meter.Log(evInvalidLoad, slog.String("upstream", string(ex.ep.ID)), slog.Any("load", ld))
+	}
+}
+
 // deliver passes a response that is no stream to the caller.
 func (ex *exchange) deliver() error {
 	rn, rsp := ex.rn, ex.rsp
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -24,6 +24,8 @@
 	evServed  = meter.Event{Number: 1301, Level: slog.LevelInfo, Text: "request served"}
 	evRefused = meter.Event{Number: 1302, Level: slog.LevelInfo, Text: "request not served"}
 	evAttempt = meter.Event{Number: 1303, Level: slog.LevelInfo, Text: "attempt failed"}
+
+	evInvalidLoad = meter.Event{Number: 1305, Level: slog.LevelWarn, Text: "figures of a load report ignored"}
 )
 
 const (
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -64,6 +64,7 @@
 	trialAt    atomic.Int64
 	// lastReceived is the time at which the last bytes arrived, or zero.
 	lastReceived atomic.Int64
+	learned
 	// baseTime is the first time that was passed in. Other times are kept as
 	// milliseconds of monotonic time since then, so that a step of the wall clock
 	// has no effect.
--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -121,6 +121,7 @@
 		// A slot becomes free each time that one of the running requests ends.
 		cost += ep.profile.ServiceTime(defaultEngineMs) / float64(ep.capacity()) * float64(over)
 	}
+	cost *= ep.Pace(now)
 	if ep.Domain != de.Domain {
 		cost += remoteDomainMs
 	}
--- a/internal/core/place/plain.go
+++ b/internal/core/place/plain.go
@@ -39,6 +39,7 @@
 	if load >= 1 {
 		cost += fullLoadMs * (load - 1) * 4
 	}
+	cost *= ep.Pace(now)
 	if ep.Domain != de.Domain {
 		cost += remoteDomainMs
 	}
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -109,7 +109,18 @@
 }
 
 // Load is the load that an upstream reports in a response.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	// Running and Waiting are the numbers of requests, or Unreported if invalid.
+	Running, Waiting int
+	// Slots is the number of slots, and Pace the current duration of work in percent of
+	// the usual one. Zero means missing or invalid.
+	Slots, Pace int
+	// Invalid says that a figure was dropped because it is no number or out of range.
+	Invalid bool
+}
+
+// Unreported is the value of a number of requests that was not reported.
+const Unreported = -1
 
 // Response is the HTTP response of an upstream to an attempt. Close must be
 // called.
