core/reach, app/budget: evidence that the table does not respond

Cause: the deadline of a draw counted as an outage of the table, also if the request had spent it waiting for the rows of its budget, or if other calls were answered meanwhile. One slow account made requests of all accounts fail.

Change: the holder records each call to the table. The table counts as down only after a call that was refused, or got no response in the usual time, with no response to another call since it was sent. With WithCongestion, a timeout while the own link is congested is no evidence either.

--- a/internal/app/budget/deadline_test.go
+++ b/internal/app/budget/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,3 +41,51 @@
 		}
 	})
 }
+
+// pausing returns a pause that each call makes, or the rest of its deadline.
+func pausing(pause time.Duration) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+			return nil
+		}
+	}
+}
+
+// TestQueueIsNoOutage guards against taking the wait for the rows of one budget, or a
+// timeout while the own link is congested, for an outage of the table: requests of other
+// budgets are then refused although the table responds.
+func TestQueueIsNoOutage(t *testing.T) {
+	other := ident.BudgetRef{Account: "sejin", Budget: "other"}
+	for _, tc := range []struct {
+		name  string
+		pause time.Duration
+		opts  []budget.Option
+	}{
+		{"queue", 300 * time.Millisecond, []budget.Option{exactDraws}},
+		{"congested", 2 * time.Second, []budget.Option{budget.WithCongestion(func(time.Time) bool { return true })}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := table.New().Client()
+				hd := budget.NewHolder("r1", "vm", "d", budget.NewLedger(cl, codecs()), append(tc.opts,
+					budget.WithPrepaid(func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 100_000, 1, true }))...)
+				if err := hd.Open(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				cl.SetPause(pausing(tc.pause))
+				var group sync.WaitGroup
+				for range 8 {
+					group.Go(func() { _, _ = hd.Reserve(t.Context(), meals, 3000, config.AvoidRefusal) })
+				}
+				group.Wait()
+				cl.SetPause(nil)
+				if _, err := hd.Reserve(t.Context(), other, 10, config.AvoidRefusal); err != nil {
+					t.Errorf("a request of another budget is refused: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -115,11 +115,10 @@
 // flushAlone writes one holding, unless the table does not respond. It reports
 // false if the table is unavailable.
 func (hd *Holder) flushAlone(ctx context.Context, ft flushTask, now time.Time) bool {
-	if hd.tableDown.Load() {
+	if hd.table.down() {
 		return false
 	}
 	err := hd.executeTask(ctx, ft)
-	hd.recordTableDown(err)
 	if err != nil {
 		hd.opts.meter.Log(eventFlushFailed, slog.String("budget", ft.hg.ref.String()), slog.Any("error", err))
 	} else if ft.settle {
@@ -180,8 +179,7 @@
 		}
 	}()
 	err := hd.commitBatch(ctx, batch, now)
-	hd.recordTableDown(err)
-	if err == nil || hd.tableDown.Load() {
+	if err == nil || hd.table.down() {
 		return err == nil
 	}
 	for _, ft := range batch {
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -14,7 +14,6 @@
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
-	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
 // Events of a holder.
@@ -62,15 +61,17 @@
 	index        *index
 	holdStates   sync.Pool
 	lease        lease
-	// tableDown is set while the table does not respond. Requests then do not
-	// wait for it, and one read in each pass finds out when it responds again.
-	tableDown atomic.Bool
+	// table knows whether the table responds. While it does not, requests do not wait
+	// for it, and one read in each pass finds out when it responds again.
+	table *watchedTable
 }
 
 // NewHolder returns a holder for one incarnation. Open must succeed before
 // tokens can be reserved.
 func NewHolder(inc ident.Incarnation, vm ident.VM, domain ident.Domain, ledger *Ledger, opts ...Option) *Holder {
-	hd := &Holder{inc: inc, vm: vm, domain: domain, ledger: ledger, opts: newOptions(opts), index: newIndex()}
+	op := newOptions(opts)
+	table := newWatchedTable(ledger.table, op)
+	hd := &Holder{inc: inc, vm: vm, domain: domain, ledger: ledger.withTable(table), opts: op, index: newIndex(), table: table}
 	hd.holdStates.New = func() any { return new(holdState) }
 	return hd
 }
@@ -189,7 +190,7 @@
 		if hd.unlockExpired(hg) {
 			continue
 		}
-		if hd.tableDown.Load() {
+		if hd.table.down() {
 			if hd.borrow(ctx, hg, tokens, false) || hd.awaitUnlock(ctx, hg, tokens) {
 				continue
 			}
@@ -201,7 +202,7 @@
 			// A request that has ended says nothing about the table.
 			return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn before the request ended")
 		}
-		if hd.recordTableDown(err); hd.tableDown.Load() {
+		if hd.table.down() {
 			continue
 		}
 		if errors.Is(err, escrow.ErrInsufficient) && !requested && hd.requestRelease(ctx, hg, tokens) {
@@ -237,24 +238,13 @@
 	return sleep(ctx, wait) == nil
 }
 
-// recordTableDown sets tableDown if the error of a call says that the table does
-// not respond.
-func (hd *Holder) recordTableDown(err error) {
-	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) {
-		hd.tableDown.Store(true)
-	}
-}
-
-// tableReachable reports whether the table responds. While tableDown is set, it
-// tries a read.
+// tableReachable reports whether the table responds. While it counts as down, a read
+// finds out.
 func (hd *Holder) tableReachable(ctx context.Context) bool {
-	if !hd.tableDown.Load() {
+	if !hd.table.down() {
 		return true
 	}
 	_, err := hd.ledger.incarnation(ctx, hd.inc)
-	if err == nil {
-		hd.tableDown.Store(false)
-	}
 	return err == nil
 }
 
--- a/internal/app/budget/lease.go
+++ b/internal/app/budget/lease.go
@@ -76,7 +76,7 @@
 // itself.
 func (hd *Holder) RenewLease(ctx context.Context) {
 	ms, ok := hd.opts.timeLock.clock()
-	if !ok || phase(hd.phase.Load()) != running || hd.tableDown.Load() {
+	if !ok || phase(hd.phase.Load()) != running || hd.table.down() {
 		return
 	}
 	until := ms + hd.opts.timeLock.LockTime.Milliseconds()
@@ -91,7 +91,6 @@
 		// soon.
 		hd.opts.meter.Count("leaseErrors", "", "", 1)
 	}
-	hd.recordTableDown(err)
 }
 
 // writeLease writes the lease row.
--- a/internal/app/budget/ledger.go
+++ b/internal/app/budget/ledger.go
@@ -48,6 +48,13 @@
 	return le
 }
 
+// withTable returns a ledger of the same rows that reaches them through the table.
+func (le *Ledger) withTable(table store.Table) *Ledger {
+	nx := *le
+	nx.table = table
+	return &nx
+}
+
 // Errors of the operator's commands.
 var (
 	// ErrUnknownBudget means that the budget has no row.
--- a/internal/app/budget/lend.go
+++ b/internal/app/budget/lend.go
@@ -52,7 +52,7 @@
 	}
 	if hg.tryLockRows() {
 		hd.unlockExpired(hg)
-		if missing := tokens*lendDivisor - hg.pool.Available(); missing > 0 && !hd.tableDown.Load() && hg.pool.Counts().Locked > 0 {
+		if missing := tokens*lendDivisor - hg.pool.Available(); missing > 0 && !hd.table.down() && hg.pool.Counts().Locked > 0 {
 			// After a failure, what is available already can be lent.
 			_ = hd.unlockTokens(ctx, hg, missing)
 		}
--- a/internal/app/budget/option.go
+++ b/internal/app/budget/option.go
@@ -32,6 +32,8 @@
 	flushParallelism int
 	sharedLock       bool
 	uncheckedDraws   bool
+	// congested reports whether the own link is congested.
+	congested func(now time.Time) bool
 }
 
 // TimeLock configures the time lock on escrow that a holder does not need at once.
@@ -89,6 +91,7 @@
 		settleBatch:   64,
 		headroom:      escrow.HeadroomFor,
 		readInterval:  10 * time.Second,
+		congested:     func(time.Time) bool { return false },
 		prepaid:       func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 0, 0, false },
 	}
 	for _, apply := range opts {
@@ -204,6 +207,12 @@
 // nothing is borrowed.
 func WithLenders(le Lenders) Option { return func(op *options) { op.lenders = le } }
 
+// WithCongestion sets the source of whether the own link is congested. While it is, a
+// timeout is no evidence that the table does not respond. The default is never.
+func WithCongestion(congested func(now time.Time) bool) Option {
+	return func(op *options) { op.congested = congested }
+}
+
 // WithReadInterval sets the longest time for which available escrow is held
 // without a read of the budget row, which shows whether another holder is
 // short. The default is 10 s, and the range is 100 ms to 1 h.
