adapt/pool, adapt/entry, adapt/client: bytes counted on the link, bodies at its rate

Bytes of a request whose caller had left stayed in the send buffer and reached the upstream seconds later. A connection that is given up is now reset. With a link of a known rate, bodies are written in parts no faster than the link carries them, so that calls to the store do not wait behind them for more than 40 ms, and a dial that timed out is told from other failures.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -13,6 +13,9 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/flow"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 )
 
 // ErrTooLarge means that a body exceeds its limit.
@@ -29,6 +32,7 @@
 	// noReuseAfterErrors says that connections are not reused after error statuses.
 	noReuseAfterErrors bool
 	dial               func(ctx context.Context, network, addr string) (net.Conn, error)
+	link               *shed.Link
 }
 
 // Option configures a client.
@@ -52,6 +56,10 @@
 	return func(se *settings) { se.dial = dial }
 }
 
+// WithLink sets the link on which the bytes of the connections are counted. The default
+// is none.
+func WithLink(li *shed.Link) Option { return func(se *settings) { se.link = li } }
+
 // WithoutKeepAlives makes every request open its own connection. By default,
 // connections are reused. On a reused connection, net/http repeats a request that
 // it considers idempotent when the response is lost.
@@ -66,6 +74,7 @@
 	if se.dial == nil {
 		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
 	}
+	se.dial = flow.CountingDial(se.dial, se.link)
 	if se.noReuseAfterErrors {
 		se.dial = withErrorConns(se.dial)
 	}
--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -12,11 +12,13 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/flow"
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -60,7 +62,11 @@
 )
 
 func newConn(sv *Server, nc net.Conn) *conn {
-	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize)}
+	return &conn{
+		sv: sv, nc: nc,
+		br: bufio.NewReaderSize(flow.NewReader(nc, sv.link, shed.Bodies), bufSize),
+		bw: bufio.NewWriterSize(flow.NewWriter(nc, sv.link, shed.Others), bufSize),
+	}
 }
 
 func (co *conn) extendWriteDeadline() { _ = co.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) }
@@ -213,13 +219,24 @@
 // lose the response.
 const lingerTimeout = 300 * time.Millisecond
 
+// lingerBytes bounds the bytes that are drained, and linkLingerBytes on a link of a known
+// rate, where they delay those of other requests.
+const (
+	lingerBytes     = 1 << 20
+	linkLingerBytes = 32 << 10
+)
+
 // linger closes the write side and drains unread bytes.
 func (co *conn) linger() {
 	if tc, ok := co.nc.(*net.TCPConn); ok {
 		_ = tc.CloseWrite()
 	}
 	_ = co.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(co.br, 1<<20))
+	limit := int64(lingerBytes)
+	if co.sv.link != nil {
+		limit = linkLingerBytes
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(co.br, limit))
 }
 
 // handle passes the request to the handler and reports whether the connection
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -35,6 +36,7 @@
 	limits  func() intent.Limits
 	meter   meter.Meter
 	checks  []Admission
+	link    *shed.Link
 
 	leaving atomic.Bool
 	// ctx is the context of all requests, and stop ends it.
@@ -58,6 +60,10 @@
 // WithMeter sets the meter. The default discards everything.
 func WithMeter(me meter.Meter) Option { return func(sv *Server) { sv.meter = me } }
 
+// WithLink sets the link on which the bytes of the callers' connections are counted. The
+// default is none.
+func WithLink(li *shed.Link) Option { return func(sv *Server) { sv.link = li } }
+
 // Arrival is a request whose header has arrived and whose body has not been read.
 type Arrival struct {
 	Info proxy.RequestInfo
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +17,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/flow"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
+	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
 const (
@@ -42,6 +46,17 @@
 	// remembers the id of each.
 	maxRequests = 1024
 	readBufSize = 4 << 10
+	// tcpNotSentLowat is TCP_NOTSENT_LOWAT of Linux, which package syscall lacks, and
+	// maxUnsent the number of bytes of one connection that wait in the kernel.
+	tcpNotSentLowat = 0x19
+	maxUnsent       = 32 << 10
+	// maxPiece is the size of the largest part of a body that is written at once, and
+	// minPiece that of the largest body that is written without a wait.
+	maxPiece = 16 << 10
+	minPiece = 2 << 10
+	// maxQueued bounds the time that the bytes of bodies wait on the link. Calls to the
+	// store and to other routers wait behind them.
+	maxQueued = 40 * time.Millisecond
 	// maxHeadBytes bounds what is read before the header of a response is complete,
 	// with interim responses and second copies of the response before it.
 	maxHeadBytes = 64 << 10
@@ -86,11 +101,19 @@
 	sentIDs []uint64
 	// expiresAt is the time from which the idle connection must not be reused.
 	expiresAt time.Time
+	// link is the link that carries the connection, or nil.
+	link *shed.Link
 }
 
-func dial(ctx context.Context, addr string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dial opens a connection. If the address did not respond in time, the error wraps
+// proxy.ErrNoConnection.
+func dial(ctx context.Context, addr string, li *shed.Link) (*conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	var probe shed.Probe
+	if li != nil {
+		probe = li.Probe(time.Now())
+	}
 	di := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -99,16 +122,69 @@
 			var optErr error
 			err := raw.Control(func(fd uintptr) {
 				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+				if li != nil {
+					optErr = errors.Join(optErr, syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpNotSentLowat, maxUnsent))
+				}
 			})
 			return errors.Join(err, optErr)
 		},
 	}
-	nc, err := di.DialContext(ctx, "tcp", addr)
+	nc, err := di.DialContext(dialCtx, "tcp", addr)
+	var ne net.Error
+	timedOut := errors.As(err, &ne) && ne.Timeout() && ctx.Err() == nil
+	if li != nil && (err == nil || timedOut) {
+		probe.End(time.Now())
+	}
+	if timedOut {
+		return nil, fmt.Errorf("%w: %w", proxy.ErrNoConnection, err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	hl := &headLimiter{src: nc}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl}, nil
+	hl := &headLimiter{src: flow.NewReader(nc, li, shed.Others)}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, link: li}, nil
+}
+
+// reset closes the connection and discards the bytes that were not sent yet, so that a
+// request that was given up does not reach the upstream later.
+func (co *conn) reset() {
+	if tc, ok := co.Conn.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = co.Close()
+}
+
+// awaitTurn waits until the link can carry the next bytes, so that not many of them wait
+// in the kernel ahead of calls to the store and to other routers.
+func (co *conn) awaitTurn(ctx context.Context, bytes int) error {
+	if co.link == nil {
+		return nil
+	}
+	wait := co.link.Sent(bytes, shed.Bodies, time.Now()) - maxQueued
+	if bytes <= minPiece || wait <= 0 {
+		return nil
+	}
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// writePieces writes a body at the rate of the link.
+func (co *conn) writePieces(ctx context.Context, body []byte) error {
+	for piece := range slices.Chunk(body, maxPiece) {
+		if err := co.awaitTurn(ctx, len(piece)); err != nil {
+			return err
+		}
+		if _, err := co.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // hasSent reports whether a request with the id was sent on the connection. The id
--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
@@ -37,6 +38,7 @@
 type Pool struct {
 	terms  terms.HeaderNames
 	memory *memory
+	link   *shed.Link
 
 	mu             sync.Mutex
 	idleByUpstream map[proxy.Upstream]*idleConns
@@ -50,6 +52,10 @@
 // being read is given up. The default is 32 MiB.
 func WithMemory(bytes int) Option { return func(po *Pool) { po.memory = newMemory(bytes) } }
 
+// WithLink sets the link on which the bytes of the connections are counted. Bodies are
+// then written no faster than the link carries them. The default is none.
+func WithLink(li *shed.Link) Option { return func(po *Pool) { po.link = li } }
+
 // New returns a pool that uses the header fields of the deployment.
 func New(hn terms.HeaderNames, opts ...Option) *Pool {
 	po := &Pool{terms: hn, memory: newMemory(defaultMemory), idleByUpstream: map[proxy.Upstream]*idleConns{}}
@@ -105,7 +111,7 @@
 	co := ic.take(rq.ID, time.Now())
 	if co == nil {
 		var err error
-		if co, err = dial(ctx, at.Upstream.Address); err != nil {
+		if co, err = dial(ctx, at.Upstream.Address, po.link); err != nil {
 			return nil, fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
 		}
 	}
@@ -114,9 +120,9 @@
 		return nil, fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
 	}
 	// Closing the connection also ends writes and reads in progress.
-	stop := context.AfterFunc(ctx, func() { _ = co.Close() })
+	stop := context.AfterFunc(ctx, co.reset)
 	rsp := &response{pool: po, idleConns: ic, conn: co, stop: stop, buffer: newBuffer(po.memory, func() { _ = co.Close() })}
-	if err := po.roundTrip(rsp, rq, at); err != nil {
+	if err := po.roundTrip(ctx, rsp, rq, at); err != nil {
 		rsp.abort()
 		return nil, err
 	}
@@ -128,8 +134,19 @@
 }
 
 // roundTrip writes the request and reads the header of its response.
-func (po *Pool) roundTrip(rsp *response, rq Request, at proxy.Attempt) error {
+func (po *Pool) roundTrip(ctx context.Context, rsp *response, rq Request, at proxy.Attempt) error {
+	first, rest := rq.Body, []byte(nil)
+	if len(first) > maxPiece && po.link != nil {
+		first, rest = rq.Body[:maxPiece], rq.Body[maxPiece:]
+	}
+	// The header tells the time that is left, so it is written after the wait.
+	if err := rsp.conn.awaitTurn(ctx, len(first)); err != nil {
+		return fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
+	}
 	header := po.header(rq, at)
+	if po.link != nil {
+		po.link.Sent(header.Len(), shed.Bodies, time.Now())
+	}
 	rsp.conn.recordSent(rq.ID)
 	if len(rq.Body) <= maxInlineBody {
 		header.Write(rq.Body)
@@ -150,10 +167,13 @@
 		return fmt.Errorf("%w: write: %w", proxy.ErrIncomplete, err)
 	}
 	rsp.bodyWritten = make(chan error, 1)
-	go func(co *conn, body []byte, done chan<- error) {
-		_, err := co.Write(body)
+	go func(co *conn, done chan<- error) {
+		_, err := co.Write(first)
+		if err == nil {
+			err = co.writePieces(ctx, rest)
+		}
 		done <- err
-	}(rsp.conn, rq.Body, rsp.bodyWritten)
+	}(rsp.conn, rsp.bodyWritten)
 	return rsp.readHeader(rq)
 }
 
@@ -200,7 +220,7 @@
 // Refuses reports whether the address of the upstream refuses connections: its process
 // has ended. One that does not respond at all may still run.
 func Refuses(ctx context.Context, up proxy.Upstream) bool {
-	co, err := dial(ctx, up.Address)
+	co, err := dial(ctx, up.Address, nil)
 	if err == nil {
 		_ = co.Close()
 	}
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -267,7 +267,11 @@
 		rsp.closed = true
 		rsp.buffer.release()
 		rsp.stop()
-		_ = rsp.conn.Close()
+		if rsp.complete && rsp.bodyWritten == nil {
+			_ = rsp.conn.Close()
+		} else {
+			rsp.conn.reset()
+		}
 	}
 }
 
--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -76,7 +76,8 @@
 	// used to more than that for long.
 	saturation bucket
 	// probed is the queue that a round trip has shown. The bytes in it wait on the other
-	// side of the link.
+	// side of the link. It counts only while the link is saturated: the target may have
+	// taken the time.
 	probed bucket
 }
 
@@ -98,11 +99,17 @@
 
 // wait returns how long the next byte waits behind those that are known.
 func (di *direction) wait(now int64) time.Duration {
-	return max(di.moved.wait(now), di.announced.wait(now), di.probed.wait(now))
+	wait := max(di.moved.wait(now), di.announced.wait(now))
+	if di.saturated(now) {
+		wait = max(wait, di.probed.wait(now))
+	}
+	return wait
 }
 
+func (di *direction) saturated(now int64) bool { return di.saturation.wait(now) >= saturatedWait }
+
 func (di *direction) congested(now int64) bool {
-	return di.wait(now) >= congestedWait || di.saturation.wait(now) >= saturatedWait
+	return di.wait(now) >= congestedWait || di.saturated(now)
 }
 
 // reserve adds an admitted request.
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -14,6 +14,9 @@
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = errors.New("proxy: the request was not sent")
+	// ErrNoConnection means that the upstream did not accept a connection in time. An
+	// error that wraps it also wraps ErrNotSent.
+	ErrNoConnection = errors.New("proxy: no connection in time")
 	// ErrNotRun means that the upstream reported that it did not run the request.
 	ErrNotRun = errors.New("proxy: the upstream did not run the request")
 	// ErrIncomplete means that the request was sent and no complete response
