role/direct: requests are refused and timeouts judged by the load of the link

A router on a full link failed its requests late, and held the dial timeouts that it caused against its upstreams and the table. With linkMbps, a request that would wait for too long is refused by its header. Timeouts of dials, of silent upstreams and of calls to the table are not held against their targets while the link is congested, and a request whose second dial times out then is refused instead of being sent up to five times.

Without linkMbps nothing changes. fake/table keeps the cause of a failed call, which tells a timeout.

--- a/internal/adapt/client/progress.go
+++ b/internal/adapt/client/progress.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"time"
 )
 
 // ErrStalled means that a response arrived more slowly than the lowest rate.
-var ErrStalled = errors.New("client: the response makes no progress")
+var ErrStalled error = stalledError{}
+
+// stalledError is a timeout, like net.Error.
+type stalledError struct{}
+
+// Error returns the text of the error.
+func (stalledError) Error() string { return "client: the response makes no progress" }
+
+// Timeout reports true.
+func (stalledError) Timeout() bool { return true }
 
 // Rate is a lowest rate of a transfer: at least Bytes in each Window.
 type Rate struct {
--- a/internal/adapt/conf/direct.go
+++ b/internal/adapt/conf/direct.go
@@ -32,6 +32,10 @@
 	RetryBudget RetryBudget   `yaml:"retries"`
 	// MemoryMB is the memory of the VM in megabytes. Default: no limit.
 	MemoryMB float64 `yaml:"memoryMB" rule:"min=32"`
+	// LinkMbps is the rate of the VM's network link in each direction, in megabits per
+	// second. Requests that would wait on it for too long are refused. Default: not
+	// known, nothing is refused.
+	LinkMbps float64 `yaml:"linkMbps" rule:"min=0,max=1000000"`
 	Log      Log     `yaml:"log"`
 }
 
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -177,6 +177,9 @@
 	})
 	if err == nil {
 		ex.rsp = rsp
+		if li := rn.se.opts.link; li != nil {
+			li.Reached()
+		}
 	}
 	ex.recordNotice(rsp, err)
 	return err
@@ -309,7 +312,7 @@
 	case cause != nil && !silent:
 		return
 	case !silent && (!unusable || ur.status >= minServerError):
-		ex.ep.Failed(now)
+		rn.se.recordFailed(ex.ep, err)
 	}
 	if mayHaveRun(err) && !ex.sound && !unusable && len(rn.parts) > 0 {
 		rn.se.opts.guard.Ended(proxy.Upstream{ID: ex.ep.ID, Address: ex.ep.Address}, rn.parts, ex.known)
@@ -346,6 +349,7 @@
 	rn, rsp := ex.rn, ex.rsp
 	rn.status = rsp.Status()
 	rn.delivered = rn.status < minServerError
+	rn.bytesSent += int64(len(ex.body))
 	rn.timeToFirst = rn.se.opts.clock.Now().Sub(rn.info.Arrived)
 	if err := rn.writer.WriteResponse(rsp, ex.body); err != nil {
 		return refuse.New(refuse.Cancelled, "cannot write the response to the caller: %v", err).WithOutcome(refuse.Unknown)
@@ -400,6 +404,7 @@
 		}
 		rn.lastEvent.Store(max(rn.lastEvent.Load(), ev.Number))
 		rn.eventsSent++
+		rn.bytesSent += int64(len(ev.Data))
 		ex.readSince.Store(int64(rn.se.opts.clock.Now().Sub(rn.info.Arrived)))
 	}
 }
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -77,8 +77,11 @@
 	// lastEvent is the number of the last event that the caller has, or -1. A standby
 	// reads it while events are forwarded.
 	lastEvent atomic.Int64
-	// eventsSent counts the events that were sent to the caller.
-	eventsSent int64
+	// eventsSent counts the events that were sent to the caller, and bytesSent the bytes
+	// of events and bodies.
+	eventsSent, bytesSent int64
+	// timedOutDials counts the sends whose connection could not be opened in time.
+	timedOutDials int
 	// escrowWait is the time that the reservation of tokens took.
 	escrowWait time.Duration
 	// timeToFirst is the time until the first event or the whole response.
@@ -196,6 +199,9 @@
 // recordFailure logs a failed send and excludes its upstream from further ones.
 func (rn *run) recordFailure(up ident.Upstream, err error) {
 	rn.upstream = up
+	if errors.Is(err, proxy.ErrNoConnection) {
+		rn.timedOutDials++
+	}
 	rn.se.opts.meter.Log(evAttempt, rn.attrs(slog.String("error", err.Error()), slog.String("parts", rn.sharedParts()))...)
 	rn.demand.Tried = append(rn.demand.Tried, up)
 }
@@ -203,6 +209,7 @@
 // decideRetry returns nil if the request is to be sent again after err, or else
 // the refusal for the caller.
 func (rn *run) decideRetry(ctx context.Context, err error, retries RetryBudget) *refuse.Refusal {
+	busy := rn.linkRefusal()
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return refuse.New(refuse.Cancelled, "the caller has left").WithOutcome(rn.outcome())
@@ -219,6 +226,8 @@
 		return refuse.New(refuse.UpstreamFailed, "%v, after %d attempts", err, rn.runs.Load())
 	case rn.runs.Load() > 0 && rn.se.opts.guard.Suspect(rn.parts, rn.demand.Tried):
 		return refuse.New(refuse.UpstreamFailed, "%v, and other upstreams have ended under a part of the prompt", err)
+	case busy != nil:
+		return busy
 	case rn.sends.Load() >= maxSends:
 		return rn.unavailable("%v, after %d sends", err, rn.sends.Load())
 	case !errors.Is(err, proxy.ErrNotSent) && !retries.Take():
@@ -289,6 +298,7 @@
 	me.Observe("requestTime", "route", string(rn.route.Kind), elapsed)
 	if re == nil {
 		me.Count("requests", "outcome", "served", 1)
+		rn.recordResponse(elapsed)
 		me.Log(evServed, rn.attrs(slog.Int("status", rn.status), slog.Duration("took", elapsed),
 			slog.Duration("first", rn.timeToFirst), slog.Int64("events", rn.eventsSent))...)
 		return
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -16,6 +16,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/poison"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -83,6 +84,8 @@
 	domain     ident.Domain
 	preference config.Preference
 	retries    func() RetryBudget
+	link       *shed.Link
+	congested  func(now time.Time) bool
 }
 
 // Option configures a Service.
@@ -130,7 +133,7 @@
 
 // New returns a service.
 func New(view View, reserver Reserver, opts ...Option) *Service {
-	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }, guard: noGuard{}, roster: noRoster{}}
+	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }, guard: noGuard{}, roster: noRoster{}, congested: func(time.Time) bool { return false }}
 	for _, apply := range opts {
 		apply(&op)
 	}
--- a/internal/app/direct/standby.go
+++ b/internal/app/direct/standby.go
@@ -88,13 +88,17 @@
 		} else if at := sb.rn.info.Arrived.Add(reading); at.After(since) {
 			since = at
 		}
-		if silent := ep.SilentFor(since, now); silent < sb.timeout {
-			if !sb.wait(sb.timeout - silent) {
+		timeout := sb.timeout
+		if sb.rn.se.congested() {
+			timeout *= congestedSilenceFactor
+		}
+		if silent := ep.SilentFor(since, now); silent < timeout {
+			if !sb.wait(min(timeout-silent, sb.timeout)) {
 				return
 			}
 			continue
 		}
-		ep.Failed(now)
+		sb.rn.se.recordTimeout(ep, kindSilence)
 		if sb.send() {
 			return
 		}
@@ -218,7 +222,7 @@
 	switch {
 	case errors.Is(err, errNotNeeded):
 	case errors.Is(context.Cause(ex.ctx), errSilent):
-		ex.ep.Failed(sb.rn.se.opts.clock.Now())
+		sb.rn.se.recordTimeout(ex.ep, kindSilence)
 	default:
 		ex.countFailure(err)
 	}
--- a/internal/app/hedge/table.go
+++ b/internal/app/hedge/table.go
@@ -63,6 +63,12 @@
 // WithMeter sets the meter. By default nothing is recorded.
 func WithMeter(me meter.Meter) Option { return func(tb *Table) { tb.meter = me } }
 
+// WithCongestion sets what tells whether the router's own link is congested. A call that
+// gets no response is then no evidence against the table. The default is never.
+func WithCongestion(congested func(now time.Time) bool) Option {
+	return func(tb *Table) { tb.congested = congested }
+}
+
 // Table is a store.Table that is reached on several access paths. A commit may be
 // under way on more than one path at a time: its conditions let it take effect
 // once, and a condition that fails because it did is reported as
@@ -72,6 +78,8 @@
 	routers Routers
 	clock   clock.Clock
 	meter   meter.Meter
+	// congested tells whether the router's own link is congested.
+	congested func(now time.Time) bool
 	// unreachable is set while the table does not respond on the direct path, and
 	// lastProbe is when that path was last tried.
 	unreachable atomic.Bool
@@ -85,7 +93,7 @@
 
 // NewTable returns a table that is reached directly and through other routers.
 func NewTable(direct store.Table, routers Routers, opts ...Option) *Table {
-	tb := &Table{direct: direct, routers: routers, clock: clock.System{}, meter: meter.Nop{}}
+	tb := &Table{direct: direct, routers: routers, clock: clock.System{}, meter: meter.Nop{}, congested: func(time.Time) bool { return false }}
 	for _, apply := range opts {
 		apply(tb)
 	}
@@ -183,6 +191,8 @@
 		tb.usualTime.Store(max(int64(elapsed), usual+int64(usualTimeWeight*float64(int64(elapsed)-usual))))
 	}
 	switch {
+	case unreachable && timedOut(err) && tb.congested(tb.clock.Now()):
+		tb.meter.Count("timeoutsNotHeld", "kind", "table", 1)
 	case unreachable && tb.unreachable.CompareAndSwap(false, true):
 		now := tb.clock.Now()
 		tb.lastProbe.Store(&now)
@@ -192,6 +202,12 @@
 	}
 }
 
+// timedOut reports whether a call ended because there was no response in time.
+func timedOut(err error) bool {
+	var te interface{ Timeout() bool }
+	return errors.Is(err, context.Canceled) || errors.As(err, &te) && te.Timeout()
+}
+
 // noResponse reports whether the error means that the table did not respond. A
 // failed condition and throttling are responses.
 func noResponse(err error) bool {
--- a/internal/app/hedge/table_test.go
+++ b/internal/app/hedge/table_test.go
@@ -115,6 +115,33 @@
 	}
 }
 
+// TestCongestion guards against a table that counts as unreachable because calls wait on
+// the router's own link, and against one that is down and does not.
+func TestCongestion(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet("a")
+			tb := hedge.NewTable(fl.direct, fl, hedge.WithCongestion(func(time.Time) bool { return true }))
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if fl.direct.SetDown(down); !down {
+				fl.direct.SetPause(silent)
+			}
+			if err := tb.Commit(ctx, put("k", 0)); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			fl.direct.SetDown(false)
+			fl.direct.SetPause(nil)
+			before := fl.calls()
+			err := tb.Commit(ctx, put("k", 1))
+			if gone := fl.calls() > before; err != nil || gone != down {
+				t.Errorf("down %t: %v, through another router: %t", down, err, gone)
+			}
+		})
+	}
+}
+
 // TestErrors guards against an error that hides that a commit may have taken
 // effect on another access path, and against an uncertain error where the result
 // is certain.
--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -53,6 +53,8 @@
 	Unreachable Reason = "unreachable"
 	// PoisonedPrompt means that upstreams have ended under a part of the prompt.
 	PoisonedPrompt Reason = "poisonedPrompt"
+	// LinkBusy means that the request would wait on the router's own link for too long.
+	LinkBusy Reason = "linkBusy"
 	// Rejected means that the upstream refused the call before running it.
 	Rejected Reason = "rejected"
 )
@@ -78,7 +80,7 @@
 	BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService,
 	KeyRequired, KeyReused, Cancelled, OverBudget, EscrowUnavailable, RateLimited,
 	QueueFull, DeadlineUnmeetable, DeadlinePassed, NoUpstream, Busy, Leaving,
-	ClosedIncarnation, NotReady, StoreUnavailable, Unreachable, PoisonedPrompt, Rejected,
+	ClosedIncarnation, NotReady, StoreUnavailable, Unreachable, PoisonedPrompt, LinkBusy, Rejected,
 	LinkLost, UpstreamFailed, Truncated, TimedOut, InProgress, Internal,
 }
 
--- a/internal/fake/table/table.go
+++ b/internal/fake/table/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -256,7 +257,7 @@
 	cl.mu.Unlock()
 	if pause != nil {
 		if err := pause(ctx); err != nil {
-			return fa, store.ErrUnavailable
+			return fa, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 		}
 	}
 	switch {
--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
 	"github.com/balsamwood/balsamwood/internal/adapt/logs"
@@ -89,7 +90,9 @@
 	me := newMeter(out, set.Log, set.VM)
 	defer func() { _ = me.Close() }()
 	out.OnDrop(func(lines int64) { me.Count("logLinesDropped", "", "", lines) })
-	ro, err := direct.New(set, me, me.Handler(), platform.New(set.Store, platform.WithMeter(me)))
+	li := direct.NewLink(set)
+	pf := platform.New(set.Store, platform.WithMeter(me), platform.WithHTTP(client.WithLink(li)))
+	ro, err := direct.New(set, me, me.Handler(), pf, direct.WithLink(li))
 	if err != nil {
 		return err
 	}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/entry"
@@ -30,6 +31,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/retry"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -142,6 +144,8 @@
 	platform    Platform
 	holder      *budget.Holder
 	pool        *pool.Pool
+	// link is the network link of the VM, or nil if its rate is not known.
+	link        *shed.Link
 	service     *app.Service
 	parts       *poison.Registry
 	entry       *entry.Server
@@ -161,15 +165,22 @@
 	leaving    atomic.Bool
 }
 
+// Option configures a Router.
+type Option func(*Router)
+
 // New wires a router and opens its listeners.
-func New(set conf.DirectRouter, me meter.Meter, metrics http.Handler, pf Platform) (*Router, error) {
-	ro := &Router{settings: set, met: me, incarnation: ident.NewIncarnation(), pool: newPool(set, pf), seeds: snap.NewCell(set.Seeds)}
+func New(set conf.DirectRouter, me meter.Meter, metrics http.Handler, pf Platform, opts ...Option) (*Router, error) {
+	ro := &Router{settings: set, met: me, incarnation: ident.NewIncarnation(), seeds: snap.NewCell(set.Seeds)}
+	for _, opt := range opts {
+		opt(ro)
+	}
+	ro.pool = newPool(set, pf, ro.link)
 	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
 	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
 	configLoop := follow.NewLoop("configuration", pf.Configs, ro.configs.Sink(), follow.WithMeter(me))
 	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
-	cl := peers.NewClient(ro.peerAddresses)
-	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me))
+	cl := peers.NewClient(ro.peerAddresses, client.WithLink(ro.link))
+	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me), hedge.WithCongestion(ro.congested))
 	ro.parts = poison.NewRegistry(table, codec.PoisonRecord(), pf.Clock, pool.Refuses, poison.WithMeter(me))
 	partLoop := follow.NewLoop("parts", pf.PoisonRecords, ro.parts, follow.WithMeter(me), follow.WithLongPoll(partLongPoll))
 	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop, partLoop}
@@ -183,9 +194,11 @@
 		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(),
 		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
-		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams))
+		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams),
+		app.WithLink(ro.link), app.WithCongestion(ro.congested))
 	var err error
-	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me)); err != nil {
+	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me),
+		entry.WithLink(ro.link), entry.WithAdmission(ro.admitToLink)); err != nil {
 		return nil, err
 	}
 	mx := http.NewServeMux()
@@ -203,11 +216,12 @@
 }
 
 // newPool returns the connections to upstreams.
-func newPool(set conf.DirectRouter, pf Platform) *pool.Pool {
-	if set.MemoryMB <= 0 {
-		return pool.New(pf.HeaderNames)
+func newPool(set conf.DirectRouter, pf Platform, li *shed.Link) *pool.Pool {
+	opts := []pool.Option{pool.WithLink(li)}
+	if set.MemoryMB > 0 {
+		opts = append(opts, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
 	}
-	return pool.New(pf.HeaderNames, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
+	return pool.New(pf.HeaderNames, opts...)
 }
 
 // newRetryBudget returns the retry budget of one service.
@@ -308,6 +322,7 @@
 	}
 	workers.Go(func() { ro.pool.Run(workCtx) })
 	workers.Go(func() { ro.expireUpstreams(workCtx) })
+	workers.Go(func() { ro.watchLink(workCtx) })
 	workers.Go(func() { ro.gossip.Run(workCtx) })
 	workers.Go(func() { ro.statements.Run(workCtx) })
 	workers.Go(func() { ro.parts.Run(workCtx) })
