app/budget: draws for all that wait, refusal of requests that would wait in vain

Cause: each request drew only for itself under the rows lock of its budget, the passes never got that lock and so knew no rate of use, and a draw ended with the deadline of the request that began it. An account with 308 requests a second at one router was refused while the table took 300 ms a call.

Change: a draw brings tokens for all requests that wait, up to one part of the free ones, goes on after its request has left, and observes the use if the passes do not. A request is refused at once if, by the usual response time of the table, its tokens come after the end of its wait; Retry-After is after the draw.

TestLateRefusal failed before (each request waited 1 s). go test and go test -race of app/budget, go test of bench/budget, go test -race of role/direct pass.

--- a/internal/app/budget/deadline_test.go
+++ b/internal/app/budget/deadline_test.go
@@ -10,6 +10,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/table"
 )
 
@@ -89,3 +90,37 @@
 		})
 	}
 }
+
+// TestLateRefusal guards against requests that wait for escrow although it is known that
+// it comes too late, and against a draw that ends with the request that began it. The
+// table takes 700 ms for a call, so that a draw takes longer than a request may wait.
+func TestLateRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := table.New().Client()
+		cl.SetPause(pausing(700 * time.Millisecond))
+		hd := budget.NewHolder("r1", "vm", "d", budget.NewLedger(cl, codecs()),
+			budget.WithPrepaid(func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 100_000, 1, true }))
+		if err := hd.Open(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() {
+				_, err := hd.Reserve(t.Context(), meals, 3000, config.AvoidRefusal)
+				if waited := time.Since(start); reason(err) != refuse.EscrowUnavailable || waited > 0 {
+					t.Errorf("%v after %v, want %s at once", err, waited, refuse.EscrowUnavailable)
+				} else if !refuse.From(err).RetryAt.After(start.Add(1400 * time.Millisecond)) {
+					t.Errorf("retry at %v, want a time after the draw", refuse.From(err).RetryAt.Sub(start))
+				}
+			})
+		}
+		group.Wait()
+		time.Sleep(1500 * time.Millisecond)
+		for range 5 {
+			if _, err := hd.Reserve(t.Context(), meals, 3000, config.AvoidRefusal); err != nil {
+				t.Errorf("refused after the draw: %v", err)
+			}
+		}
+	})
+}
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -65,8 +65,8 @@
 		return
 	}
 	hd.reopen(ctx)
-	// The rows locks are held no longer than a request waits for one.
-	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
+	// The rows locks are held no longer than for a draw.
+	ctx, cancel := context.WithTimeout(ctx, hd.workTimeout())
 	defer cancel()
 	now := hd.opts.clock.Now()
 	var batch, alone []flushTask
@@ -129,6 +129,7 @@
 
 // executeTask carries out the task on the current rows.
 func (hd *Holder) executeTask(ctx context.Context, ft flushTask) error {
+	hd.startWork(ft.hg, callsPerDraw, true)
 	if ft.usesBudgetRow() || hd.opts.flushParallelism == 0 {
 		return hd.execute(ctx, ft.hg, hd.planFor(ft))
 	}
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -173,13 +173,19 @@
 	if re := hg.refusalFor(now, tokens); re != nil {
 		return re
 	}
-	request := ctx
+	hg.waiting.Add(int64(tokens))
+	defer hg.waiting.Add(-int64(tokens))
 	ctx, cancel := context.WithTimeout(ctx, hd.opts.drawTimeout)
 	defer cancel()
-	if !hg.lockRows(ctx) {
-		return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn in time")
+	if !hd.lockInTime(ctx, hg) {
+		return hd.refuseLate("requests that wait for escrow of the budget are served too late")
 	}
-	defer hg.unlockRows()
+	locked := true
+	defer func() {
+		if locked {
+			hg.unlockRows()
+		}
+	}()
 	for requested := false; ; {
 		if hg.pool.Reserve(tokens) {
 			return nil
@@ -197,11 +203,12 @@
 			return refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table does not respond").
 				WithRetryAt(now.Add(hd.opts.refusalTTL))
 		}
-		err := hd.unlockOrDraw(ctx, hg, tokens)
-		if err != nil && request.Err() != nil {
-			// A request that has ended says nothing about the table.
-			return refuse.New(refuse.EscrowUnavailable, "no escrow could be drawn before the request ended")
+		dr := hd.drawWithin(ctx, hg, tokens)
+		if dr.left {
+			locked = false
+			return hd.refuseLate("escrow is drawn too late for the request")
 		}
+		err := dr.err
 		if hd.table.down() {
 			continue
 		}
@@ -221,9 +228,11 @@
 // unlockOrDraw gets the tokens that the request lacks from the time-locked
 // escrow, or else from the free tokens of the budget.
 func (hd *Holder) unlockOrDraw(ctx context.Context, hg *holding, tokens ident.Tokens) error {
-	missing := tokens - hg.pool.Available()
-	if _, ok := hd.opts.timeLock.clock(); ok && hg.pool.Counts().Locked >= missing {
-		return hd.unlockTokens(ctx, hg, missing)
+	if now := hd.opts.clock.Now(); now.Sub(hg.usage.updatedAt) > observeAfter*hd.opts.flushInterval {
+		hg.usage.observe(now, hg.requests.Load(), hg.requestedTokens.Load())
+	}
+	if wanted := hg.wanted(tokens); hd.coveredByLocked(hg, wanted) {
+		return hd.unlockTokens(ctx, hg, wanted)
 	}
 	return hd.draw(ctx, hg, tokens)
 }
@@ -232,9 +241,12 @@
 // if that is before the reservation times out.
 func (hd *Holder) awaitUnlock(ctx context.Context, hg *holding, tokens ident.Tokens) bool {
 	wait, ok := hd.unlocksIn(hg, tokens-hg.pool.Available())
-	if deadline, limited := ctx.Deadline(); !ok || limited && hd.opts.clock.Now().Add(wait).After(deadline) {
+	if !ok || hd.endsBefore(ctx, wait) {
 		return false
 	}
+	us := hg.unlockSchedule
+	perToken := float64(time.Duration(us.span)*time.Millisecond) / float64(max(1, us.locked))
+	hg.work.Store(&rowsWork{endsAt: hd.opts.clock.Now().Add(wait), perToken: perToken})
 	return sleep(ctx, wait) == nil
 }
 
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -20,6 +20,10 @@
 	requestedTokens atomic.Int64
 	avoidsOverspend atomic.Bool
 	cachedRefusal   atomic.Pointer[cachedRefusal]
+	// waiting is the number of tokens for which requests wait, and work what the owner of
+	// the rows lock last began.
+	waiting atomic.Int64
+	work    atomic.Pointer[rowsWork]
 
 	// rowsLock is held by the goroutine that writes the rows of this holding.
 	// Requests wait for it only when the pool is short. It is a channel, so that
--- a/internal/app/budget/usage.go
+++ b/internal/app/budget/usage.go
@@ -25,6 +25,10 @@
 	spendRate float64
 }
 
+// observeAfter is the number of flush intervals after which a draw observes the use
+// itself, because the passes do not get the rows lock.
+const observeAfter = 2
+
 const (
 	// rateTime is the time constant of the moving average of a holder's rate.
 	rateTime = 3 * time.Second
--- a/internal/app/budget/write.go
+++ b/internal/app/budget/write.go
@@ -280,24 +280,29 @@
 	err := hd.execute(ctx, hg, func(hg *holding, en escrow.Entry) (escrow.Entry, error) {
 		short, restoring = false, false
 		en, err := applyPending(hg, en)
-		missing := tokens - hg.pool.Available()
+		missing, wanted := tokens-hg.pool.Available(), hg.wanted(tokens)
 		if err != nil || missing <= 0 {
 			return en, err
 		}
+		hd.startWork(hg, 1, true)
 		// Locked tokens are unlocked first, so that less is drawn from what is
 		// free.
-		if part := min(en.Grant.Locked(), missing); part > 0 {
-			if en, err = en.Unlock(part); err != nil || part == missing {
+		if part := min(en.Grant.Locked(), wanted); part > 0 {
+			if en, err = en.Unlock(part); err != nil || part == wanted {
 				return en, err
 			}
-			missing -= part
+			missing, wanted = missing-part, wanted-part
 		}
-		if restoring = !hd.mayDraw(en.Budget); restoring {
+		if !hd.mayDraw(en.Budget) {
+			restoring = missing > 0
 			return en, nil
 		}
-		if amount := hd.opts.grantSizer.GrantSize(hd.demand(hg, missing, false, en.Budget)); amount > 0 {
+		if amount := hd.drawSize(hg, en.Budget, missing, wanted); amount > 0 {
 			return en.Draw(amount)
 		}
+		if missing <= 0 {
+			return en, nil
+		}
 		short = true
 		if en.Budget.Granted > en.Grant.Outstanding() {
 			en.Budget = en.Budget.WithWanted(missing)
