--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -198,7 +198,7 @@
 		budget.WithMeter(me), budget.WithPrepaid(ro.prepaid), budget.WithAddress(func() string { return set.PeerListen }),
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithHeadroom(headroom), budget.WithReadInterval(budgetReadInterval),
 		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(),
-		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl))
+		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl), budget.WithCongestion(ro.congested))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams),
 		app.WithLink(ro.link), app.WithCongestion(ro.congested))
