core/place, app/follow, app/direct: capacity of cold upstreams

Cause: an upstream that has just started tolerates few requests, and routers sent it as many as to any other.

Change: the end of its cold time is kept in its endpoint. It comes from its entry, its responses, a lifetime that begins while the router runs and the end of a closure. Routers divide the rate of the service by their number and the rendezvous order of upstream and router. The capacity of a send is taken atomically where an upstream is chosen, for first sends, retries and standbys alike. While only cold upstreams without capacity are left, requests are refused at once. Figures of the configuration that cannot be used are logged and those before stay in force.

--- a/internal/adapt/pool/pool_test.go
+++ b/internal/adapt/pool/pool_test.go
@@ -24,7 +24,7 @@
 	return terms.HeaderNames{
 		RequestID: "Attempt-Id", TimeLeft: "Deadline-Ms", LastEventID: "Last-Event-Id", Model: "Model",
 		TokenCounts: "Token-Counts", PromptParts: "Prompt-Prefix", Account: "Tenant", Instance: "Expect-Instance",
-		Urgency: "Request-Priority", NotRun: "Not-Executed", Load: "Instance-Load", Leaving: "Server-Leaving", RouterOnly: []string{"Hold"},
+		Urgency: "Request-Priority", NotRun: "Not-Executed", Load: "Instance-Load", Leaving: "Server-Leaving", Cold: "Cold-Ms", RouterOnly: []string{"Hold"},
 	}
 }
 
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -94,7 +94,7 @@
 func (rsp *response) Notice() proxy.Notice {
 	name := rsp.pool.terms.Leaving
 	leaving := name != "" && rsp.httpResp.Header.Get(name) != "" && rsp.httpResp.StatusCode != http.StatusMisdirectedRequest
-	return proxy.Notice{Leaving: leaving, QuietUntil: rsp.quietUntil()}
+	return proxy.Notice{Leaving: leaving, QuietUntil: rsp.quietUntil(), ColdUntil: rsp.coldUntil()}
 }
 
 // maxQuietTime bounds the time for which an upstream may ask to be left alone.
@@ -111,6 +111,19 @@
 	return rsp.receivedAt.Add(time.Duration(min(secs, maxQuietTime.Seconds()) * float64(time.Second)))
 }
 
+// maxColdTime bounds the time for which an upstream may say that it is cold.
+const maxColdTime = 24 * time.Hour
+
+// coldUntil returns the time until which the upstream tolerates only few requests. A value
+// that is no number, negative or too large is ignored.
+func (rsp *response) coldUntil() time.Time {
+	ms, err := strconv.ParseFloat(rsp.httpResp.Header.Get(rsp.pool.terms.Cold), 64)
+	if rsp.pool.terms.Cold == "" || err != nil || !(ms >= 0 && ms <= float64(maxColdTime.Milliseconds())) {
+		return time.Time{}
+	}
+	return rsp.receivedAt.Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
 // readHeader reads the header and checks that the response belongs to the request.
 // Interim responses and late copies of earlier responses are skipped.
 func (rsp *response) readHeader(rq Request) error {
--- a/internal/adapt/terms/terms.go
+++ b/internal/adapt/terms/terms.go
@@ -29,6 +29,8 @@
 	Load string
 	// Leaving is set by an upstream that is about to end.
 	Leaving string
+	// Cold is for how long the upstream tolerates only few requests, in milliseconds.
+	Cold string
 	// RouterOnly lists further fields that only the router may set. They are
 	// removed from the requests of callers.
 	RouterOnly []string
@@ -40,6 +42,6 @@
 		RequestID: "Balsamwood-Request", TimeLeft: "Balsamwood-Time-Left-Ms", LastEventID: "Last-Event-Id",
 		Model: "Balsamwood-Model", TokenCounts: "Balsamwood-Tokens", PromptParts: "Balsamwood-Prompt-Parts",
 		Account: "Balsamwood-Account", Instance: "Balsamwood-Instance", Urgency: "Balsamwood-Urgency",
-		NotRun: "Balsamwood-Not-Run", Load: "Balsamwood-Load", Leaving: "Balsamwood-Leaving",
+		NotRun: "Balsamwood-Not-Run", Load: "Balsamwood-Load", Leaving: "Balsamwood-Leaving", Cold: "Balsamwood-Cold-Left-Ms",
 	}
 }
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -196,6 +196,9 @@
 	if no.Leaving {
 		ex.rn.se.opts.roster.RecordLeaving(ex.ep.Upstream)
 	}
+	if !no.ColdUntil.IsZero() {
+		ex.ep.ReportedCold(no.ColdUntil, ex.rn.se.opts.clock.Now())
+	}
 	if !no.QuietUntil.IsZero() {
 		// All routers are told the same time, and are not to come back together.
 		ex.ep.Quiet(no.QuietUntil.Add(rand.N(refusalRetryDelay)))
--- a/internal/app/direct/direct_test.go
+++ b/internal/app/direct/direct_test.go
@@ -154,6 +154,8 @@
 	ups    place.EndpointMap
 	ledger *budget.Ledger
 	holder *budget.Holder
+	// cold is the limit of the cold upstreams, which is none at first.
+	cold *coldView
 }
 
 func newFixture(t *testing.T, upstreams int, reserve int, opts ...direct.Option) fixture {
@@ -174,7 +176,8 @@
 	opts = append(opts, direct.WithRetries(func() direct.RetryBudget {
 		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(reserve))
 	}))
-	fx := fixture{ups: place.EndpointMap{}.WithUpstreams(ups...), ledger: le, holder: hd}
+	cold := &coldView{}
+	fx := fixture{ups: place.EndpointMap{}.WithColdView(cold).WithUpstreams(ups...), ledger: le, holder: hd, cold: cold}
 	fx.svc = direct.New(fixedView{conf, fx.ups}, hd, opts...)
 	return fx
 }
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -238,13 +238,13 @@
 }
 
 // noUpstream returns the refusal for a request for which no upstream can be chosen. If
-// all of them have asked for quiet, the caller may retry when the first one wants
-// requests again. A random part spreads the callers.
+// all of them have asked for quiet or are cold, the caller may retry when the first one
+// probably accepts a request. A random part spreads the callers.
 func (rn *run) noUpstream() *refuse.Refusal {
 	re := rn.unavailable("no upstream is available")
 	now := rn.se.opts.clock.Now()
-	if end, quiet := place.QuietEnd(rn.se.view.Upstreams().Service(rn.service.Name), now); quiet && re.Outcome == refuse.NotRun {
-		re = re.WithRetryAt(end.Add(rand.N(refusalRetryDelay)))
+	if at, blocked := place.UsableAt(rn.se.view.Upstreams().Service(rn.service.Name), now); blocked && re.Outcome == refuse.NotRun {
+		re = re.WithRetryAt(at.Add(rand.N(refusalRetryDelay)))
 	}
 	return re
 }
@@ -266,10 +266,27 @@
 }
 
 // choose returns the upstream for the next send, or nil, and the estimated number
-// of prompt tokens that it does not have in its cache.
+// of prompt tokens that it does not have in its cache. If it is cold, its capacity for
+// the send is taken: another request may have taken it since it was chosen.
 func (rn *run) choose(de place.Demand) (*place.Endpoint, ident.Tokens) {
 	list := rn.se.view.Upstreams().Service(rn.service.Name)
-	now := rn.se.opts.clock.Now()
+	for {
+		now := rn.se.opts.clock.Now()
+		ep, uncached := rn.chooseFrom(list, de, now)
+		if ep == nil {
+			return nil, 0
+		}
+		cold, ok := ep.Take(now)
+		if cold && ok {
+			rn.se.opts.meter.Count("coldSends", "service", string(rn.service.Name), 1)
+		}
+		if ok {
+			return ep, uncached
+		}
+	}
+}
+
+func (rn *run) chooseFrom(list []*place.Endpoint, de place.Demand, now time.Time) (*place.Endpoint, ident.Tokens) {
 	if rn.info.Prompt != nil {
 		return rn.se.engines.Choose(list, de, now)
 	}
--- a/internal/app/follow/closures.go
+++ b/internal/app/follow/closures.go
@@ -57,7 +57,7 @@
 // rows of the operator.
 type Closures struct {
 	decode DecodeClosure
-	apply  func(place.DomainSet)
+	apply  func(place.DomainSet, time.Time)
 	// upstreams returns the number of known upstreams in a domain.
 	upstreams func(ident.Domain) int
 	meter     meter.Meter
@@ -225,7 +225,7 @@
 		return
 	}
 	cs.inForce = next
-	cs.apply(next)
+	cs.apply(next, now)
 	at := slog.Uint64("version", cs.position.Version)
 	for _, domain := range next.Without(before) {
 		count := cs.upstreams(domain)
--- a/internal/app/follow/config.go
+++ b/internal/app/follow/config.go
@@ -15,6 +15,7 @@
 
 var (
 	evConfig    = meter.Event{Number: 5111, Level: slog.LevelInfo, Text: "routing configuration in force"}
+	evFaults    = meter.Event{Number: 5113, Level: slog.LevelWarn, Text: "figures of the routing configuration cannot be used, those before stay in force"}
 	evBadConfig = meter.Event{Number: 5112, Level: slog.LevelError, Text: "routing configuration cannot be used"}
 )
 
@@ -84,6 +85,10 @@
 	if !ok || next.Revision() < current || co.known && next.Revision() == current && ro.Position.Before(co.row.Position) {
 		return
 	}
+	if faults := next.Faults(); len(faults) > 0 {
+		co.meter.Log(evFaults, slog.Uint64("revision", uint64(next.Revision())), slog.Any("faults", faults))
+		next = next.WithoutFaults(co.cell.Load())
+	}
 	co.cell.Store(next)
 	co.row, co.known = ro, true
 	close(co.changed)
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -18,6 +18,9 @@
 	evRemoved   = meter.Event{Number: 5122, Level: slog.LevelInfo, Text: "upstream entry removed"}
 	evExpired   = meter.Event{Number: 5123, Level: slog.LevelWarn, Text: "upstream entry expired during an outage, the upstream stays in use for a grace period"}
 	evAnnounced = meter.Event{Number: 5125, Level: slog.LevelInfo, Text: "upstream announced in a response that it leaves"}
+	evCold      = meter.Event{Number: 5126, Level: slog.LevelInfo, Text: "upstream is cold, it gets few requests"}
+	evWarm      = meter.Event{Number: 5127, Level: slog.LevelInfo, Text: "upstream is warm"}
+	evOddEntry  = meter.Event{Number: 5128, Level: slog.LevelWarn, Text: "a figure of an upstream entry cannot be used and is ignored"}
 	evBadEntry  = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
 )
 
@@ -61,6 +64,24 @@
 	// marked as expired and stay in use.
 	graceUntil time.Time
 	known      bool
+	// view gives the cold times of services, or is nil.
+	view place.ColdView
+	// cooled holds the upstreams whose endpoints have yet to learn the end of their cold
+	// time.
+	cooled map[ident.Upstream]time.Time
+	// cold holds the upstreams that were cold at the last check.
+	cold map[ident.Upstream]bool
+}
+
+// UpstreamsOption configures Upstreams.
+type UpstreamsOption func(*Upstreams)
+
+// WithColdView sets the limits of cold upstreams. By default, no upstream is ever cold.
+func WithColdView(view place.ColdView) UpstreamsOption {
+	return func(us *Upstreams) {
+		us.view = view
+		us.cell = snap.NewCell(place.EndpointMap{}.WithColdView(view))
+	}
 }
 
 // entry is an upstream with the position of its row. An expired entry was removed
@@ -73,6 +94,15 @@
 	unusable bool
 	// announced says that the upstream has announced in a response that it leaves.
 	announced bool
+	// coldUntil is when the upstream stops being cold by its entry, or by the time of its
+	// service if its lifetime began while this router was running.
+	coldUntil time.Time
+}
+
+// WithColdUntil returns a copy that is cold until a time.
+func (en entry) WithColdUntil(until time.Time) entry {
+	en.coldUntil = until
+	return en
 }
 
 // WithAnnounced returns a copy that is leaving because the upstream has announced it.
@@ -121,21 +151,54 @@
 }
 
 // NewUpstreams returns Upstreams without entries.
-func NewUpstreams(decode DecodeUpstream, me meter.Meter) *Upstreams {
-	return &Upstreams{
+func NewUpstreams(decode DecodeUpstream, me meter.Meter, opts ...UpstreamsOption) *Upstreams {
+	us := &Upstreams{
 		cell: snap.NewCell(place.EndpointMap{}), decode: decode, meter: me,
 		entries: map[ident.Upstream]entry{}, removed: map[ident.Upstream]removal{},
+		cooled: map[ident.Upstream]time.Time{}, cold: map[ident.Upstream]bool{},
 	}
+	for _, opt := range opts {
+		opt(us)
+	}
+	return us
 }
 
 // Load returns the upstreams in force.
 func (us *Upstreams) Load() place.EndpointMap { return us.cell.Load() }
 
 // SetClosed sets the failure domains that are closed.
-func (us *Upstreams) SetClosed(ds place.DomainSet) {
+func (us *Upstreams) SetClosed(ds place.DomainSet, now time.Time) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	us.cell.Store(us.cell.Load().WithClosed(ds))
+	us.cell.Store(us.cell.Load().WithClosed(ds, now))
+}
+
+// CheckCold records which upstreams are cold, and logs those that have become cold or
+// warm.
+func (us *Upstreams) CheckCold(now time.Time) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	before, next := us.cold, map[ident.Upstream]bool{}
+	mp := us.cell.Load()
+	for id := range us.entries {
+		ep, ok := mp.Endpoint(id)
+		if !ok || !ep.IsCold(now) {
+			continue
+		}
+		next[id] = true
+		if !before[id] {
+			us.meter.Log(evCold, slog.String("upstream", string(id)), slog.String("service", string(ep.Service)), slog.Duration("left", ep.ColdLeft(now)))
+		}
+	}
+	for id := range before {
+		if !next[id] {
+			us.meter.Log(evWarm, slog.String("upstream", string(id)))
+		}
+	}
+	us.cold = next
+	if len(before) != len(next) {
+		us.meter.Gauge("coldUpstreams", "", "", float64(len(next)))
+	}
 }
 
 // Known reports whether the entries have been read at least once.
@@ -156,11 +219,12 @@
 			us.graceUntil = now.Add(expiryGrace)
 		}
 	}
+	first := !us.known
 	us.known = true
 	present := make(map[ident.Upstream]bool, len(ba.Rows))
 	for _, ro := range ba.Rows {
 		present[ident.Upstream(ro.Key)] = true
-		us.apply(ro, now)
+		us.apply(ro, now, first)
 	}
 	for id, en := range us.entries {
 		if !present[id] && !en.position.After(ba.Position) {
@@ -172,7 +236,7 @@
 			us.removed[id] = rm.WithoutCopied()
 		}
 	}
-	us.publish()
+	us.publish(now)
 }
 
 // ApplyChanges applies the changed entries.
@@ -180,9 +244,9 @@
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	for _, ro := range ba.Rows {
-		us.apply(ro, now)
+		us.apply(ro, now, false)
 	}
-	us.publish()
+	us.publish(now)
 }
 
 // Lost records the start of an outage.
@@ -226,12 +290,13 @@
 		}
 	}
 	if changed {
-		us.publish()
+		us.publish(now)
 	}
 }
 
-// apply updates the entry of a row unless its position is older.
-func (us *Upstreams) apply(ro feed.Row, now time.Time) {
+// apply updates the entry of a row unless its position is older. first says that no
+// entries were read before.
+func (us *Upstreams) apply(ro feed.Row, now time.Time, first bool) {
 	id := ident.Upstream(ro.Key)
 	old, exists := us.entries[id]
 	if exists && ro.Position.Before(old.position) {
@@ -257,7 +322,7 @@
 		return
 	case wasRemoved && us.outdated(ro, next, rm.entry):
 		if !rm.Leaving {
-			us.removed[id] = rm.WithCopied(entry{Entry: next, position: ro.Position}, now)
+			us.removed[id] = rm.WithCopied(us.withCold(entry{Entry: next, position: ro.Position}, rm.entry, now), now)
 		}
 		return
 	}
@@ -267,16 +332,41 @@
 	}
 	delete(us.removed, id)
 	en := entry{Entry: next, position: ro.Position}
+	if first {
+		known = en
+	}
+	en = us.withCold(en, known, now)
 	if known.announced && next.StartedMs <= known.StartedMs {
 		en = en.WithAnnounced()
 	}
 	us.put(id, en)
 }
 
+// withCold returns the entry with the end of its cold time: as it reports, or else that
+// of the service if its lifetime is not the one known before.
+func (us *Upstreams) withCold(en, known entry, now time.Time) entry {
+	switch {
+	case en.position == known.position && known.ColdKnown && !known.coldUntil.IsZero():
+		return en.WithColdUntil(known.coldUntil)
+	case en.ColdKnown:
+		return en.WithColdUntil(now.Add(en.ColdLeft))
+	case us.view != nil && (known.ID == "" || en.StartedMs != known.StartedMs || en.Address != known.Address):
+		return en.WithColdUntil(now.Add(us.view.ColdLimit(en.Service).Time))
+	default:
+		return en.WithColdUntil(known.coldUntil)
+	}
+}
+
 // put sets the entry of an upstream.
 func (us *Upstreams) put(id ident.Upstream, en entry) {
 	old, exists := us.entries[id]
 	us.entries[id] = en
+	if reported := en.ColdKnown && old.position != en.position; reported || !en.coldUntil.Equal(old.coldUntil) {
+		us.cooled[id] = en.coldUntil
+	}
+	if en.Fault != "" && en.Fault != old.Fault {
+		us.meter.Log(evOddEntry, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version), slog.String("fault", en.Fault))
+	}
 	if !exists || old.Upstream != en.Upstream || old.expired || old.unusable {
 		us.meter.Log(evUpstream, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version),
 			slog.String("service", string(en.Service)), slog.String("address", en.Address), slog.Bool("leaving", en.Leaving))
@@ -299,7 +389,7 @@
 	}
 	us.entries[up.ID] = en.WithAnnounced()
 	us.meter.Log(evAnnounced, slog.String("upstream", string(up.ID)), slog.Uint64("version", en.position.Version), slog.Int64("startedMs", up.StartedMs))
-	us.publish()
+	us.cell.Store(us.endpoints())
 }
 
 // outdated reports whether the row may be that of a copy that does not contain what the
@@ -336,13 +426,26 @@
 	us.meter.Log(evRemoved, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version))
 }
 
-// publish makes the entries visible to Load.
-func (us *Upstreams) publish() {
+// publish makes the entries visible to Load. The cold times are set before, so that no
+// request is sent in between.
+func (us *Upstreams) publish(now time.Time) {
+	next := us.endpoints()
+	for id, until := range us.cooled {
+		if ep, ok := next.Endpoint(id); ok {
+			ep.SetCold(until, now)
+		}
+	}
+	clear(us.cooled)
+	us.cell.Store(next)
+}
+
+// endpoints returns the endpoints of the entries.
+func (us *Upstreams) endpoints() place.EndpointMap {
 	all := make([]place.Upstream, 0, len(us.entries))
 	for _, en := range us.entries {
 		if !en.unusable {
 			all = append(all, en.Upstream)
 		}
 	}
-	us.cell.Store(us.cell.Load().WithUpstreams(all...))
+	return us.cell.Load().WithUpstreams(all...)
 }
--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -37,6 +37,20 @@
 	CacheTokens ident.Tokens
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens ident.Tokens
+	// ColdTime is how long an upstream that has started tolerates only few requests, and
+	// ColdRate the number of requests a second that it tolerates. If one of them is zero,
+	// the upstreams are never cold.
+	ColdTime time.Duration
+	ColdRate float64
+	// Fault describes figures for cold upstreams that cannot be used, or is empty. Those
+	// of the configuration before stay in force.
+	Fault string
+}
+
+// WithCold returns a copy with the figures for cold upstreams of another version.
+func (se Service) WithCold(other Service) Service {
+	se.ColdTime, se.ColdRate = other.ColdTime, other.ColdRate
+	return se
 }
 
 // Account is a client account with its prepaid total.
@@ -98,6 +112,30 @@
 	return co
 }
 
+// WithoutFaults returns a copy in which services with faults have the figures of the
+// configuration before.
+func (co Config) WithoutFaults(before Config) Config {
+	next := make([]Service, 0, len(co.services))
+	for _, se := range co.services {
+		if se.Fault != "" {
+			se = se.WithCold(before.services[se.Name])
+		}
+		next = append(next, se)
+	}
+	return co.WithServices(next...)
+}
+
+// Faults returns the descriptions of all figures that cannot be used, ordered by service.
+func (co Config) Faults() []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(co.services)) {
+		if fault := co.services[name].Fault; fault != "" {
+			out = append(out, fault)
+		}
+	}
+	return out
+}
+
 // WithAccounts returns a copy with the accounts replaced.
 func (co Config) WithAccounts(accounts ...Account) Config {
 	co.accounts = make(map[ident.Account]Account, len(accounts))
--- a/internal/core/place/closed_test.go
+++ b/internal/core/place/closed_test.go
@@ -18,7 +18,7 @@
 	ups := []place.Upstream{{ID: "a", Service: "s", Domain: "one"}, {ID: "b", Service: "s", Domain: "one"}, {ID: "c", Service: "s", Domain: "two"}}
 	mp := place.EndpointMap{}.WithUpstreams(ups...)
 	mp.Service("s")[0].Sent(0, 0, now)
-	closed := mp.WithClosed(place.NewDomainSet("one"))
+	closed := mp.WithClosed(place.NewDomainSet("one"), now)
 	ups[1].Slots = 4
 	closed = closed.WithUpstreams(append(ups, place.Upstream{ID: "d", Service: "s", Domain: "one"})...)
 	engines, plain := place.NewEnginePolicy(), place.NewPlainPolicy()
@@ -36,10 +36,10 @@
 	if ep, _ := closed.Endpoint("a"); ep.InFlight() != 1 || ep.Usable(now) {
 		t.Errorf("%d requests in progress at a closed upstream, want 1", ep.InFlight())
 	}
-	if ep := plain.Choose(closed.WithClosed(place.NewDomainSet("one", "two")).Service("s"), place.Demand{}, now); ep != nil {
+	if ep := plain.Choose(closed.WithClosed(place.NewDomainSet("one", "two"), now).Service("s"), place.Demand{}, now); ep != nil {
 		t.Errorf("%s was chosen although all domains are closed", ep.ID)
 	}
-	if ep, _ := closed.WithClosed(place.DomainSet{}).Endpoint("a"); !ep.Usable(now) {
+	if ep, _ := closed.WithClosed(place.DomainSet{}, now).Endpoint("a"); !ep.Usable(now) {
 		t.Error("the upstream stays closed after its domain was opened")
 	}
 }
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -50,6 +50,8 @@
 	hash    uint64
 	state   *state
 	profile *Profile
+	// view gives the limits of cold upstreams, or is nil if no upstream is ever cold.
+	view ColdView
 }
 
 type state struct {
@@ -74,23 +76,30 @@
 	// after that time.
 	quietUntil atomic.Int64
 	trialAt    atomic.Int64
+	cold       cold
 	// lastReceived is the time at which the last bytes arrived, or zero.
 	lastReceived atomic.Int64
 	// baseTime is the first time that was passed in. Other times are kept as
-	// milliseconds of monotonic time since then, so that a step of the wall clock
+	// milliseconds or nanoseconds of monotonic time since then, so that a step of the wall clock
 	// has no effect.
 	baseTime atomic.Pointer[time.Time]
 }
 
 // millis returns the time as it is kept in the other fields. Times from the base
 // time on give at least 1, which tells them from an unset field.
-func (st *state) millis(now time.Time) int64 {
+func (st *state) millis(now time.Time) int64 { return st.sinceBase(now).Milliseconds() + 1 }
+
+// nanos returns the time as it is kept in the fields of cold. Times from the base time on
+// give at least 1, which tells them from an unset field.
+func (st *state) nanos(now time.Time) int64 { return st.sinceBase(now).Nanoseconds() + 1 }
+
+func (st *state) sinceBase(now time.Time) time.Duration {
 	base := st.baseTime.Load()
 	if base == nil {
 		st.baseTime.CompareAndSwap(nil, &now)
 		base = st.baseTime.Load()
 	}
-	return now.Sub(*base).Milliseconds() + 1
+	return now.Sub(*base)
 }
 
 // report is a load report of the upstream.
@@ -111,7 +120,17 @@
 // WithUpstream returns an endpoint with another description that shares the
 // counters.
 func (ep *Endpoint) WithUpstream(up Upstream) *Endpoint {
-	return &Endpoint{Upstream: up, hash: ep.hash, state: ep.state, profile: ep.profile}
+	next := *ep
+	next.Upstream = up
+	return &next
+}
+
+// WithColdView returns an endpoint with other limits while it is cold that shares the
+// counters.
+func (ep *Endpoint) WithColdView(view ColdView) *Endpoint {
+	next := *ep
+	next.view = view
+	return &next
 }
 
 // Profile returns what was learned about the service of the upstream.
@@ -125,6 +144,9 @@
 	// trialInterval is the time between two requests to an upstream that has asked for
 	// quiet before. One that is still full turns a request away within a few ms.
 	trialInterval = 100 * time.Millisecond
+	// otherRouterDelay is the time in which another router has capacity at a cold
+	// upstream at which this router has none.
+	otherRouterDelay = time.Second
 	// maxReportAge is the age above which a reported load is ignored.
 	maxReportAge = 2 * time.Second
 )
@@ -254,18 +276,33 @@
 }
 
 // Usable reports whether a request may be sent to the upstream: it is not leaving, its
-// failure domain is not closed, and it has not asked for quiet. After that time, requests are sent one by one until one is
+// failure domain is not closed, it has not asked for quiet, and this router has capacity
+// there if it is cold. After a quiet time, requests are sent one by one until one is
 // accepted, so that not all that wait for it arrive at once.
 func (ep *Endpoint) Usable(now time.Time) bool {
+	if !ep.Accepting() {
+		return false
+	}
 	until, ms := ep.state.quietUntil.Load(), ep.state.millis(now)
-	return ep.Accepting() && (until == 0 || ms >= max(until, ep.state.trialAt.Load()+trialInterval.Milliseconds()))
+	if until != 0 && ms < max(until, ep.state.trialAt.Load()+trialInterval.Milliseconds()) {
+		return false
+	}
+	wait, ok := ep.coldWait(now)
+	return ok && wait == 0
 }
 
-// QuietEnd returns the time until which the upstream wants no request, and false if it
-// wants requests.
-func (ep *Endpoint) QuietEnd(now time.Time) (time.Time, bool) {
-	left := ep.state.quietUntil.Load() - ep.state.millis(now)
-	return now.Add(time.Duration(left) * time.Millisecond), left > 0
+// UsableAt returns the time at which the upstream probably accepts a request, and false
+// if it does so now. Another router may have capacity earlier if the upstream is cold and
+// this router has none.
+func (ep *Endpoint) UsableAt(now time.Time) (time.Time, bool) {
+	wait, ok := ep.coldWait(now)
+	if !ok {
+		wait = min(wait, otherRouterDelay)
+	}
+	if until := ep.state.quietUntil.Load(); until != 0 {
+		wait = max(wait, time.Duration(until-ep.state.millis(now))*time.Millisecond)
+	}
+	return now.Add(wait), wait > 0
 }
 
 // InFlight returns the number of this router's requests at the upstream.
--- a/internal/core/place/entry.go
+++ b/internal/core/place/entry.go
@@ -1,12 +1,21 @@
 package place
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Entry is an upstream as it has reported itself. Sequence rises with each report of a
 // lifetime.
 type Entry struct {
 	Upstream
 	Sequence int64
+	// ColdKnown says that the upstream has reported whether it is cold, and ColdLeft how
+	// long it stays so from the time at which the entry is read.
+	ColdKnown bool
+	ColdLeft  time.Duration
+	// Fault describes a figure that cannot be used and is ignored, or is empty.
+	Fault string
 }
 
 // Compare returns -1 if the entry was reported before the other one, 1 if it was
--- a/internal/core/place/map.go
+++ b/internal/core/place/map.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -15,13 +16,27 @@
 	byService map[ident.Service][]*Endpoint
 	profiles  map[ident.Service]*Profile
 	closed    DomainSet
+	view      ColdView
 }
 
 // WithClosed returns a map of the same upstreams in which exactly these failure domains
-// are closed.
-func (mp EndpointMap) WithClosed(ds DomainSet) EndpointMap {
+// are closed. Upstreams of a domain that is opened are cold until they report otherwise.
+func (mp EndpointMap) WithClosed(ds DomainSet, now time.Time) EndpointMap {
+	before := mp.byID
 	mp.closed = ds
-	return mp.WithUpstreams(mp.Upstreams()...)
+	mp = mp.WithUpstreams(mp.Upstreams()...)
+	for id, ep := range mp.byID {
+		if before[id].Closed && !ep.Closed {
+			ep.assumeCold(now)
+		}
+	}
+	return mp
+}
+
+// WithColdView returns a map without upstreams whose upstreams have the limits of the
+// view while they are cold.
+func (mp EndpointMap) WithColdView(view ColdView) EndpointMap {
+	return EndpointMap{closed: mp.closed, view: view}
 }
 
 // DomainLen returns the number of upstreams in a failure domain.
@@ -42,7 +57,7 @@
 func (mp EndpointMap) WithUpstreams(upstreams ...Upstream) EndpointMap {
 	next := EndpointMap{
 		byID: make(map[ident.Upstream]*Endpoint, len(upstreams)), byService: map[ident.Service][]*Endpoint{},
-		profiles: make(map[ident.Service]*Profile, len(mp.profiles)), closed: mp.closed,
+		profiles: make(map[ident.Service]*Profile, len(mp.profiles)), closed: mp.closed, view: mp.view,
 	}
 	maps.Copy(next.profiles, mp.profiles)
 	for _, up := range upstreams {
@@ -53,7 +68,7 @@
 		ep, ok := mp.byID[up.ID]
 		switch {
 		case !ok || ep.Address != up.Address || ep.Service != up.Service || ep.StartedMs != up.StartedMs:
-			ep = NewEndpoint(up, next.profiles[up.Service])
+			ep = NewEndpoint(up, next.profiles[up.Service]).WithColdView(mp.view)
 		case ep.Upstream != up:
 			ep = ep.WithUpstream(up)
 		}
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -53,18 +53,18 @@
 	return best
 }
 
-// QuietEnd returns the earliest time at which an upstream wants requests again, if all
-// that may be sent new ones have asked for quiet.
-func QuietEnd(list []*Endpoint, now time.Time) (time.Time, bool) {
+// UsableAt returns the earliest time at which an upstream probably accepts a request, if
+// all that may be sent new ones have asked for quiet or are cold without capacity left.
+func UsableAt(list []*Endpoint, now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, ep := range list {
-		end, quiet := ep.QuietEnd(now)
+		at, blocked := ep.UsableAt(now)
 		switch {
 		case !ep.Accepting():
-		case !quiet:
+		case !blocked:
 			return time.Time{}, false
-		case earliest.IsZero() || end.Before(earliest):
-			earliest = end
+		case earliest.IsZero() || at.Before(earliest):
+			earliest = at
 		}
 	}
 	return earliest, !earliest.IsZero()
--- a/internal/core/place/quiet_test.go
+++ b/internal/core/place/quiet_test.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// TestQuietEnd guards against a retry time that is too early while all upstreams want
+// TestUsableAt guards against a retry time that is too early while all upstreams want
 // quiet, and against one that is late although some do not.
-func TestQuietEnd(t *testing.T) {
+func TestUsableAt(t *testing.T) {
 	start := time.Now()
 	endpoint := func(quiet time.Duration, leaving bool) *place.Endpoint {
 		ep := place.NewEndpoint(place.Upstream{ID: "u", Service: "s", Leaving: leaving}, place.NewProfile())
@@ -78,7 +78,7 @@
 		{"all leave", []*place.Endpoint{endpoint(0, true)}, 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			end, ok := place.QuietEnd(tc.list, start)
+			end, ok := place.UsableAt(tc.list, start)
 			if diff := cmp.Diff(tc.ok, ok); diff != "" || ok && end.Sub(start) != tc.want {
 				t.Errorf("end after %s, want %s; quiet (-want +got):\n%s", end.Sub(start), tc.want, diff)
 			}
--- a/internal/core/shape/names_test.go
+++ b/internal/core/shape/names_test.go
@@ -12,7 +12,7 @@
 // platformNames matches names that the users' platform uses on the wire.
 var platformNames = regexp.MustCompile(`\b(rows-tx|rows-get|rows-feed|blob-put|blob-get|Prompt-Prefix|Token-Counts|Attempt-Id|` +
 	`Deadline-Ms|Expect-Instance|Instance-Load|Not-Executed|Request-Priority|Kv-From|Kv-Fetch|Kv-Backup|Pin-Ms|SinceRev|IfRev|` +
-	`ApiKeys|MaxAttempts|GapAimMs|LatencyGoalMs|RouteType|PlatformStore|ContractParams|RetrySlack)\b`)
+	`ApiKeys|Cold-Ms|ColdPerS|WarmupLeftMs|evacuate|MaxAttempts|GapAimMs|LatencyGoalMs|RouteType|PlatformStore|ContractParams|RetrySlack)\b`)
 
 // TestPlatformNames guards against names of the users' platform in the source of
 // the product outside the folder platform. Tests and the simulated services in
--- a/internal/fake/opstor/operator.go
+++ b/internal/fake/opstor/operator.go
@@ -18,6 +18,9 @@
 	Engines, Services []string
 	// EventTokens is the number of tokens in each event of a model engine.
 	EventTokens int
+	// ColdS is how long upstreams are cold after their start, in seconds, and ColdPerS
+	// the number of requests a second that they tolerate meanwhile.
+	ColdS, ColdPerS float64
 }
 
 // Configure writes the configuration as the given version.
@@ -30,10 +33,10 @@
 		})
 	}
 	for _, name := range co.Engines {
-		services = append(services, map[string]any{"Name": name, "Backend": map[string]any{"Slots": 8, "Stride": co.EventTokens}})
+		services = append(services, map[string]any{"Name": name, "Backend": map[string]any{"Slots": 8, "Stride": co.EventTokens}, "ColdS": co.ColdS, "ColdPerS": co.ColdPerS})
 	}
 	for _, name := range co.Services {
-		services = append(services, map[string]any{"Name": name})
+		services = append(services, map[string]any{"Name": name, "ColdS": co.ColdS, "ColdPerS": co.ColdPerS})
 	}
 	for _, ac := range co.Accounts {
 		accounts = append(accounts, map[string]any{"Name": ac.Name, "ApiKeys": []string{ac.Key}, "Prepaid": ac.Prepaid})
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -28,6 +28,9 @@
 	// QuietUntil is the time until which the upstream wants no request from this router,
 	// or zero if it has not asked for that.
 	QuietUntil time.Time
+	// ColdUntil is the time until which the upstream tolerates only few requests, which
+	// may have passed, or zero if it has not reported that.
+	ColdUntil time.Time
 }
 
 // NotRunError is the error of a send whose upstream reported that it did not run the
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -167,7 +167,7 @@
 func New(set conf.DirectRouter, me meter.Meter, metrics http.Handler, pf Platform) (*Router, error) {
 	ro := &Router{settings: set, met: me, incarnation: ident.NewIncarnation(), pool: newPool(set, pf), seeds: snap.NewCell(set.Seeds)}
 	ro.configs = follow.NewConfig(pf.DecodeConfig, me)
-	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me)
+	ro.upstreams = follow.NewUpstreams(pf.DecodeUpstream, me, follow.WithColdView(view{ro}))
 	ro.closures = follow.NewClosures(pf.DecodeClosure, ro.upstreams, me)
 	configLoop := follow.NewLoop("configuration", pf.Configs, follow.Sinks{ro.closures, ro.configs.Sink()}, follow.WithMeter(me))
 	upstreamLoop := follow.NewLoop("upstreams", pf.Upstreams, ro.upstreams, follow.WithMeter(me))
@@ -239,6 +239,15 @@
 	return vi.ro.upstreams.Load()
 }
 
+// ColdLimit returns the limit of the cold upstreams of a service.
+func (vi view) ColdLimit(service ident.Service) place.ColdLimit {
+	se, _ := vi.ro.configs.Load().Service(service)
+	return place.ColdLimit{Time: se.ColdTime, Rate: se.ColdRate}
+}
+
+// Routers returns the routers that are known.
+func (vi view) Routers() place.Routers { return vi.ro.fleet.Routers() }
+
 func (ro *Router) limits() intent.Limits { return ro.configs.Load().Limits() }
 
 // prepaid returns the prepaid total of an account and the revision of the
@@ -348,7 +357,8 @@
 }
 
 // expireUpstreams removes upstreams whose entries expired during an outage and were
-// not written again, and closures that the store has lost.
+// not written again, and closures that the store has lost, and records which upstreams
+// are cold.
 func (ro *Router) expireUpstreams(ctx context.Context) {
 	tk := time.NewTicker(expireInterval)
 	defer tk.Stop()
@@ -359,6 +369,7 @@
 		case now := <-tk.C:
 			ro.upstreams.RemoveExpired(now)
 			ro.closures.RemoveEnded(now)
+			ro.upstreams.CheckCold(now)
 		}
 	}
 }
