--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -112,10 +112,11 @@
 
 func (fl *testFleet) router(vm string) *testRouter { return fl.routerAt(vm, fl.store.Addr()) }
 
-// routerAt starts a router that reaches the store at an address.
-func (fl *testFleet) routerAt(vm, store string) *testRouter {
+// routerAt starts a router that reaches the store at an address. The seeds are the
+// addresses of other routers in its settings.
+func (fl *testFleet) routerAt(vm, store string, seeds ...string) *testRouter {
 	set := conf.DirectRouter{
-		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: store, MetricsListen: freePort(fl.t),
+		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: store, Seeds: seeds, MetricsListen: freePort(fl.t),
 		PeerListen: freePort(fl.t), ReadinessCheck: conf.ReadinessCheck{Listen: freePort(fl.t), Path: "/ready"},
 		Drain: 2 * time.Second, RetryBudget: conf.RetryBudget{Ratio: 0.2, Reserve: 100, Routers: 4},
 	}
