core/shed: evidence against a target that times out again and again

While the link was congested, an upstream that had ended was never avoided. Repeated timeouts of one target while others respond are held against it, and requests that fail after their admission no longer keep the link committed.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -178,7 +178,7 @@
 	if err == nil {
 		ex.rsp = rsp
 		if li := rn.se.opts.link; li != nil {
-			li.Reached()
+			li.Reached(ex.ep.Address, rn.se.opts.clock.Now())
 		}
 	}
 	ex.recordNotice(rsp, err)
--- a/internal/app/direct/link.go
+++ b/internal/app/direct/link.go
@@ -77,7 +77,11 @@
 // recordTimeout records that an upstream did not respond in time, unless the router's
 // own link can have caused that.
 func (se *Service) recordTimeout(ep *place.Endpoint, kind string) {
-	if se.congested() {
+	repeated := false
+	if li := se.opts.link; li != nil {
+		repeated = li.TimedOut(ep.Address, se.opts.clock.Now())
+	}
+	if !repeated && se.congested() {
 		se.opts.meter.Count("timeoutsNotHeld", "kind", kind, 1)
 		return
 	}
@@ -91,9 +95,6 @@
 		return
 	}
 	se.opts.meter.Count("dialTimeouts", "", "", 1)
-	if se.opts.link != nil {
-		se.opts.link.TimedOut(ep.Address, se.opts.clock.Now())
-	}
 	se.recordTimeout(ep, kindDial)
 }
 
--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -40,6 +40,11 @@
 	headBytes = 512
 	// maxQueue bounds each virtual queue, so that an error of the model ends soon.
 	maxQueue = 2 * time.Second
+	// spreadFactor is the multiple of the time of a response for which the link may be
+	// committed, and maxCommitted bounds the time beyond it: requests that fail after
+	// their admission do not need what they were expected to.
+	spreadFactor = 2
+	maxCommitted = 500 * time.Millisecond
 	// shareWindow is the time after which the bytes of an account count less.
 	shareWindow = time.Second
 	// congestedWait is the wait from which the link counts as congested. A call that
@@ -112,10 +117,10 @@
 	return di.wait(now) >= congestedWait || di.saturated(now)
 }
 
-// reserve adds an admitted request.
-func (di *direction) reserve(body, response, now int64) {
+// reserve adds an admitted request whose response takes the time spread.
+func (di *direction) reserve(body, response, now int64, spread time.Duration) {
 	di.announced.add(body+headBytes, now, maxQueue)
-	di.committed.add(body+headBytes+response, now, time.Hour)
+	di.committed.add(body+headBytes+response, now, spreadFactor*spread+maxCommitted)
 }
 
 // Link is the network link of a router, which carries the same rate in each
@@ -125,6 +130,7 @@
 	in, out  *direction
 	shares   shares
 	timeouts timeouts
+	repeats  repeats
 	// guaranteed is the queue of the admitted requests at guaranteedShare of the rate.
 	guaranteed bucket
 	// bytes and seconds are the mean size and duration of the responses of each route.
@@ -246,13 +252,13 @@
 	// A response is spread over its time, so that the requests in progress may have
 	// more bytes left than the link carries within the limit.
 	spread := time.Duration(li.seconds.Mean(de.Route) * float64(time.Second))
-	committed := max(li.in.committed.wait(ns), li.out.committed.wait(ns)) - 2*spread
+	committed := max(li.in.committed.wait(ns), li.out.committed.wait(ns)) - spreadFactor*spread
 	if expected := max(wait, committed); expected > limit && li.guaranteed.wait(ns) > 0 {
 		return Decision{Wait: expected, Limit: limit, RetryAt: now.Add(li.retryDelay(de, now))}
 	}
 	li.guaranteed.add(body+headBytes+response, ns, limit)
-	li.in.reserve(body, response, ns)
-	li.out.reserve(body, response, ns)
+	li.in.reserve(body, response, ns, spread)
+	li.out.reserve(body, response, ns, spread)
 	li.shares.add(de.Account, body+headBytes+response, window)
 	li.recordCongestion(ns)
 	return Decision{Admitted: true, Wait: wait, Limit: limit}
--- a/internal/core/shed/link_test.go
+++ b/internal/core/shed/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +96,28 @@
 	}
 }
 
+// TestRepeatedTimeouts guards against a target that has ended and gets request after
+// request because the link is congested, and against evidence from a time when nothing
+// responded.
+func TestRepeatedTimeouts(t *testing.T) {
+	li := shed.NewLink(10, simStart)
+	at := simStart
+	var got []int
+	// An upper-case letter is a response of the target.
+	for ix, target := range "aaaBabcccCca" {
+		at = at.Add(100 * time.Millisecond)
+		name := strings.ToLower(string(target))
+		if string(target) != name {
+			li.Reached(name, at)
+		} else if li.TimedOut(name, at) {
+			got = append(got, ix)
+		}
+	}
+	if diff := cmp.Diff([]int{11}, got); diff != "" {
+		t.Errorf("timeouts that are evidence (-want +got):\n%s", diff)
+	}
+}
+
 // TestCongested guards against timeouts that the router causes itself and that are held
 // against their targets, and against timeouts of single targets that are not.
 func TestCongested(t *testing.T) {
@@ -130,7 +153,7 @@
 		{"reached", func(li *shed.Link) {
 			for _, target := range []string{"a", "b", "c"} {
 				li.TimedOut(target, simStart)
-				li.Reached()
+				li.Reached("d", simStart)
 			}
 		}, nil},
 	}
--- a/internal/core/shed/timeouts.go
+++ b/internal/core/shed/timeouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -12,6 +13,11 @@
 	// of calls that began together are up to 300 ms apart.
 	minTargets  = 3
 	timeoutSpan = 400 * time.Millisecond
+	// minRepeats is the number of timeouts of one target within at least repeatSpan,
+	// without a response from it but with one from another, that are evidence against it.
+	// Calls that began at the same time all wait in the same queue.
+	minRepeats = 3
+	repeatSpan = 500 * time.Millisecond
 	// maxKept bounds the timeouts that are kept.
 	maxKept = 8
 )
@@ -57,12 +63,57 @@
 	return recent >= minTargets
 }
 
-// TimedOut records that a call to the target got no response in time.
-func (li *Link) TimedOut(target string, now time.Time) { li.timeouts.add(target, now) }
+// repeats counts the timeouts of each target since it has responded.
+type repeats struct {
+	// targets is the number of targets with a count.
+	targets  atomic.Int64
+	byTarget sync.Map
+	// reachedAt is the time of the last response of any target.
+	reachedAt atomic.Int64
+}
+
+// repeat holds the timeouts of one target since it has responded.
+type repeat struct {
+	first int64
+	times atomic.Int64
+}
+
+// add counts a timeout and reports whether the target has timed out repeatedly while
+// another one has responded.
+func (re *repeats) add(target string, ns int64) bool {
+	stored, ok := re.byTarget.Load(target)
+	if !ok {
+		if stored, ok = re.byTarget.LoadOrStore(target, &repeat{first: ns}); !ok {
+			re.targets.Add(1)
+		}
+	}
+	rp := stored.(*repeat)
+	return rp.times.Add(1) >= minRepeats && ns-rp.first >= int64(repeatSpan) && re.reachedAt.Load() > rp.first
+}
+
+// reset forgets the timeouts of a target that has responded.
+func (re *repeats) reset(target string, ns int64) {
+	re.reachedAt.Store(ns)
+	if re.targets.Load() == 0 {
+		return
+	}
+	if _, ok := re.byTarget.LoadAndDelete(target); ok {
+		re.targets.Add(-1)
+	}
+}
+
+// TimedOut records that a call to the target got no response in time. It reports whether
+// that is evidence against the target even while the link is congested: it has timed out
+// repeatedly, and another one has responded since.
+func (li *Link) TimedOut(target string, now time.Time) bool {
+	li.timeouts.add(target, now)
+	return li.repeats.add(target, li.nanos(now))
+}
 
-// Reached records that a target has responded.
-func (li *Link) Reached() {
+// Reached records that the target has responded.
+func (li *Link) Reached(target string, now time.Time) {
 	if li.timeouts.last.Load() != nil {
 		li.timeouts.last.Store(nil)
 	}
+	li.repeats.reset(target, li.nanos(now))
 }
--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -110,13 +110,13 @@
 	})
 }
 
-func (fl *testFleet) router(vm string) *testRouter {
+func (fl *testFleet) router(vm string, opts ...direct.Option) *testRouter {
 	set := conf.DirectRouter{
 		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: fl.store.Addr(), MetricsListen: freePort(fl.t),
 		PeerListen: freePort(fl.t), ReadinessCheck: conf.ReadinessCheck{Listen: freePort(fl.t), Path: "/ready"},
 		Drain: 2 * time.Second, RetryBudget: conf.RetryBudget{Ratio: 0.2, Reserve: 100, Routers: 4},
 	}
-	ro, err := direct.New(set, meter.Nop{}, http.NotFoundHandler(), platform.New(set.Store))
+	ro, err := direct.New(set, meter.Nop{}, http.NotFoundHandler(), platform.New(set.Store), opts...)
 	if err != nil {
 		fl.t.Fatal(err)
 	}
