--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -177,9 +177,9 @@
 	})
 	if err == nil {
 		ex.rsp = rsp
-		if li := rn.se.opts.link; li != nil {
-			li.Reached(ex.ep.Address, rn.se.opts.clock.Now())
-		}
+	}
+	if li := rn.se.opts.link; li != nil && (err == nil || errors.Is(err, proxy.ErrNotRun)) {
+		li.Reached(ex.ep.Address, rn.se.opts.clock.Now())
 	}
 	ex.recordNotice(rsp, err)
 	return err
--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -94,11 +94,12 @@
 	}
 }
 
-// count counts bytes that were read or written.
-func (di *direction) count(bytes int64, so Source, now int64) {
+// count counts bytes that were read or written. Others than bodies add at most the limit
+// to the queue.
+func (di *direction) count(bytes int64, so Source, now int64, limit time.Duration) {
 	di.saturation.add(bytes, now, maxSaturation)
 	if so == Others {
-		di.announced.add(bytes, now, maxQueue)
+		di.announced.add(bytes, now, limit)
 	}
 }
 
@@ -173,16 +174,19 @@
 	Others
 )
 
-// Received counts bytes that arrived over the link. They wait no more.
+// Received counts bytes that arrived over the link. They wait no more, so that they are
+// no reason for a refusal if they arrived faster than the link is said to carry them.
 func (li *Link) Received(bytes int, so Source, now time.Time) {
-	li.in.count(int64(bytes), so, li.nanos(now))
+	ns := li.nanos(now)
+	li.in.count(int64(bytes), so, ns, congestedWait)
+	li.recordCongestion(ns)
 }
 
 // Sent counts bytes that were handed to the link, and returns how long the first of
 // them waits there.
 func (li *Link) Sent(bytes int, so Source, now time.Time) time.Duration {
 	ns := li.nanos(now)
-	li.out.count(int64(bytes), so, ns)
+	li.out.count(int64(bytes), so, ns, maxQueue)
 	wait := li.out.moved.add(int64(bytes), ns, maxQueue)
 	li.recordCongestion(ns)
 	return wait
--- a/internal/core/shed/link_test.go
+++ b/internal/core/shed/link_test.go
@@ -140,6 +140,7 @@
 			}
 		}, nil},
 		{"probed", func(li *shed.Link) { li.Probe(after(-200)).End(simStart) }, nil},
+		{"burst", func(li *shed.Link) { li.Received(1<<20, shed.Others, simStart) }, []int{0, 300}},
 		{"oneTarget", func(li *shed.Link) {
 			for range 4 {
 				li.TimedOut("a", simStart)
