--- a/internal/adapt/pool/link_test.go
+++ b/internal/adapt/pool/link_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// TestCancelQueuedBody guards against a request that is sent although its caller has left
+// while it waited for the link.
+func TestCancelQueuedBody(t *testing.T) {
+	or, li := startOrigin(t), shed.NewLink(10, time.Now())
+	// What is sent in the future stays ahead of the body until the caller leaves.
+	li.Sent(1<<20, shed.Others, time.Now().Add(time.Hour))
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	rq := request("a1")
+	rq.Body = make([]byte, 9000)
+	if _, err := pool.New(testHeaderNames(), pool.WithLink(li)).Send(ctx, rq, attempt(or)); !errors.Is(err, proxy.ErrNotSent) {
+		t.Errorf("error is %v", err)
+	}
+	if got := or.Runs(); len(got) != 0 {
+		t.Errorf("the upstream got %d requests", len(got))
+	}
+}
+
 // TestNoConnection guards against a dial that timed out and that looks like any other
 // failure to send.
 func TestNoConnection(t *testing.T) {
