--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -40,6 +40,11 @@
 	headBytes = 512
 	// maxQueue bounds each virtual queue, so that an error of the model ends soon.
 	maxQueue = 2 * time.Second
+	// spreadFactor is the multiple of the time of a response for which the link may be
+	// committed, and maxCommitted bounds the time beyond it: requests that fail after
+	// their admission do not need what they were expected to.
+	spreadFactor = 2
+	maxCommitted = 500 * time.Millisecond
 	// shareWindow is the time after which the bytes of an account count less.
 	shareWindow = time.Second
 	// congestedWait is the wait from which the link counts as congested. A call that
@@ -89,11 +94,12 @@
 	}
 }
 
-// count counts bytes that were read or written.
-func (di *direction) count(bytes int64, so Source, now int64) {
+// count counts bytes that were read or written. Others than bodies add at most the limit
+// to the queue.
+func (di *direction) count(bytes int64, so Source, now int64, limit time.Duration) {
 	di.saturation.add(bytes, now, maxSaturation)
 	if so == Others {
-		di.announced.add(bytes, now, maxQueue)
+		di.announced.add(bytes, now, limit)
 	}
 }
 
@@ -112,10 +118,10 @@
 	return di.wait(now) >= congestedWait || di.saturated(now)
 }
 
-// reserve adds an admitted request.
-func (di *direction) reserve(body, response, now int64) {
+// reserve adds an admitted request whose response takes the time spread.
+func (di *direction) reserve(body, response, now int64, spread time.Duration) {
 	di.announced.add(body+headBytes, now, maxQueue)
-	di.committed.add(body+headBytes+response, now, time.Hour)
+	di.committed.add(body+headBytes+response, now, spreadFactor*spread+maxCommitted)
 }
 
 // Link is the network link of a router, which carries the same rate in each
@@ -125,6 +131,7 @@
 	in, out  *direction
 	shares   shares
 	timeouts timeouts
+	repeats  repeats
 	// guaranteed is the queue of the admitted requests at guaranteedShare of the rate.
 	guaranteed bucket
 	// bytes and seconds are the mean size and duration of the responses of each route.
@@ -167,16 +174,19 @@
 	Others
 )
 
-// Received counts bytes that arrived over the link. They wait no more.
+// Received counts bytes that arrived over the link. They wait no more, so that they are
+// no reason for a refusal if they arrived faster than the link is said to carry them.
 func (li *Link) Received(bytes int, so Source, now time.Time) {
-	li.in.count(int64(bytes), so, li.nanos(now))
+	ns := li.nanos(now)
+	li.in.count(int64(bytes), so, ns, congestedWait)
+	li.recordCongestion(ns)
 }
 
 // Sent counts bytes that were handed to the link, and returns how long the first of
 // them waits there.
 func (li *Link) Sent(bytes int, so Source, now time.Time) time.Duration {
 	ns := li.nanos(now)
-	li.out.count(int64(bytes), so, ns)
+	li.out.count(int64(bytes), so, ns, maxQueue)
 	wait := li.out.moved.add(int64(bytes), ns, maxQueue)
 	li.recordCongestion(ns)
 	return wait
@@ -246,13 +256,13 @@
 	// A response is spread over its time, so that the requests in progress may have
 	// more bytes left than the link carries within the limit.
 	spread := time.Duration(li.seconds.Mean(de.Route) * float64(time.Second))
-	committed := max(li.in.committed.wait(ns), li.out.committed.wait(ns)) - 2*spread
+	committed := max(li.in.committed.wait(ns), li.out.committed.wait(ns)) - spreadFactor*spread
 	if expected := max(wait, committed); expected > limit && li.guaranteed.wait(ns) > 0 {
 		return Decision{Wait: expected, Limit: limit, RetryAt: now.Add(li.retryDelay(de, now))}
 	}
 	li.guaranteed.add(body+headBytes+response, ns, limit)
-	li.in.reserve(body, response, ns)
-	li.out.reserve(body, response, ns)
+	li.in.reserve(body, response, ns, spread)
+	li.out.reserve(body, response, ns, spread)
 	li.shares.add(de.Account, body+headBytes+response, window)
 	li.recordCongestion(ns)
 	return Decision{Admitted: true, Wait: wait, Limit: limit}
--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -110,17 +110,23 @@
 	})
 }
 
-func (fl *testFleet) router(vm string) *testRouter { return fl.routerAt(vm, fl.store.Addr()) }
+func (fl *testFleet) router(vm string, opts ...direct.Option) *testRouter {
+	return fl.routerWith(vm, fl.store.Addr(), nil, opts...)
+}
 
 // routerAt starts a router that reaches the store at an address. The seeds are the
 // addresses of other routers in its settings.
 func (fl *testFleet) routerAt(vm, store string, seeds ...string) *testRouter {
+	return fl.routerWith(vm, store, seeds)
+}
+
+func (fl *testFleet) routerWith(vm, store string, seeds []string, opts ...direct.Option) *testRouter {
 	set := conf.DirectRouter{
 		VM: ident.VM(vm), Domain: "z", Listen: freePort(fl.t), Store: store, Seeds: seeds, MetricsListen: freePort(fl.t),
 		PeerListen: freePort(fl.t), ReadinessCheck: conf.ReadinessCheck{Listen: freePort(fl.t), Path: "/ready"},
 		Drain: 2 * time.Second, RetryBudget: conf.RetryBudget{Ratio: 0.2, Reserve: 100, Routers: 4},
 	}
-	ro, err := direct.New(set, meter.Nop{}, http.NotFoundHandler(), platform.New(set.Store))
+	ro, err := direct.New(set, meter.Nop{}, http.NotFoundHandler(), platform.New(set.Store), opts...)
 	if err != nil {
 		fl.t.Fatal(err)
 	}
