adapt/entry: checks of requests before their bodies are read

A request could only be refused after its body had been read, so that a router with no room for it received all of it first. WithAdmission adds a check that is called with the decoded header and the announced length of the body. A refusal is sent at once and the connection is closed. The header is decoded before the body, so that a header that lacks the request id is refused without the body, too.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -87,13 +87,25 @@
 		return false
 	}
 	arrived := time.Now()
+	info, err := requestInfoOf(hd, co.sv.terms, arrived)
+	if err == nil && hd.length > limits.MaxBodyBytes {
+		err = bodyTooLarge(limits)
+	}
+	if err != nil {
+		co.reject(hd, err)
+		return false
+	}
+	if re := co.sv.admit(Arrival{Info: info, BodyLength: hd.length, At: arrived}); re != nil {
+		co.refuseEarly(hd, info, re)
+		return false
+	}
 	body, err := co.body(hd, limits)
 	if err != nil {
 		co.reject(hd, err)
 		return false
 	}
 	_ = co.nc.SetReadDeadline(time.Time{})
-	return co.handle(hd, body, arrived)
+	return co.handle(hd, info, body)
 }
 
 // awaitRequest waits until a request begins to arrive and marks the connection as busy.
@@ -159,7 +171,7 @@
 		return nil, nil
 	}
 	_ = co.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(hd.Header.Get("Expect"), "100-continue") && hd.length <= limits.MaxBodyBytes {
+	if strings.EqualFold(hd.Header.Get("Expect"), "100-continue") {
 		co.extendWriteDeadline()
 		if _, err := io.WriteString(co.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
@@ -187,6 +199,15 @@
 	}
 }
 
+// refuseEarly responds to a request that was refused before its body was read
+// completely. The connection is closed, because the rest of the body may still follow.
+func (co *conn) refuseEarly(hd head, info proxy.RequestInfo, re *refuse.Refusal) {
+	rw := &responseWriter{co: co, bw: co.bw, re: hd, requestID: string(info.ID), closing: true}
+	co.sv.meter.Count("refusals", "reason", string(re.Reason), 1)
+	_ = rw.refuse(re, statusOf(re), co.retryAfter(re, info.Deadline))
+	co.linger()
+}
+
 // lingerTimeout is how long unread bytes are drained before a connection is
 // closed. Closing it with unread bytes resets the connection, and the caller may
 // lose the response.
@@ -203,14 +224,11 @@
 
 // handle passes the request to the handler and reports whether the connection
 // stays open.
-func (co *conn) handle(hd head, body []byte, arrived time.Time) bool {
-	rw := &responseWriter{co: co, bw: co.bw, re: hd, closing: hd.Close || !hd.ProtoAtLeast(1, 1) || co.sv.leaving.Load()}
-	info, err := requestInfoOf(hd, co.sv.terms, arrived)
-	if err != nil {
-		co.reject(hd, err)
-		return false
+func (co *conn) handle(hd head, info proxy.RequestInfo, body []byte) bool {
+	rw := &responseWriter{
+		co: co, bw: co.bw, re: hd, requestID: string(info.ID),
+		closing: hd.Close || !hd.ProtoAtLeast(1, 1) || co.sv.leaving.Load(),
 	}
-	rw.requestID = string(info.ID)
 	ctx, cancel := context.WithCancel(co.sv.ctx)
 	defer cancel()
 	watchDone := make(chan struct{})
--- a/internal/adapt/entry/read.go
+++ b/internal/adapt/entry/read.go
@@ -150,9 +150,6 @@
 
 // readBody reads the complete body.
 func readBody(br *bufio.Reader, hd head, limits intent.Limits) ([]byte, error) {
-	if hd.length > limits.MaxBodyBytes {
-		return nil, bodyTooLarge(limits)
-	}
 	if hd.length >= 0 {
 		body := make([]byte, hd.length)
 		_, err := io.ReadFull(br, body)
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -34,6 +34,7 @@
 	terms   terms.HeaderNames
 	limits  func() intent.Limits
 	meter   meter.Meter
+	checks  []Admission
 
 	leaving atomic.Bool
 	// ctx is the context of all requests, and stop ends it.
@@ -57,6 +58,27 @@
 // WithMeter sets the meter. The default discards everything.
 func WithMeter(me meter.Meter) Option { return func(sv *Server) { sv.meter = me } }
 
+// Arrival is a request whose header has arrived and whose body has not been read.
+type Arrival struct {
+	Info proxy.RequestInfo
+	// BodyLength is the announced length of the body in bytes, or -1 if the body is
+	// sent in chunks.
+	BodyLength int64
+	// At is the time at which the header was complete.
+	At time.Time
+}
+
+// Admission decides on a request before its body is read. It returns nil if the
+// request is admitted.
+type Admission func(ar Arrival) *refuse.Refusal
+
+// WithAdmission adds a check of requests before their bodies are read. Checks are
+// called in the order of their options until one returns a refusal. A refusal is sent
+// to the caller, and the connection is closed. The default admits all requests.
+func WithAdmission(ad Admission) Option {
+	return func(sv *Server) { sv.checks = append(sv.checks, ad) }
+}
+
 // New listens at the address. limits returns the limits that are in force; zero
 // fields stand for the defaults.
 func New(addr string, ha Handler, po *pool.Pool, hn terms.HeaderNames, limits func() intent.Limits, opts ...Option) (*Server, error) {
@@ -207,6 +229,16 @@
 	return li
 }
 
+// admit returns the first refusal of the admission checks, or nil.
+func (sv *Server) admit(ar Arrival) *refuse.Refusal {
+	for _, ad := range sv.checks {
+		if re := ad(ar); re != nil {
+			return re
+		}
+	}
+	return nil
+}
+
 // request is a proxy.Sender that sends a caller's request through the pool.
 type request struct {
 	pool *pool.Pool
