adapt/entry, role/direct: bounds on the memory and the connections of callers

Bodies were allocated as announced, chunked ones without any bound over all of them, and connections were not bounded. A crowd of clients that stop short of the end of their bodies made the process exceed the memory of its VM.

Headers and bodies of requests are charged to a fifth of memoryMB as they arrive, in segments of at most 32 KiB that are never copied. Bodies without progress give way first, with 503, Retry-After and Connection: close. A request that cannot fit is refused before its body is read. Connections are bounded by maxFDs, of which 200 are kept for files, and by memoryMB; idle ones and incomplete headers are closed first. Several bodies in chunks of a few bytes are read at a bounded rate together. Without the settings nothing is bounded. Event 1305, metrics shed, requestBytes and callerConnections, reason overloaded.

--- a/internal/adapt/conf/direct.go
+++ b/internal/adapt/conf/direct.go
@@ -33,8 +33,8 @@
 	// MemoryMB is the memory of the VM in megabytes. Default: no limit.
 	MemoryMB float64 `yaml:"memoryMB" rule:"min=32"`
 	// MaxFDs is the number of file descriptors that the VM allows the process. Default:
-	// no limit.
-	MaxFDs int `yaml:"maxFDs" rule:"min=256,max=1048576"`
+	// 0, no limit.
+	MaxFDs int `yaml:"maxFDs" rule:"min=0,max=1048576"`
 	Log    Log `yaml:"log"`
 }
 
--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -16,6 +16,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/quota"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
@@ -44,6 +45,13 @@
 	nc net.Conn
 	br *bufio.Reader
 	bw *bufio.Writer
+	// remote is the remote address without the port.
+	remote string
+	// lease is the claim of the connection. It is replaced if a request has arrived on a
+	// connection that gave way.
+	lease *quota.Lease
+	// requests counts the requests that were awaited.
+	requests int
 	// mu guards state and the read deadline of an idle connection.
 	mu    sync.Mutex
 	state connState
@@ -60,7 +68,7 @@
 )
 
 func newConn(sv *Server, nc net.Conn) *conn {
-	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize)}
+	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize), remote: remoteHost(nc)}
 }
 
 func (co *conn) extendWriteDeadline() { _ = co.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) }
@@ -80,16 +88,23 @@
 	}
 	defer co.setState(connIdle)
 	limits := co.sv.effectiveLimits()
+	// The lease is renewed after the deadline is set: giving way sets another deadline.
 	_ = co.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	if !co.renewLease() {
+		return false
+	}
 	hd, err := readHead(co.br, limits.MaxHeaderBytes)
 	if err != nil {
+		if co.lease.Evicted() {
+			co.sv.recordShed(limitConns)
+		}
 		co.reject(head{Request: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}}, err)
 		return false
 	}
 	arrived := time.Now()
 	info, err := requestInfoOf(hd, co.sv.terms, arrived)
 	if err == nil && hd.length > limits.MaxBodyBytes {
-		err = bodyTooLarge(limits)
+		err = bodyTooLarge(limits.MaxBodyBytes)
 	}
 	if err != nil {
 		co.reject(hd, err)
@@ -99,13 +114,41 @@
 		co.refuseEarly(hd, info, re)
 		return false
 	}
-	body, err := co.body(hd, limits)
-	if err != nil {
+	bo, err := co.body(hd, info, limits)
+	if bo != nil {
+		defer bo.close()
+	}
+	if err == nil && !bo.complete() {
+		err = errGaveWay
+	}
+	switch {
+	case err != nil && co.lease.Evicted():
+		co.refuseEarly(hd, info, co.sv.refusalOf(limitConns))
+		return false
+	case errors.Is(err, errGaveWay) || err != nil && bo.lease.Evicted():
+		co.refuseEarly(hd, info, co.sv.refusalOf(limitBodies))
+		return false
+	case err != nil:
 		co.reject(hd, err)
 		return false
 	}
 	_ = co.nc.SetReadDeadline(time.Time{})
-	return co.handle(hd, info, body)
+	return co.handle(hd, info, bo)
+}
+
+// renewLease opens another lease if the connection gave way while a request arrived on
+// it. It reports false if there is no room for the request.
+func (co *conn) renewLease() bool {
+	if !co.lease.Evicted() {
+		now := time.Now()
+		return co.sv.sockets.Set(co.lease, co.lease.Claim().WithRank(rankHeader, now), now)
+	}
+	le := co.openLease()
+	if le == nil {
+		return false
+	}
+	co.lease = le
+	return true
 }
 
 // awaitRequest waits until a request begins to arrive and marks the connection as busy.
@@ -115,6 +158,10 @@
 func (co *conn) awaitRequest() bool {
 	since := time.Now()
 	co.setIdleDeadline(since)
+	if co.requests > 0 {
+		co.sv.sockets.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(rankIdle, since), since)
+	}
+	co.requests++
 	_, err := co.br.Peek(1)
 	for isTimeout(err) {
 		// The timeout of a newer configuration may be longer.
@@ -142,14 +189,16 @@
 	return true
 }
 
-// endIdle ends the connection if it is idle.
-func (co *conn) endIdle() {
+// endIdle ends the connection if it is idle, and reports whether it was.
+func (co *conn) endIdle() bool {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if co.state == connIdle {
-		co.state = connEnding
-		_ = co.nc.SetReadDeadline(past)
+	if co.state != connIdle {
+		return false
 	}
+	co.state = connEnding
+	_ = co.nc.SetReadDeadline(past)
+	return true
 }
 
 func (co *conn) setState(st connState) {
@@ -165,19 +214,30 @@
 }
 
 // body reads the body, after the interim response 100 Continue if the caller
-// expects it.
-func (co *conn) body(hd head, limits intent.Limits) ([]byte, error) {
-	if hd.length == 0 {
-		return nil, nil
+// expects it. The result must be closed unless it is nil.
+func (co *conn) body(hd head, info proxy.RequestInfo, limits intent.Limits) (*body, error) {
+	owner, ok := co.sv.ownerOf(info.Key)
+	if !ok {
+		owner = co.remote
 	}
 	_ = co.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	bo := newBody(co, hd, limits, owner)
+	if bo == nil || !co.sv.bodies.Admits(bo.lease.Claim(), time.Now()) {
+		return bo, errGaveWay
+	}
+	if hd.length == 0 {
+		return bo, nil
+	}
+	if now := time.Now(); !co.sv.sockets.Set(co.lease, co.lease.Claim().WithRank(rankBody, now), now) {
+		return bo, errGaveWay
+	}
 	if strings.EqualFold(hd.Header.Get("Expect"), "100-continue") {
 		co.extendWriteDeadline()
 		if _, err := io.WriteString(co.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, err
+			return bo, err
 		}
 	}
-	return readBody(co.br, hd, limits)
+	return bo, bo.read(hd)
 }
 
 // reject responds to a request that could not be read and was not forwarded. It
@@ -213,18 +273,23 @@
 // lose the response.
 const lingerTimeout = 300 * time.Millisecond
 
-// linger closes the write side and drains unread bytes.
+// linger closes the write side and drains unread bytes, unless the connection has to
+// give way.
 func (co *conn) linger() {
 	if tc, ok := co.nc.(*net.TCPConn); ok {
 		_ = tc.CloseWrite()
 	}
-	_ = co.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	now := time.Now()
+	_ = co.nc.SetReadDeadline(now.Add(lingerTimeout))
+	if co.lease != nil && !co.sv.sockets.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(rankIdle, now), now) {
+		return
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(co.br, 1<<20))
 }
 
 // handle passes the request to the handler and reports whether the connection
 // stays open.
-func (co *conn) handle(hd head, info proxy.RequestInfo, body []byte) bool {
+func (co *conn) handle(hd head, info proxy.RequestInfo, bo *body) bool {
 	rw := &responseWriter{
 		co: co, bw: co.bw, re: hd, requestID: string(info.ID),
 		closing: hd.Close || !hd.ProtoAtLeast(1, 1) || co.sv.leaving.Load(),
@@ -244,7 +309,8 @@
 		}
 	}()
 	rq := request{pool: co.sv.pool, rq: pool.Request{
-		ID: rw.requestID, Method: hd.Method, Target: hd.RequestURI, Host: hd.Host, Header: terms.WithoutHopByHop(hd.Header), Body: body,
+		ID: rw.requestID, Method: hd.Method, Target: hd.RequestURI, Host: hd.Host, Header: terms.WithoutHopByHop(hd.Header),
+		Body: bo.first(), Rest: bo.rest(),
 	}}
 	started, re := co.sv.handler.Serve(ctx, info, rq, rw)
 	_ = co.nc.SetReadDeadline(past)
--- a/internal/adapt/entry/read.go
+++ b/internal/adapt/entry/read.go
@@ -5,13 +5,9 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
-
-	"github.com/balsamwood/balsamwood/internal/core/intent"
 )
 
 // requestError is the error for a request that is malformed or too large.
@@ -32,8 +28,14 @@
 	*http.Request
 	// length is the size of the body, or -1 if it is sent in chunks.
 	length int64
+	// memory is an upper estimate of the bytes that the header takes in memory.
+	memory int64
 }
 
+// fieldMemory is the memory that a field takes in addition to its bytes, which are held
+// twice.
+const fieldMemory = 256
+
 // readHead reads a header. It is stricter than net/http: it refuses everything
 // that another parser could interpret differently, which prevents request
 // smuggling.
@@ -56,7 +58,8 @@
 	if fr.hosts != 1 {
 		return head{}, badRequest("want one Host field, got %d", fr.hosts)
 	}
-	return head{Request: re, length: fr.length}, nil
+	memory := int64(2*len(raw) + fieldMemory*bytes.Count(raw, []byte("\n")))
+	return head{Request: re, length: fr.length, memory: memory}, nil
 }
 
 // readHeaderBlock reads the request line and the header up to and including the
@@ -148,37 +151,22 @@
 // maxTrailerBytes bounds the trailer of a chunked body. Trailers are discarded.
 const maxTrailerBytes = 4 << 10
 
-// readBody reads the complete body.
-func readBody(br *bufio.Reader, hd head, limits intent.Limits) ([]byte, error) {
-	if hd.length >= 0 {
-		body := make([]byte, hd.length)
-		_, err := io.ReadFull(br, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), limits.MaxBodyBytes+1))
-	if err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) || isTimeout(err) {
-			return nil, err
-		}
-		return nil, badRequest("malformed chunks: %v", err)
-	}
-	if int64(len(body)) > limits.MaxBodyBytes {
-		return nil, bodyTooLarge(limits)
-	}
+// skipTrailer reads the trailer of a chunked body.
+func skipTrailer(br *bufio.Reader) error {
 	for size := 0; ; {
 		line, err := br.ReadSlice('\n')
 		size += len(line)
 		switch {
 		case err != nil:
-			return nil, err
+			return err
 		case size > maxTrailerBytes:
-			return nil, badRequest("the trailer exceeds %d bytes", maxTrailerBytes)
+			return badRequest("the trailer exceeds %d bytes", maxTrailerBytes)
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return body, nil
+			return nil
 		}
 	}
 }
 
-func bodyTooLarge(limits intent.Limits) error {
-	return requestError{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body exceeds %d bytes", limits.MaxBodyBytes)}
+func bodyTooLarge(limit int64) error {
+	return requestError{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body exceeds %d bytes", limit)}
 }
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/quota"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
@@ -35,6 +36,18 @@
 	limits  func() intent.Limits
 	meter   meter.Meter
 	checks  []Admission
+	bodies  *quota.Budget[quota.ByProgress]
+	sockets *quota.Budget[quota.ByRank]
+	ownerOf func(key string) (string, bool)
+	sheds   shedLog
+	// slots has an entry for each open connection, if their number is bounded.
+	slots     chan struct{}
+	closed    chan struct{}
+	closeOnce sync.Once
+	// paced is the number of bodies that arrive in very small chunks.
+	paced atomic.Int64
+	// turnAways is the number of connections that are being turned away.
+	turnAways atomic.Int64
 
 	leaving atomic.Bool
 	// ctx is the context of all requests, and stop ends it.
@@ -86,7 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
-	sv := &Server{ls: ls, handler: ha, pool: po, terms: hn, limits: limits, meter: meter.Nop{}, conns: map[*conn]struct{}{}}
+	sv := &Server{
+		ls: ls, handler: ha, pool: po, terms: hn, limits: limits, meter: meter.Nop{}, conns: map[*conn]struct{}{}, closed: make(chan struct{}),
+		bodies: newBodies(0), sockets: newSockets(0), ownerOf: func(string) (string, bool) { return "", false },
+	}
 	sv.ctx, sv.stop = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(sv)
@@ -105,26 +121,64 @@
 func (sv *Server) Serve() error {
 	sv.accepting.Add(1)
 	defer sv.accepting.Done()
-	for {
+	sv.wg.Go(sv.reportUse)
+	for sv.acquireSlot() {
 		nc, err := sv.ls.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
+			sv.releaseSlot()
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		co := newConn(sv, nc)
+		if co.lease = co.openLease(); co.lease == nil {
+			sv.wg.Go(func() {
+				co.turnAway()
+				sv.releaseSlot()
+			})
+			continue
+		}
 		sv.mu.Lock()
 		sv.conns[co] = struct{}{}
 		sv.mu.Unlock()
 		sv.wg.Go(func() {
 			co.serve()
+			sv.sockets.Close(co.lease)
+			sv.releaseSlot()
 			sv.mu.Lock()
 			delete(sv.conns, co)
 			sv.mu.Unlock()
 		})
 	}
+	return nil
+}
+
+// acquireSlot waits until a further connection may be open, also one that is being
+// closed. It reports false if the listener is closed.
+func (sv *Server) acquireSlot() bool {
+	if sv.slots == nil {
+		return true
+	}
+	select {
+	case sv.slots <- struct{}{}:
+		return true
+	case <-sv.closed:
+		return false
+	}
+}
+
+func (sv *Server) releaseSlot() {
+	if sv.slots != nil {
+		<-sv.slots
+	}
+}
+
+// closeListener ends Serve.
+func (sv *Server) closeListener() error {
+	sv.closeOnce.Do(func() { close(sv.closed) })
+	return sv.ls.Close()
 }
 
 // Leave makes the server close each connection after its next response, which
@@ -165,7 +219,7 @@
 // if a part of their response was written.
 func (sv *Server) Drain(deadline time.Time) {
 	sv.Leave()
-	_ = sv.ls.Close()
+	_ = sv.closeListener()
 	sv.accepting.Wait()
 	if sv.drainUntil(deadline) {
 		return
@@ -196,7 +250,7 @@
 // Close closes the listener and all connections, and waits until their goroutines
 // have ended.
 func (sv *Server) Close() error {
-	err := sv.ls.Close()
+	err := sv.closeListener()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -30,9 +31,23 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the begin of the body, and Rest what follows it.
+	Body []byte
+	Rest [][]byte
 }
 
+// bodyLength returns the size of the body in bytes.
+func (rq Request) bodyLength() int {
+	sum := len(rq.Body)
+	for _, part := range rq.Rest {
+		sum += len(part)
+	}
+	return sum
+}
+
+// body returns the body for one write.
+func (rq Request) body() net.Buffers { return append(net.Buffers{rq.Body}, rq.Rest...) }
+
 // Pool holds connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	terms  terms.HeaderNames
@@ -131,8 +146,10 @@
 func (po *Pool) roundTrip(rsp *response, rq Request, at proxy.Attempt) error {
 	header := po.header(rq, at)
 	rsp.conn.recordSent(rq.ID)
-	if len(rq.Body) <= maxInlineBody {
-		header.Write(rq.Body)
+	if rq.bodyLength() <= maxInlineBody {
+		for _, part := range rq.body() {
+			header.Write(part)
+		}
 		n, err := rsp.conn.Write(header.Bytes())
 		if err != nil && n == 0 {
 			return fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
@@ -150,10 +167,10 @@
 		return fmt.Errorf("%w: write: %w", proxy.ErrIncomplete, err)
 	}
 	rsp.bodyWritten = make(chan error, 1)
-	go func(co *conn, body []byte, done chan<- error) {
-		_, err := co.Write(body)
+	go func(co *conn, body net.Buffers, done chan<- error) {
+		_, err := body.WriteTo(co.Conn)
 		done <- err
-	}(rsp.conn, rq.Body, rsp.bodyWritten)
+	}(rsp.conn, rq.body(), rsp.bodyWritten)
 	return rsp.readHeader(rq)
 }
 
@@ -185,11 +202,12 @@
 	if at.LastEvent >= 0 {
 		set(po.terms.LastEventID, strconv.FormatInt(at.LastEvent, 10))
 	}
-	if len(rq.Body) > 0 || rq.Method == http.MethodPost || rq.Method == http.MethodPut || rq.Method == http.MethodPatch {
-		hd.Set("Content-Length", strconv.Itoa(len(rq.Body)))
+	length := rq.bodyLength()
+	if length > 0 || rq.Method == http.MethodPost || rq.Method == http.MethodPut || rq.Method == http.MethodPatch {
+		hd.Set("Content-Length", strconv.Itoa(length))
 	}
 	buf := &bytes.Buffer{}
-	buf.Grow(1024 + min(len(rq.Body), maxInlineBody))
+	buf.Grow(1024 + min(length, maxInlineBody))
 	buf.WriteString(rq.Method + " " + rq.Target + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
 	// Writes to a bytes.Buffer never fail.
 	_ = hd.Write(buf)
--- a/internal/core/refuse/reason.go
+++ b/internal/core/refuse/reason.go
@@ -40,6 +40,8 @@
 	NoUpstream Reason = "noUpstream"
 	// Busy means that the upstream has no free capacity.
 	Busy Reason = "busy"
+	// Overloaded means that this process has no room for the request.
+	Overloaded Reason = "overloaded"
 	// Leaving means that the upstream or this process is leaving.
 	Leaving Reason = "leaving"
 	// ClosedIncarnation means that the router's incarnation was closed.
@@ -77,7 +79,7 @@
 var reasons = []Reason{
 	BadRequest, TooLarge, Unauthorized, Forbidden, UnknownModel, UnknownService,
 	KeyRequired, KeyReused, Cancelled, OverBudget, EscrowUnavailable, RateLimited,
-	QueueFull, DeadlineUnmeetable, DeadlinePassed, NoUpstream, Busy, Leaving,
+	QueueFull, DeadlineUnmeetable, DeadlinePassed, NoUpstream, Busy, Overloaded, Leaving,
 	ClosedIncarnation, NotReady, StoreUnavailable, Unreachable, PoisonedPrompt, Rejected,
 	LinkLost, UpstreamFailed, Truncated, TimedOut, InProgress, Internal,
 }
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -87,6 +87,21 @@
 	// parts, which are rarely written. A connection without responses is detected
 	// within 2 s, so that what others have seen is known within 3 s.
 	partLongPoll = 1600 * time.Millisecond
+	// requestMemoryDivisor divides the memory of the VM; the quotient is what the bodies
+	// of requests may take together. The Go runtime may use 0.6 of the memory, of which
+	// a third is left for what is not collected yet and for everything else.
+	requestMemoryDivisor = 5
+	// reservedFDs is the number of file descriptors that are kept for files.
+	reservedFDs = 200
+	// connShare is the share of the other descriptors for connections of callers. Each
+	// request in progress needs another one for its upstream.
+	connShare = 0.4
+	// minConns is the least bound of the connections of callers.
+	minConns = 16
+	// connMemoryDivisor divides the memory of the VM; the quotient is what connections of
+	// callers without a request may take. Each takes up to connMemory.
+	connMemoryDivisor = 8
+	connMemory        = 48 << 10
 	// bodyMemoryDivisor divides the memory of the VM; the quotient is what the bodies of
 	// responses may take together.
 	bodyMemoryDivisor = 8
@@ -185,7 +200,8 @@
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams))
 	var err error
-	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me)); err != nil {
+	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me),
+		entry.WithBodyMemory(int64(set.MemoryMB*1e6/requestMemoryDivisor)), entry.WithMaxConns(maxConns(set)), entry.WithOwner(ro.accountOf)); err != nil {
 		return nil, err
 	}
 	mx := http.NewServeMux()
@@ -210,6 +226,27 @@
 	return pool.New(pf.HeaderNames, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
 }
 
+// maxConns returns the number of connections of callers, or zero if the settings give
+// no bound.
+func maxConns(set conf.DirectRouter) int {
+	byMemory := int(set.MemoryMB * 1e6 / connMemoryDivisor / connMemory)
+	byFDs := int(float64(set.MaxFDs-reservedFDs) * connShare)
+	switch {
+	case set.MaxFDs == 0:
+		return byMemory
+	case byMemory == 0:
+		return max(byFDs, minConns)
+	default:
+		return max(min(byMemory, byFDs), minConns)
+	}
+}
+
+// accountOf returns the name of the account with the API key.
+func (ro *Router) accountOf(key string) (string, bool) {
+	ac, ok := ro.configs.Load().AccountByKey(key)
+	return string(ac.Name), ok
+}
+
 // newRetryBudget returns the retry budget of one service.
 func (ro *Router) newRetryBudget() app.RetryBudget {
 	re := ro.settings.RetryBudget
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -58,7 +58,7 @@
 		"{{Bind.Control|json}}", quote(ro.control), "{{Bind.Ready|json}}", quote(ro.ready),
 		"[{{#SeedNodes}}{{.|json}}{{,}}{{/SeedNodes}}]", strings.Replace(seedList, "null", "[]", 1),
 		"{{ContractParams.BudgetRatio}}", "0.2", "{{ContractParams.RetrySlack}}", "116",
-		"{{Limits.MemoryMb}}", "206", "{{ContractParams.GraceS}}", "8",
+		"{{Limits.MemoryMb}}", "206", "{{Limits.MaxFds}}", "1024", "{{ContractParams.GraceS}}", "8",
 	).Replace(string(text))
 	if strings.Contains(out, "{{") {
 		return nil, fmt.Errorf("a placeholder of %s is not known", template)
