Merge bounds on the memory and the connections of callers

Cause: nothing bounded what callers that do not complete their requests hold. Change: part (a) of docs/design/hard-load.md; bodies are charged as they arrive, written to upstreams in pieces at the rate of the link.

--- a/internal/adapt/conf/direct.go
+++ b/internal/adapt/conf/direct.go
@@ -36,7 +36,10 @@
 	// second. Requests that would wait on it for too long are refused. Default: not
 	// known, nothing is refused.
 	LinkMbps float64 `yaml:"linkMbps" rule:"min=0,max=1000000"`
-	Log      Log     `yaml:"log"`
+	// MaxFDs is the number of file descriptors that the VM allows the process. Default:
+	// 0, no limit.
+	MaxFDs int `yaml:"maxFDs" rule:"min=0,max=1048576"`
+	Log    Log `yaml:"log"`
 }
 
 // ReadinessCheck holds the address of the readiness check, with which the platform
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -174,14 +174,20 @@
 	}
 }
 
-// writePieces writes a body at the rate of the link.
-func (co *conn) writePieces(ctx context.Context, body []byte) error {
-	for piece := range slices.Chunk(body, maxPiece) {
-		if err := co.awaitTurn(ctx, len(piece)); err != nil {
-			return err
-		}
-		if _, err := co.Write(piece); err != nil {
-			return err
+// writeBody writes a body at the rate of the link. Its first piece has been counted.
+func (co *conn) writeBody(ctx context.Context, parts [][]byte) error {
+	counted := maxPiece
+	for _, part := range parts {
+		for piece := range slices.Chunk(part, maxPiece) {
+			if bytes := len(piece) - counted; bytes > 0 {
+				if err := co.awaitTurn(ctx, bytes); err != nil {
+					return err
+				}
+			}
+			counted = max(0, counted-len(piece))
+			if _, err := co.Write(piece); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -31,9 +32,23 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the begin of the body, and Rest what follows it.
+	Body []byte
+	Rest [][]byte
 }
 
+// bodyLength returns the size of the body in bytes.
+func (rq Request) bodyLength() int {
+	sum := len(rq.Body)
+	for _, part := range rq.Rest {
+		sum += len(part)
+	}
+	return sum
+}
+
+// body returns the body for one write.
+func (rq Request) body() net.Buffers { return append(net.Buffers{rq.Body}, rq.Rest...) }
+
 // Pool holds connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	terms  terms.HeaderNames
@@ -135,12 +150,8 @@
 
 // roundTrip writes the request and reads the header of its response.
 func (po *Pool) roundTrip(ctx context.Context, rsp *response, rq Request, at proxy.Attempt) error {
-	first, rest := rq.Body, []byte(nil)
-	if len(first) > maxPiece && po.link != nil {
-		first, rest = rq.Body[:maxPiece], rq.Body[maxPiece:]
-	}
 	// The header tells the time that is left, so it is written after the wait.
-	if err := rsp.conn.awaitTurn(ctx, len(first)); err != nil {
+	if err := rsp.conn.awaitTurn(ctx, min(rq.bodyLength(), maxPiece)); err != nil {
 		return fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
 	}
 	header := po.header(rq, at)
@@ -148,8 +159,10 @@
 		po.link.Sent(header.Len(), shed.Bodies, time.Now())
 	}
 	rsp.conn.recordSent(rq.ID)
-	if len(rq.Body) <= maxInlineBody {
-		header.Write(rq.Body)
+	if rq.bodyLength() <= maxInlineBody {
+		for _, part := range rq.body() {
+			header.Write(part)
+		}
 		n, err := rsp.conn.Write(header.Bytes())
 		if err != nil && n == 0 {
 			return fmt.Errorf("%w: %w", proxy.ErrNotSent, err)
@@ -167,13 +180,7 @@
 		return fmt.Errorf("%w: write: %w", proxy.ErrIncomplete, err)
 	}
 	rsp.bodyWritten = make(chan error, 1)
-	go func(co *conn, done chan<- error) {
-		_, err := co.Write(first)
-		if err == nil {
-			err = co.writePieces(ctx, rest)
-		}
-		done <- err
-	}(rsp.conn, rsp.bodyWritten)
+	go func(co *conn, done chan<- error) { done <- co.writeBody(ctx, rq.body()) }(rsp.conn, rsp.bodyWritten)
 	return rsp.readHeader(rq)
 }
 
@@ -205,11 +212,12 @@
 	if at.LastEvent >= 0 {
 		set(po.terms.LastEventID, strconv.FormatInt(at.LastEvent, 10))
 	}
-	if len(rq.Body) > 0 || rq.Method == http.MethodPost || rq.Method == http.MethodPut || rq.Method == http.MethodPatch {
-		hd.Set("Content-Length", strconv.Itoa(len(rq.Body)))
+	length := rq.bodyLength()
+	if length > 0 || rq.Method == http.MethodPost || rq.Method == http.MethodPut || rq.Method == http.MethodPatch {
+		hd.Set("Content-Length", strconv.Itoa(length))
 	}
 	buf := &bytes.Buffer{}
-	buf.Grow(1024 + min(len(rq.Body), maxInlineBody))
+	buf.Grow(1024 + min(length, maxInlineBody))
 	buf.WriteString(rq.Method + " " + rq.Target + " HTTP/1.1\r\nHost: " + rq.Host + "\r\n")
 	// Writes to a bytes.Buffer never fail.
 	_ = hd.Write(buf)
--- a/internal/fake/opstor/operator.go
+++ b/internal/fake/opstor/operator.go
@@ -21,6 +21,8 @@
 	// ColdS is how long upstreams are cold after their start, in seconds, and ColdPerS
 	// the number of requests a second that they tolerate meanwhile.
 	ColdS, ColdPerS float64
+	// MaxBodyBytes is the size of the largest body of a request; zero sets no limit.
+	MaxBodyBytes int
 }
 
 // Configure writes the configuration as the given version.
@@ -41,7 +43,10 @@
 	for _, ac := range co.Accounts {
 		accounts = append(accounts, map[string]any{"Name": ac.Name, "ApiKeys": []string{ac.Key}, "Prepaid": ac.Prepaid})
 	}
-	st.Put("op", "config", map[string]any{"Version": version, "Routes": routes, "Services": services, "Tenants": accounts})
+	st.Put("op", "config", map[string]any{
+		"Version": version, "Routes": routes, "Services": services, "Tenants": accounts,
+		"Limits": map[string]any{"MaxBodyBytes": co.MaxBodyBytes},
+	})
 }
 
 // Register writes the row of an upstream.
