app/fleet, app/admin, adapt/admin, role/cmdln: close and open failure domains

Cause: the product's own deployment had no way to keep work away from the upstreams of a failure domain.

Change: the configuration document lists closed failure domains; 'admin domain close|open|list' and the administration API change them. Routers choose no upstream in a closed domain, refuse at once if all are closed, and keep links to enough others. Applying a configuration that does not name a closed domain leaves it closed.

--- a/internal/adapt/admin/admin_test.go
+++ b/internal/adapt/admin/admin_test.go
@@ -329,3 +329,25 @@
 	}
 	fx.must(400, "PUT", "/config", `{"revision":1,"acounts":[]}`)
 }
+
+// TestDomains guards against a failure domain that cannot be closed or opened, that is
+// opened by a configuration which does not name it, and that does not exist.
+func TestDomains(t *testing.T) {
+	fx := newFixture(t)
+	fx.must(201, "POST", "/upstreams", engineJSON)
+	list := func(want string) {
+		t.Helper()
+		rs := fx.must(200, "GET", "/domains", "")
+		if diff := cmp.Diff(want, fmt.Sprintf("%s", rs.Items)); diff != "" {
+			t.Errorf("domains (-want +got):\n%s", diff)
+		}
+	}
+	list(`[{"id":"d1","closed":false,"upstreams":1}]`)
+	fx.must(200, "PATCH", "/domains/d1", `{"closed":true}`)
+	fx.must(200, "PUT", "/config", `{"revision":2,"accounts":[],"upstreams":[`+engineJSON+`],"services":[]}`)
+	list(`[{"id":"d1","closed":true,"upstreams":1}]`)
+	fx.must(404, "PATCH", "/domains/d9", `{"closed":true}`)
+	fx.must(400, "PATCH", "/domains/d1", `{}`)
+	fx.must(200, "PATCH", "/domains/d1", `{"closed":false}`)
+	list(`[{"id":"d1","closed":false,"upstreams":1}]`)
+}
--- a/internal/adapt/admin/server.go
+++ b/internal/adapt/admin/server.go
@@ -90,6 +90,8 @@
 	gr.POST("/upstreams/:upstream/orders", sv.issueOrder, asOperator)
 	gr.GET("/slots", sv.slots, asViewer)
 	gr.DELETE("/slots/:slot/:upstream", sv.freeSlot, asOperator)
+	gr.GET("/domains", sv.domains, asViewer)
+	gr.PATCH("/domains/:domain", sv.setDomain, asOperator)
 	gr.GET("/services", sv.services, asViewer)
 	gr.PUT("/services/:service", sv.putService, asOperator)
 	gr.DELETE("/services/:service", sv.removeService, asOperator)
--- a/internal/adapt/codec/config.go
+++ b/internal/adapt/codec/config.go
@@ -17,17 +17,20 @@
 	Accounts  []config.Account  `json:"accounts"`
 	Upstreams []config.Upstream `json:"upstreams"`
 	Services  []config.Service  `json:"services"`
+	// ClosedDomains are the failure domains whose upstreams get no new requests.
+	ClosedDomains []config.ClosedDomain `json:"closedDomains,omitempty"`
 }
 
 // Encode returns the JSON document of the configuration. Equal configurations have
 // equal documents.
 func (Config) Encode(sn config.Snapshot) ([]byte, error) {
 	return json.Marshal(Document{
-		Revision:  sn.Revision(),
-		Author:    sn.Author(),
-		Accounts:  sn.Accounts(),
-		Upstreams: sn.Upstreams(),
-		Services:  sn.Services(),
+		Revision:      sn.Revision(),
+		Author:        sn.Author(),
+		Accounts:      sn.Accounts(),
+		Upstreams:     sn.Upstreams(),
+		Services:      sn.Services(),
+		ClosedDomains: sn.ClosedDomains(),
 	})
 }
 
@@ -47,5 +50,8 @@
 	for _, se := range doc.Services {
 		sn = sn.WithService(se)
 	}
+	for _, cd := range doc.ClosedDomains {
+		sn = sn.WithClosedDomain(cd.ID)
+	}
 	return sn, nil
 }
--- a/internal/app/admin/change.go
+++ b/internal/app/admin/change.go
@@ -86,9 +86,15 @@
 	return se.acceptor.Current(ctx)
 }
 
-// Replace replaces the whole configuration.
+// Replace replaces the whole configuration. Failure domains that are closed stay so,
+// because a generated configuration does not name them.
 func (se *Service) Replace(ctx context.Context, co ChangeOptions, next config.Snapshot) (ChangeResult, error) {
-	return se.change(ctx, co, func(config.Snapshot) (config.Snapshot, error) { return next, nil })
+	return se.change(ctx, co, func(cur config.Snapshot) (config.Snapshot, error) {
+		for _, cd := range cur.ClosedDomains() {
+			next = next.WithClosedDomain(cd.ID)
+		}
+		return next, nil
+	})
 }
 
 // History returns up to limit audit rows after the revision, oldest first.
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,9 +157,28 @@
 			lu.link.ConfigChanged()
 			continue
 		}
-		have[id] = fl.add(up)
+		have[id] = fl.add(up, sn.DomainClosed(up.Domain))
 	}
 	fl.upstreams.Store(have)
+	if fl.setClosed(sn) {
+		fl.updateTotals()
+		fl.onChange()
+	}
+}
+
+// setClosed updates the candidates whose failure domains were closed or opened, and
+// reports whether there is one.
+func (fl *Fleet) setClosed(sn config.Snapshot) bool {
+	_, changed := fl.view.Update(func(vi route.View) (route.View, bool) {
+		changed := false
+		for _, ca := range vi.All() {
+			if closed := sn.DomainClosed(ca.Domain()); closed != ca.Closed() {
+				vi, changed = vi.With(ca.WithClosed(closed)), true
+			}
+		}
+		return vi, changed
+	})
+	return changed
 }
 
 // minLinks is the minimum number of links to each model and service, regardless of
@@ -166,7 +186,8 @@
 const minLinks = 3
 
 // subset returns the upstreams that this router keeps links to. The limit is
-// divided evenly among the models and services.
+// divided evenly among the models and services. Links to upstreams in closed failure
+// domains are kept beside those to others, because configuration and orders use them.
 func (fl *Fleet) subset(sn config.Snapshot) map[ident.Upstream]config.Upstream {
 	groups := make(map[ident.Model][]route.Member)
 	for _, up := range sn.Upstreams() {
@@ -177,7 +198,8 @@
 	want := make(map[ident.Upstream]config.Upstream)
 	most := max(minLinks, fl.maxLinks/max(1, len(groups)))
 	for _, members := range groups {
-		for _, id := range route.Subset(fl.vm, members, most) {
+		open := slices.DeleteFunc(slices.Clone(members), func(me route.Member) bool { return sn.DomainClosed(me.Domain) })
+		for _, id := range slices.Concat(route.Subset(fl.vm, members, most), route.Subset(fl.vm, open, most)) {
 			up, _ := sn.Upstream(id)
 			want[id] = up
 		}
@@ -186,7 +208,7 @@
 }
 
 // add makes the upstream a candidate and starts its link.
-func (fl *Fleet) add(up config.Upstream) *linkedUpstream {
+func (fl *Fleet) add(up config.Upstream, closed bool) *linkedUpstream {
 	ctx, cancel := context.WithCancel(fl.ctx)
 	lu := &linkedUpstream{up: up, cancel: cancel}
 	lu.link = fl.dial(up, func(rp peer.Report) {
@@ -195,7 +217,7 @@
 	})
 	fl.view.Update(func(vi route.View) (route.View, bool) {
 		ca := route.NewCandidate(up.ID, up.Domain, servedModels(up)...)
-		return vi.With(ca.WithLeaving(fl.leavingVMs.Load()[up.VM])), true
+		return vi.With(ca.WithLeaving(fl.leavingVMs.Load()[up.VM]).WithClosed(closed)), true
 	})
 	fl.wg.Go(func() { lu.link.Run(ctx) })
 	fl.met.Log(evAdded, slog.String("upstream", string(up.ID)))
--- a/internal/app/fleet/pick.go
+++ b/internal/app/fleet/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/app/front"
@@ -53,7 +54,7 @@
 		rd.Tried = rd.Tried.With(ca.ID(), "")
 	}
 	if drawn == 0 {
-		return front.Target{}, fl.decideWithoutUpstream(de, now)
+		return front.Target{}, fl.decideWithoutUpstream(de, rd, now)
 	}
 	return front.Target{}, decision
 }
@@ -82,9 +83,12 @@
 }
 
 // decideWithoutUpstream returns the decision if no upstream is usable: until its
-// latest start the request waits for one to become usable.
-func (fl *Fleet) decideWithoutUpstream(de gate.Demand, now time.Time) admit.Decision {
-	if now.Before(fl.LatestStart(de)) {
+// latest start the request waits for one to become usable, unless all are in closed
+// failure domains.
+func (fl *Fleet) decideWithoutUpstream(de gate.Demand, rd route.Demand, now time.Time) admit.Decision {
+	items := fl.view.Load().Pool(rd).Items
+	allClosed := len(items) > 0 && !slices.ContainsFunc(items, func(ca *route.Candidate) bool { return !ca.Closed() })
+	if !allClosed && now.Before(fl.LatestStart(de)) {
 		return admit.Decision{Verdict: admit.Wait}
 	}
 	return admit.Decision{Verdict: admit.Refuse, Reason: refuse.NoUpstream}
@@ -145,7 +149,7 @@
 func lastResort(po route.Pool[*route.Candidate], rd route.Demand) (*route.Candidate, bool) {
 	var best *route.Candidate
 	for _, ca := range po.Items {
-		if ca.Leaving() || rd.Tried.Upstream(ca.ID()) {
+		if ca.Leaving() || ca.Closed() || rd.Tried.Upstream(ca.ID()) {
 			continue
 		}
 		if best == nil || ca.SuspectUntil().Before(best.SuspectUntil()) {
--- a/internal/core/config/check.go
+++ b/internal/core/config/check.go
@@ -40,6 +40,11 @@
 	for _, se := range sn.Services() {
 		checkService(&re, se)
 	}
+	for _, cd := range sn.ClosedDomains() {
+		if cd.ID == "" {
+			re.add("closedDomains", "the failure domain is missing")
+		}
+	}
 	slices.SortStableFunc(re.findings, func(le, ri Finding) int { return strings.Compare(le.Path, ri.Path) })
 	return re.findings
 }
--- a/internal/core/config/check_test.go
+++ b/internal/core/config/check_test.go
@@ -103,7 +103,8 @@
 	next := valid().WithAccount(ac.WithKey(keyB).WithBudget("trip")).
 		WithAccount(config.Account{ID: "arc"}).
 		WithoutUpstream("e1").
-		WithService(config.Service{ID: "reg", Routes: []config.Route{{Method: "POST", Path: "/v", Cost: 3}}})
+		WithService(config.Service{ID: "reg", Routes: []config.Route{{Method: "POST", Path: "/v", Cost: 3}}}).
+		WithClosedDomain("d1").WithClosedDomain("d2").WithoutClosedDomain("d2")
 	var got []string
 	for _, ch := range config.Diff(valid(), next) {
 		got = append(got, ch.String())
@@ -114,6 +115,7 @@
 		"account club budgets: main -> main, trip",
 		"upstream e1 removed",
 		"service reg routes: POST /v idempotent=false cost=0, GET /v idempotent=false cost=0 -> POST /v idempotent=false cost=3",
+		"closedDomain d1 added",
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
--- a/internal/core/config/diff.go
+++ b/internal/core/config/diff.go
@@ -14,6 +14,7 @@
 	PartAccount  Part = "account"
 	PartUpstream Part = "upstream"
 	PartService  Part = "service"
+	PartClosed   Part = "closedDomain"
 )
 
 // Action says what happened to an entry.
@@ -49,11 +50,12 @@
 type field struct{ name, text string }
 
 // Diff returns the differences that lead from old to next: accounts, then
-// upstreams, then services, each ordered by id.
+// upstreams, then services, then closed failure domains, each ordered by id.
 func Diff(old, next Snapshot) []Change {
 	out := diff(PartAccount, old.accounts, next.accounts, accountFields)
 	out = append(out, diff(PartUpstream, old.upstreams, next.upstreams, upstreamFields)...)
-	return append(out, diff(PartService, old.services, next.services, serviceFields)...)
+	out = append(out, diff(PartService, old.services, next.services, serviceFields)...)
+	return append(out, diff(PartClosed, old.closed, next.closed, func(ClosedDomain) []field { return nil })...)
 }
 
 func diff[K ~string, V any](part Part, old, next map[K]V, fields func(V) []field) []Change {
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -18,6 +18,12 @@
 	keys      map[KeyHash]ident.Account
 	upstreams map[ident.Upstream]Upstream
 	services  map[ident.Service]Service
+	closed    map[ident.Domain]ClosedDomain
+}
+
+// ClosedDomain is a failure domain whose upstreams get no new requests.
+type ClosedDomain struct {
+	ID ident.Domain `json:"id"`
 }
 
 // Revision returns the revision.
@@ -62,6 +68,25 @@
 // Services returns all plain services ordered by id.
 func (sn Snapshot) Services() []Service { return sortedByKey(sn.services) }
 
+// ClosedDomains returns the closed failure domains ordered by id.
+func (sn Snapshot) ClosedDomains() []ClosedDomain { return sortedByKey(sn.closed) }
+
+// DomainClosed reports whether the failure domain is closed.
+func (sn Snapshot) DomainClosed(id ident.Domain) bool {
+	_, ok := sn.closed[id]
+	return ok
+}
+
+// HasDomain reports whether some upstream is in the failure domain.
+func (sn Snapshot) HasDomain(id ident.Domain) bool {
+	for _, up := range sn.upstreams {
+		if up.Domain == id {
+			return true
+		}
+	}
+	return false
+}
+
 // ServesModel reports whether some upstream serves the model.
 func (sn Snapshot) ServesModel(mo ident.Model) bool {
 	for _, up := range sn.upstreams {
@@ -116,6 +141,18 @@
 	return sn
 }
 
+// WithClosedDomain returns a copy in which the failure domain is closed.
+func (sn Snapshot) WithClosedDomain(id ident.Domain) Snapshot {
+	sn.closed = withEntry(sn.closed, id, ClosedDomain{ID: id})
+	return sn
+}
+
+// WithoutClosedDomain returns a copy in which the failure domain is open.
+func (sn Snapshot) WithoutClosedDomain(id ident.Domain) Snapshot {
+	sn.closed = withoutEntry(sn.closed, id)
+	return sn
+}
+
 // Advance returns next if its revision is higher than that of cur, else cur.
 // A process applies it to every configuration that it receives, so that its
 // revision in force never decreases. The boolean reports whether next was
--- a/internal/core/intake/plan.go
+++ b/internal/core/intake/plan.go
@@ -41,12 +41,15 @@
 }
 
 // Generate returns the plan, or all findings when the answers cannot be used.
-// The API keys, revision and author of the present configuration are kept;
-// everything else comes from the answers.
+// The API keys, closed failure domains, revision and author of the present
+// configuration are kept; everything else comes from the answers.
 func Generate(present config.Snapshot, an Answers) (Plan, []config.Finding) {
 	findings := contradictions(an)
 	gr := &generator{present: present, works: map[string]Work{}}
 	gr.plan.Snapshot = config.Snapshot{}.WithRevision(present.Revision(), present.Author())
+	for _, cd := range present.ClosedDomains() {
+		gr.plan.Snapshot = gr.plan.Snapshot.WithClosedDomain(cd.ID)
+	}
 	for _, wo := range an.Work {
 		gr.works[wo.Name] = wo
 		gr.addAdvice(wo)
--- a/internal/core/route/candidate.go
+++ b/internal/core/route/candidate.go
@@ -50,6 +50,7 @@
 	load         Load
 	own          OwnLoad
 	leaving      bool
+	closed       bool
 	suspectUntil time.Time
 }
 
@@ -76,6 +77,10 @@
 // Leaving reports whether the upstream is leaving and accepts no new requests.
 func (ca Candidate) Leaving() bool { return ca.leaving }
 
+// Closed reports whether the failure domain is closed, so that the upstream gets no new
+// requests.
+func (ca Candidate) Closed() bool { return ca.closed }
+
 // SuspectUntil returns the time until which the upstream is avoided, or zero.
 func (ca Candidate) SuspectUntil() time.Time { return ca.suspectUntil }
 
@@ -106,6 +111,12 @@
 	return ca
 }
 
+// WithClosed returns a copy whose failure domain is or is not closed.
+func (ca Candidate) WithClosed(closed bool) Candidate {
+	ca.closed = closed
+	return ca
+}
+
 // WithSuspect returns a copy that is avoided until the given time.
 func (ca Candidate) WithSuspect(until time.Time) Candidate {
 	ca.suspectUntil = until
@@ -114,5 +125,5 @@
 
 // Usable reports whether new requests may be sent to the upstream at now.
 func (ca Candidate) Usable(now time.Time) bool {
-	return !ca.leaving && !now.Before(ca.suspectUntil)
+	return !ca.leaving && !ca.closed && !now.Before(ca.suspectUntil)
 }
--- a/internal/role/cmdln/admin.go
+++ b/internal/role/cmdln/admin.go
@@ -32,6 +32,7 @@
 	Budget   budgetCmd   `cmd:"" help:"Prepaid budgets, their balance and top-ups."`
 	Upstream upstreamCmd `cmd:"" help:"Model engines and processes of plain services."`
 	Slot     slotCmd     `cmd:"" help:"Slots for loads from the weight store."`
+	Domain   domainCmd   `cmd:"" help:"Failure domains: close one so that its upstreams get no new work, or open it."`
 	Service  serviceCmd  `cmd:"" help:"Plain services and their routes."`
 	Config   configCmd   `cmd:"" help:"The whole configuration and its history."`
 	Node     nodeCmd     `cmd:"" help:"List which revision is in force at each router and its sidecars."`
--- a/internal/role/cmdln/admin_test.go
+++ b/internal/role/cmdln/admin_test.go
@@ -204,3 +204,29 @@
 		}
 	}
 }
+
+// TestDomainCommands guards against commands that close another failure domain than the
+// one given, or that report success for one that does not exist.
+func TestDomainCommands(t *testing.T) {
+	ap := newTestAPI(t)
+	if code, _, errOut := ap.run("desk", "upstream", "add", "e1", "--vm", "v1", "--domain", "zone 1", "--sidecar", "127.0.0.1:7443", "--model", "m"); code != 0 {
+		t.Fatal(errOut)
+	}
+	for _, tt := range []struct {
+		args []string
+		want string
+		code int
+	}{
+		{[]string{"domain", "close", "zone 1"}, "closedDomain zone 1 added", 0},
+		{[]string{"domain", "list"}, "closed", 0},
+		{[]string{"domain", "close", "zone 2"}, "no upstream is in failure domain zone 2", 7},
+		{[]string{"domain", "close", "a/b%2"}, "no upstream is in failure domain a/b%2", 7},
+		{[]string{"domain", "open", "zone 1"}, "closedDomain zone 1 removed", 0},
+		{[]string{"domain", "list"}, "open", 0},
+	} {
+		code, out, errOut := ap.run("desk", tt.args...)
+		if code != tt.code || !strings.Contains(out+errOut, tt.want) {
+			t.Errorf("%v: exit code %d, %s%s", tt.args, code, out, errOut)
+		}
+	}
+}
