--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -115,10 +115,11 @@
 const maxColdTime = 24 * time.Hour
 
 // coldUntil returns the time until which the upstream tolerates only few requests. A value
-// that is no number, negative or too large is ignored.
+// that is no number, negative or too large is ignored, and so is that of another instance at the
+// address.
 func (rsp *response) coldUntil() time.Time {
 	ms, err := strconv.ParseFloat(rsp.httpResp.Header.Get(rsp.pool.terms.Cold), 64)
-	if rsp.pool.terms.Cold == "" || err != nil || !(ms >= 0 && ms <= float64(maxColdTime.Milliseconds())) {
+	if rsp.pool.terms.Cold == "" || rsp.httpResp.StatusCode == http.StatusMisdirectedRequest || err != nil || !(ms >= 0 && ms <= float64(maxColdTime.Milliseconds())) {
 		return time.Time{}
 	}
 	return rsp.receivedAt.Add(time.Duration(ms * float64(time.Millisecond)))
--- a/internal/core/place/cold.go
+++ b/internal/core/place/cold.go
@@ -135,7 +135,7 @@
 	next := &coldEnd{at: ep.state.nanos(until), exact: exact}
 	for {
 		old := st.until.Load()
-		if !exact && old != nil && old.exact && next.at <= old.at {
+		if old == nil && next.at <= at || !exact && old != nil && old.exact && next.at <= old.at {
 			return
 		}
 		if !st.until.CompareAndSwap(old, next) {
