adapt/pool: bound on idle connections to all upstreams together

Up to 32 idle connections were kept for each upstream, whose number is not bounded, so that a router could run out of descriptors after a burst. WithMaxIdle bounds their sum; a direct router with maxFDs keeps a tenth of the descriptors beyond 200 for them.

--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -136,10 +137,27 @@
 // idleConns holds the idle connections to one upstream. The most recently used one
 // is reused first.
 type idleConns struct {
+	total *idleTotal
 	mu    sync.Mutex
 	conns []*conn
 }
 
+// idleTotal counts the idle connections of a pool.
+type idleTotal struct {
+	// limit is the largest number, or zero for no bound.
+	limit int64
+	count atomic.Int64
+}
+
+// add counts a connection, and reports false if there are too many.
+func (it *idleTotal) add() bool {
+	if it.count.Add(1) <= it.limit || it.limit <= 0 {
+		return true
+	}
+	it.count.Add(-1)
+	return false
+}
+
 // take returns a usable idle connection on which the id was not sent, or nil. It closes
 // those that it finds unusable.
 func (ic *idleConns) take(id string, now time.Time) *conn {
@@ -160,6 +178,7 @@
 	for ix, co := range slices.Backward(ic.conns) {
 		if !co.hasSent(id) {
 			ic.conns = slices.Delete(ic.conns, ix, ix+1)
+			ic.total.count.Add(-1)
 			return co
 		}
 	}
@@ -167,12 +186,17 @@
 }
 
 // put adds a connection and closes the least recently used one if there are more
-// than maxIdle.
+// than maxIdle. It closes the connection if the pool has too many.
 func (ic *idleConns) put(co *conn) {
+	if !ic.total.add() {
+		_ = co.Close()
+		return
+	}
 	ic.mu.Lock()
 	var old *conn
 	if len(ic.conns) >= maxIdle {
 		old = ic.conns[0]
+		ic.total.count.Add(-1)
 		ic.conns = append(ic.conns[:0], ic.conns[1:]...)
 	}
 	ic.conns = append(ic.conns, co)
@@ -194,6 +218,7 @@
 			_ = co.Close()
 		}
 	}
+	ic.total.count.Add(int64(len(open) - len(ic.conns)))
 	clear(ic.conns[len(open):])
 	ic.conns = open
 	return len(open)
--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -53,6 +53,8 @@
 	terms  terms.HeaderNames
 	memory *memory
 
+	idle *idleTotal
+
 	mu             sync.Mutex
 	idleByUpstream map[proxy.Upstream]*idleConns
 }
@@ -65,9 +67,13 @@
 // being read is given up. The default is 32 MiB.
 func WithMemory(bytes int) Option { return func(po *Pool) { po.memory = newMemory(bytes) } }
 
+// WithMaxIdle sets the number of idle connections to all upstreams together. The default
+// is no bound.
+func WithMaxIdle(conns int) Option { return func(po *Pool) { po.idle.limit = int64(conns) } }
+
 // New returns a pool that uses the header fields of the deployment.
 func New(hn terms.HeaderNames, opts ...Option) *Pool {
-	po := &Pool{terms: hn, memory: newMemory(defaultMemory), idleByUpstream: map[proxy.Upstream]*idleConns{}}
+	po := &Pool{terms: hn, memory: newMemory(defaultMemory), idle: &idleTotal{}, idleByUpstream: map[proxy.Upstream]*idleConns{}}
 	for _, opt := range opts {
 		opt(po)
 	}
@@ -107,7 +113,7 @@
 	defer po.mu.Unlock()
 	ic := po.idleByUpstream[up]
 	if ic == nil {
-		ic = &idleConns{}
+		ic = &idleConns{total: po.idle}
 		po.idleByUpstream[up] = ic
 	}
 	return ic
--- a/internal/fake/origin/origin.go
+++ b/internal/fake/origin/origin.go
@@ -139,6 +139,13 @@
 	return or.arrived
 }
 
+// OpenConns returns the number of open connections.
+func (or *Origin) OpenConns() int {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return len(or.conns)
+}
+
 // Aborted receives the attempt id of each request whose connection was closed by
 // the router before the response was complete.
 func (or *Origin) Aborted() <-chan string { return or.aborted }
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -96,6 +96,9 @@
 	// connShare is the share of the other descriptors for connections of callers. Each
 	// request in progress needs another one for its upstream.
 	connShare = 0.4
+	// idleShare is the share for idle connections to upstreams. What is left is for
+	// second attempts, the store and other routers.
+	idleShare = 0.1
 	// minConns is the least bound of the connections of callers.
 	minConns = 16
 	// connMemoryDivisor divides the memory of the VM; the quotient is what connections of
@@ -220,10 +223,14 @@
 
 // newPool returns the connections to upstreams.
 func newPool(set conf.DirectRouter, pf Platform) *pool.Pool {
-	if set.MemoryMB <= 0 {
-		return pool.New(pf.HeaderNames)
+	var opts []pool.Option
+	if set.MemoryMB > 0 {
+		opts = append(opts, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
 	}
-	return pool.New(pf.HeaderNames, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
+	if set.MaxFDs > 0 {
+		opts = append(opts, pool.WithMaxIdle(max(int(float64(set.MaxFDs-reservedFDs)*idleShare), minConns)))
+	}
+	return pool.New(pf.HeaderNames, opts...)
 }
 
 // maxConns returns the number of connections of callers, or zero if the settings give
