--- a/internal/adapt/pool/pool.go
+++ b/internal/adapt/pool/pool.go
@@ -55,6 +55,8 @@
 	memory *memory
 	link   *shed.Link
 
+	idle *idleTotal
+
 	mu             sync.Mutex
 	idleByUpstream map[proxy.Upstream]*idleConns
 }
@@ -71,9 +73,13 @@
 // then written no faster than the link carries them. The default is none.
 func WithLink(li *shed.Link) Option { return func(po *Pool) { po.link = li } }
 
+// WithMaxIdle sets the number of idle connections to all upstreams together. The default
+// is no bound.
+func WithMaxIdle(conns int) Option { return func(po *Pool) { po.idle.limit = int64(conns) } }
+
 // New returns a pool that uses the header fields of the deployment.
 func New(hn terms.HeaderNames, opts ...Option) *Pool {
-	po := &Pool{terms: hn, memory: newMemory(defaultMemory), idleByUpstream: map[proxy.Upstream]*idleConns{}}
+	po := &Pool{terms: hn, memory: newMemory(defaultMemory), idle: &idleTotal{}, idleByUpstream: map[proxy.Upstream]*idleConns{}}
 	for _, opt := range opts {
 		opt(po)
 	}
@@ -113,7 +119,7 @@
 	defer po.mu.Unlock()
 	ic := po.idleByUpstream[up]
 	if ic == nil {
-		ic = &idleConns{}
+		ic = &idleConns{total: po.idle}
 		po.idleByUpstream[up] = ic
 	}
 	return ic
