role/direct: leave the rotation while the link is congested

The balancer binds a client to a router by a hash, so that one busy client fills the link of a small router although others have capacity: the bodies of refused requests still arrive and kept connections stay.

Tests of role/direct (rotation, link) and adapt/entry (CloseKept, drain) pass; TestHalfClosedRequest of adapt/entry fails with and without this change.

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -52,7 +52,7 @@
 }
 
 // connState is the state of a connection. An ending connection was idle when the server
-// drained. It is closed unless a request has arrived on it.
+// drained or closed its kept connections. It is closed unless a request has arrived on it.
 type connState int
 
 const (
@@ -244,7 +244,7 @@
 func (co *conn) handle(hd head, info proxy.RequestInfo, body []byte) bool {
 	rw := &responseWriter{
 		co: co, bw: co.bw, re: hd, requestID: string(info.ID),
-		closing: hd.Close || !hd.ProtoAtLeast(1, 1) || co.sv.leaving.Load(),
+		closing: hd.Close || !hd.ProtoAtLeast(1, 1) || co.sv.closing(),
 	}
 	ctx, cancel := context.WithCancel(co.sv.ctx)
 	defer cancel()
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -39,6 +39,8 @@
 	link    *shed.Link
 
 	leaving atomic.Bool
+	// closeKept makes connections end after their next response.
+	closeKept atomic.Bool
 	// ctx is the context of all requests, and stop ends it.
 	ctx   context.Context
 	stop  context.CancelCauseFunc
@@ -137,6 +139,28 @@
 // announces that by Connection: close.
 func (sv *Server) Leave() { sv.leaving.Store(true) }
 
+// CloseKept sets whether connections are closed after their next response, which
+// announces that by Connection: close. When it is set, the idle connections are closed;
+// a request that has arrived is served. New connections are still accepted.
+func (sv *Server) CloseKept(on bool) {
+	if sv.closeKept.Swap(on) || !on {
+		return
+	}
+	sv.endIdle()
+}
+
+// closing reports whether connections are closed after their next response.
+func (sv *Server) closing() bool { return sv.leaving.Load() || sv.closeKept.Load() }
+
+// endIdle ends the idle connections.
+func (sv *Server) endIdle() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for co := range sv.conns {
+		co.endIdle()
+	}
+}
+
 // OpenConns returns the number of open connections.
 func (sv *Server) OpenConns() int {
 	sv.mu.Lock()
@@ -184,11 +208,7 @@
 // before the deadline.
 func (sv *Server) drainUntil(deadline time.Time) bool {
 	for {
-		sv.mu.Lock()
-		for co := range sv.conns {
-			co.endIdle()
-		}
-		sv.mu.Unlock()
+		sv.endIdle()
 		if sv.OpenConns() == 0 {
 			return true
 		}
--- a/internal/adapt/entry/writer.go
+++ b/internal/adapt/entry/writer.go
@@ -42,7 +42,7 @@
 		return errHeaderWritten
 	}
 	rw.headerWritten = true
-	if rw.closing = rw.closing || rw.co.sv.leaving.Load(); rw.closing {
+	if rw.closing = rw.closing || rw.co.sv.closing(); rw.closing {
 		hd.Set("Connection", "close")
 	}
 	_, _ = rw.bw.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -1,7 +1,7 @@
 // Package peers implements calls between routers that do not need the platform's
 // store: routers lend each other escrow, provide their configuration, store the
-// statement of a router that ends, and access the table for a router that cannot
-// reach it. The calls are JSON over HTTP.
+// statement of a router that ends, say whether they have capacity, and access the table
+// for a router that cannot reach it. The calls are JSON over HTTP.
 package peers
 
 import (
@@ -28,6 +28,7 @@
 	configPath    = "/v1/config"
 	statementPath = "/v1/statement"
 	closuresPath  = "/v1/closures"
+	loadPath      = "/v1/load"
 	// afterRevision is the parameter of a call for a configuration.
 	afterRevision = "afterRevision"
 
@@ -76,6 +77,8 @@
 	CurrentConfig func() (feed.Row, ident.Revision)
 	// Closures returns the closed failure domains, and false while they are not known.
 	Closures func() (follow.ClosureState, bool)
+	// Load returns whether the router has capacity. It must not block.
+	Load func() Load
 	// AddStatement stores the last statement of a router that ends, and reports
 	// whether it did.
 	AddStatement func(st escrow.Statement) bool
@@ -97,6 +100,7 @@
 	})
 	mx.Handle("GET "+configPath, newDocuments(local.CurrentConfig))
 	mx.HandleFunc("GET "+closuresPath, serveClosures(local.Closures))
+	mx.HandleFunc("GET "+loadPath, func(wr http.ResponseWriter, _ *http.Request) { writeJSON(wr, local.Load()) })
 	mx.HandleFunc("POST "+statementPath, func(wr http.ResponseWriter, re *http.Request) {
 		var st escrow.Statement
 		err := json.NewDecoder(http.MaxBytesReader(wr, re.Body, maxDocumentBytes)).Decode(&st)
@@ -123,7 +127,10 @@
 
 // Client calls other routers.
 type Client struct {
-	http  *http.Client
+	http *http.Client
+	// loads makes the calls for the load of other routers. Connections take long to open
+	// while the link is congested.
+	loads *http.Client
 	peers func() []string
 }
 
@@ -131,7 +138,11 @@
 // options are those of the HTTP client.
 func NewClient(peers func() []string, opts ...client.Option) *Client {
 	defaults := []client.Option{client.WithMaxIdleConns(idlePerHost), client.WithDialTimeout(callTimeout)}
-	return &Client{http: client.New(append(defaults, opts...)...), peers: peers}
+	all := append(defaults, opts...)
+	return &Client{
+		http: client.New(all...), loads: client.New(append(all, client.WithDialTimeout(loadTimeout), client.WithMaxIdleConns(1))...),
+		peers: peers,
+	}
 }
 
 // Borrow asks up to maxLenders other routers, in random order, until they have lent
@@ -227,7 +238,11 @@
 
 // call sends the request and decodes the response, if it has a body.
 func (cl *Client) call(re *http.Request, limit int64, into any) error {
-	resp, _, err := client.Do(cl.http, re)
+	return call(cl.http, re, limit, into)
+}
+
+func call(hc *http.Client, re *http.Request, limit int64, into any) error {
+	resp, _, err := client.Do(hc, re)
 	if err != nil {
 		return err
 	}
--- a/internal/app/follow/fleet.go
+++ b/internal/app/follow/fleet.go
@@ -42,6 +42,7 @@
 // Peer is another router.
 type Peer struct {
 	VM      ident.VM
+	Domain  ident.Domain
 	Address string
 }
 
@@ -114,7 +115,7 @@
 			continue
 		}
 		seen[in.Row.VM] = true
-		peers = append(peers, Peer{VM: in.Row.VM, Address: in.Row.Address})
+		peers = append(peers, Peer{VM: in.Row.VM, Domain: in.Row.Domain, Address: in.Row.Address})
 	}
 	fl.peers.Store(peers)
 	if before := fl.count.Load(); before != len(seen) {
--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -322,7 +322,12 @@
 // queue was long within the time of a call, or several targets have timed out and none
 // has responded in between.
 func (li *Link) Congested(now time.Time) bool {
+	return li.Busy(now) || li.timeouts.simultaneous(now)
+}
+
+// Busy reports whether the queue of the link was long within the time of a call.
+func (li *Link) Busy(now time.Time) bool {
 	ns := li.nanos(now)
 	li.recordCongestion(ns)
-	return li.congestedUntil.wait(ns) > 0 || li.timeouts.simultaneous(now)
+	return li.congestedUntil.wait(ns) > 0
 }
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -148,6 +148,7 @@
 	pool        *pool.Pool
 	// link is the network link of the VM, or nil if its rate is not known.
 	link        *shed.Link
+	rotation    *rotation
 	service     *app.Service
 	parts       *poison.Registry
 	entry       *entry.Server
@@ -189,6 +190,7 @@
 	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop, partLoop}
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger(), budget.WithEra(pf.Era)), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
+	ro.rotation = newRotation(ro)
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossips = []*follow.Gossip{
 		follow.NewGossip(ro.configs, configLoop, ro.peerAddresses, cl.FetchConfig),
@@ -214,7 +216,7 @@
 	}
 	if ro.peerServer, err = serve.New(set.PeerListen, peers.Handler(peers.LocalRouter{
 		Lend: ro.holder.Lend, CurrentConfig: ro.configs.Row, AddStatement: ro.statements.AddStatement, Table: table.DirectTable(),
-		Closures: ro.closures.State,
+		Closures: ro.closures.State, Load: ro.load,
 	})); err != nil {
 		return nil, err
 	}
@@ -313,6 +315,8 @@
 		return errors.New("it is not known yet which prompt parts are refused")
 	case !ro.registered.Load():
 		return errors.New("the incarnation is not registered yet")
+	case ro.rotation.out(time.Now()):
+		return errors.New("the link is congested, other routers have capacity")
 	default:
 		return nil
 	}
--- a/internal/role/direct/link.go
+++ b/internal/role/direct/link.go
@@ -51,12 +51,16 @@
 	}
 	tk := time.NewTicker(linkWatchInterval)
 	defer tk.Stop()
+	defer ro.rotation.wait()
 	logged, congested := time.Time{}, false
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case answers := <-ro.rotation.answers:
+			ro.rotation.record(answers)
 		case now := <-tk.C:
+			ro.rotation.check(ctx, now)
 			in, out := ro.link.Waits(now)
 			ro.met.Gauge("linkWait", "direction", "in", in.Seconds())
 			ro.met.Gauge("linkWait", "direction", "out", out.Seconds())
--- /dev/null
+++ b/internal/role/direct/rotation.go
@@ -0,0 +1,130 @@
+package direct
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
+	"github.com/balsamwood/balsamwood/internal/core/snap"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+var (
+	evRotationLeft     = meter.Event{Number: 9333, Level: slog.LevelWarn, Text: "the router leaves the rotation for a time, its link is congested and others have capacity"}
+	evRotationReturned = meter.Event{Number: 9334, Level: slog.LevelInfo, Text: "the router returns to the rotation"}
+)
+
+const (
+	// askInterval is the shortest time between two rounds of calls to other routers, and
+	// maxAsked the number of routers that are asked in a round.
+	askInterval = 500 * time.Millisecond
+	maxAsked    = 4
+)
+
+// rotation takes a router with a congested link out of the rotation of the balancer while
+// other routers of its failure domain have capacity. Its methods are called by the
+// goroutine that watches the link, except out.
+type rotation struct {
+	ro    *Router
+	state *snap.Cell[shed.Rotation]
+	// answers receives the answers of each round.
+	answers chan []shed.Answer
+	rounds  sync.WaitGroup
+	// nextRound is the earliest time of the next round.
+	nextRound time.Time
+	isOut     bool
+}
+
+func newRotation(ro *Router) *rotation {
+	return &rotation{ro: ro, state: snap.NewCell(shed.Rotation{}), answers: make(chan []shed.Answer)}
+}
+
+// out reports whether the router is out of the rotation. It is safe for concurrent use.
+func (rn *rotation) out(now time.Time) bool { return rn.state.Load().Out(now) }
+
+// check decides whether the router leaves or returns.
+func (rn *rotation) check(ctx context.Context, now time.Time) {
+	if rn.ro.leaving.Load() {
+		return
+	}
+	before := rn.state.Load()
+	after := before.WithLink(rn.ro.link.Busy(now), now)
+	rn.state.Store(after)
+	switch is := after.Out(now); {
+	case is && !rn.isOut:
+		rn.leave(after, before.CongestedSince(), now)
+	case !is && rn.isOut:
+		rn.enter()
+	}
+	if !after.CongestedSince().IsZero() && !now.Before(rn.nextRound) {
+		rn.nextRound = now.Add(askInterval)
+		rn.rounds.Go(func() { rn.ask(ctx, now) })
+	}
+}
+
+func (rn *rotation) leave(rt shed.Rotation, since, now time.Time) {
+	rn.isOut = true
+	rn.ro.entry.CloseKept(true)
+	answered, busy := rt.Peers(now)
+	rn.ro.met.Gauge("outOfRotation", "", "", 1)
+	rn.ro.met.Log(evRotationLeft, slog.Duration("congested", now.Sub(since)), slog.Time("until", rt.OutUntil()),
+		slog.Int("answered", answered), slog.Int("busy", busy), slog.Int("connections", rn.ro.entry.OpenConns()))
+}
+
+func (rn *rotation) enter() {
+	rn.isOut = false
+	rn.ro.entry.CloseKept(false)
+	rn.ro.met.Gauge("outOfRotation", "", "", 0)
+	rn.ro.met.Log(evRotationReturned)
+}
+
+// ask asks some routers of the failure domain for their load.
+func (rn *rotation) ask(ctx context.Context, now time.Time) {
+	var mu sync.Mutex
+	var answers []shed.Answer
+	var calls sync.WaitGroup
+	for _, pe := range rn.choose() {
+		calls.Go(func() {
+			lo, err := rn.ro.peers.FetchLoad(ctx, pe.Address)
+			// A router that does not respond is not known to have capacity.
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, shed.Answer{From: pe.VM, AskedAt: now, Congested: lo.Congested, OutOfRotation: lo.OutOfRotation})
+		})
+	}
+	calls.Wait()
+	select {
+	case rn.answers <- answers:
+	case <-ctx.Done():
+	}
+}
+
+// choose returns random routers of the failure domain.
+func (rn *rotation) choose() []follow.Peer {
+	own := rn.ro.settings.Domain
+	near := slices.DeleteFunc(slices.Clone(rn.ro.fleet.Peers()), func(pe follow.Peer) bool { return pe.Domain != own })
+	rand.Shuffle(len(near), func(one, two int) { near[one], near[two] = near[two], near[one] })
+	return near[:min(len(near), maxAsked)]
+}
+
+// record records the answers of a round.
+func (rn *rotation) record(answers []shed.Answer) {
+	rn.state.Store(rn.state.Load().WithAnswers(answers...))
+}
+
+// wait waits until no round is in progress.
+func (rn *rotation) wait() { rn.rounds.Wait() }
+
+// load returns what other routers are told about this one.
+func (ro *Router) load() peers.Load {
+	return peers.Load{Congested: ro.link != nil && ro.link.Busy(time.Now()), OutOfRotation: ro.readiness() != nil}
+}
