--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -419,7 +420,8 @@
 func (in incarnations) Incarnations(context.Context) ([]budget.Incarnation, error) { return in, nil }
 
 // TestFleet guards against counting a VM once for each start of its router, and
-// against listing peers that no longer run.
+// against listing peers that no longer run, and against a router that divides the capacity
+// of cold upstreams with others before they can know it.
 func TestFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inc := func(vm ident.VM, opened int64, st escrow.State) budget.Incarnation {
@@ -427,18 +429,22 @@
 				VM: vm, Opened: opened, State: st, Address: fmt.Sprint(vm, ":", opened),
 			}}
 		}
-		fl := follow.NewFleet(incarnations{
-			inc("a", 1, escrow.Open), inc("b", 2, escrow.Open), inc("b", 3, escrow.Open), inc("c", 4, escrow.Closing),
-		}, "a", meter.Nop{})
+		rows := incarnations{inc("a", 1, escrow.Open), inc("b", 2, escrow.Open), inc("b", 3, escrow.Open), inc("c", 4, escrow.Closing)}
+		fl, unlisted := follow.NewFleet(rows, "a", meter.Nop{}), follow.NewFleet(slices.Clone(rows), "d", meter.Nop{})
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); fl.Run(ctx) }()
+		var running sync.WaitGroup
+		running.Go(func() { fl.Run(ctx) })
+		running.Go(func() { unlisted.Run(ctx) })
 		time.Sleep(time.Second)
 		synctest.Wait()
+		none := place.Routers{}
+		if diff := cmp.Diff([]bool{true, false}, []bool{fl.Routers() != none, unlisted.Routers() != none}); diff != "" {
+			t.Errorf("routers known to a listed router and to another one (-want +got):\n%s", diff)
+		}
 		if diff := cmp.Diff([]follow.Peer{{VM: "b", Address: "b:3"}}, fl.Peers()); diff != "" || fl.RouterCount() != 2 {
 			t.Errorf("%d routers, peers (-want +got):\n%s", fl.RouterCount(), diff)
 		}
 		cancel()
-		<-done
+		running.Wait()
 	})
 }
