core/escrow, app/budget: less escrow held in advance near the end of a budget

Cause: each of 40 routers held 16 s of its rate of reservations, about twice what it uses, so that one of them was refused as over budget while a quarter of the budget was held by the others and not used.

Change: Headroom.LeftParts limits the escrow in advance to a part of the time that the budget lasts, a sixth with the direct router's settings. Below that, what exceeds 1.5 times the target is returned in place of twice. A budget row is read less often only while the free tokens are at least half of the granted ones. Metrics heldUnused and, up to 64 budgets, heldUnusedByAccount.

--- a/internal/app/budget/crowd_test.go
+++ b/internal/app/budget/crowd_test.go
@@ -145,7 +145,7 @@
 	return []budget.Option{
 		budget.WithClock(clock.System{}), budget.WithFlushInterval(200 * time.Millisecond), budget.WithReadInterval(2 * time.Second),
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithFlushParallelism(8), budget.WithUncheckedDraws(),
-		budget.WithHeadroom(escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8}),
+		budget.WithHeadroom(escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8, LeftParts: 6}),
 	}
 }
 
@@ -155,7 +155,8 @@
 	return []budget.Option{
 		budget.WithTimeLock(budget.TimeLock{
 			RenewInterval: 400 * time.Millisecond, LockTime: time.Second, IdleRenewInterval: time.Second, IdleLockTime: 2500 * time.Millisecond,
-			AvailableFor: time.Second, UnlockFactor: 1.3, MinUnlockSpan: 2 * time.Second, MaxUnlockSpan: 30 * time.Second,
+			AvailableFor: time.Second, ScarceBelow: 12 * time.Second, ScarceLockTime: 2200 * time.Millisecond, ScarceAvailableFor: 300 * time.Millisecond,
+			UnlockFactor: 1.3, MinUnlockSpan: 2 * time.Second, MaxUnlockSpan: 30 * time.Second,
 		}, func() (int64, bool) { return time.Since(start).Milliseconds() + 1, true }),
 		budget.WithSharedLock(),
 	}
--- a/internal/app/budget/flush.go
+++ b/internal/app/budget/flush.go
@@ -72,6 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, hd.workTimeout())
 	defer cancel()
 	now := hd.opts.clock.Now()
+	hd.measureUnused()
 	var batch, alone []flushTask
 	for _, hg := range hd.index.all() {
 		if !hg.tryLockRows() {
@@ -98,6 +99,23 @@
 	hd.flushEach(ctx, alone, now)
 }
 
+// maxMeasuredAccounts is the number of budgets up to which what is held and not used is
+// measured for each.
+const maxMeasuredAccounts = 64
+
+// measureUnused records how many tokens are held and neither used nor reserved.
+func (hd *Holder) measureUnused() {
+	hgs := hd.index.all()
+	var sum ident.Tokens
+	for _, hg := range hgs {
+		unused := hg.pool.Counts().Unused()
+		if sum += unused; len(hgs) <= maxMeasuredAccounts {
+			hd.opts.meter.Gauge("heldUnusedByAccount", "account", string(hg.ref.Account), float64(unused))
+		}
+	}
+	hd.opts.meter.Gauge("heldUnused", "", "", float64(sum))
+}
+
 // flushEach writes each holding in a commit of its own, several at the same time,
 // and releases its rows lock. Requests that wait for the escrow of one budget do
 // not wait for the calls of others, and a conflict repeats one commit only.
@@ -180,7 +198,8 @@
 func (hd *Holder) readInterval(hg *holding) time.Duration {
 	interval := max(hd.opts.readInterval, time.Duration(hd.index.len())*readIntervalPerHolding)
 	left, ok := hd.timeLeft(hg)
-	if !ok {
+	if br := hg.budgetRow; !ok || 2*br.Free() < br.Granted {
+		// The free tokens may be used up long before the budget is.
 		return interval
 	}
 	return max(interval, min((left-hd.opts.timeLock.ScarceBelow)/2, maxReadInterval))
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -135,9 +135,13 @@
 	if hg.grant.val.Outstanding() == 0 {
 		holders++
 	}
+	he := hd.opts.headroom(hg.preference())
+	if left, ok := hd.timeLeft(hg); ok {
+		he = he.WithTimeLeft(left)
+	}
 	return escrow.Demand{
 		Free: bud.Free(), Holders: holders, Want: want, Prefetch: prefetch,
-		Rate: hg.usage.rate, Headroom: hd.opts.headroom(hg.preference()), Available: hg.pool.Available() + hg.pool.Counts().Locked,
+		Rate: hg.usage.rate, Headroom: he, Available: hg.pool.Available() + hg.pool.Counts().Locked,
 	}
 }
 
--- a/internal/core/escrow/escrow_test.go
+++ b/internal/core/escrow/escrow_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
@@ -230,3 +232,25 @@
 		}
 	}
 }
+
+// TestWithTimeLeft guards against escrow in advance for longer than a part of the time
+// that the budget lasts, and against less than one request.
+func TestWithTimeLeft(t *testing.T) {
+	he := escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, LeftParts: 4}
+	for _, tc := range []struct {
+		left time.Duration
+		want escrow.Headroom
+	}{
+		{64 * time.Second, he},
+		{32 * time.Second, escrow.Headroom{Seconds: 8, LowSeconds: 5, Requests: 2, LowRequests: 1, LeftParts: 4}},
+		{0, escrow.Headroom{LowRequests: 1, Requests: 1, LeftParts: 4}},
+	} {
+		if diff := cmp.Diff(tc.want, he.WithTimeLeft(tc.left), cmpopts.IgnoreUnexported(escrow.Headroom{})); diff != "" {
+			t.Errorf("%v left (-want +got):\n%s", tc.left, diff)
+		}
+	}
+	unlimited := escrow.Headroom{Seconds: 16}
+	if got := unlimited.WithTimeLeft(time.Second); got.Seconds != 16 {
+		t.Errorf("%v seconds without a limit, want 16", got.Seconds)
+	}
+}
--- a/internal/core/escrow/pool.go
+++ b/internal/core/escrow/pool.go
@@ -45,6 +45,9 @@
 	return co.Available + co.Reserved + co.Unknown + co.Unsettled + co.Returning + co.Locking + co.Locked - co.Borrowed
 }
 
+// Unused returns the tokens that are held for later requests or are being returned.
+func (co Counts) Unused() ident.Tokens { return co.Available + co.Returning + co.Locking + co.Locked }
+
 // Counts reads the counters one after the other, not as one atomic snapshot.
 func (po *Pool) Counts() Counts {
 	return Counts{
--- a/internal/core/escrow/size.go
+++ b/internal/core/escrow/size.go
@@ -1,6 +1,8 @@
 package escrow
 
 import (
+	"time"
+
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 )
@@ -86,10 +88,29 @@
 	// tokens is divided (by ByUse: all free tokens). One draw takes at most one
 	// part, so that later draws still find free tokens.
 	Parts ident.Tokens
+	// LeftParts is the number of equal parts into which the time that the budget lasts is
+	// divided. The escrow suffices for at most one of them. Zero means no such limit.
+	LeftParts float64
 	// IdleParts is the number of equal parts into which a holder's share of the
 	// free tokens is divided (ByUse only). A holder is to have at least one part in
 	// advance, even without any use. Zero means that there is no such minimum.
 	IdleParts ident.Tokens
+	// scarce means that LeftParts limits the escrow.
+	scarce bool
+}
+
+// WithTimeLeft returns a copy for a budget that lasts so long at the recent use.
+func (he Headroom) WithTimeLeft(left time.Duration) Headroom {
+	if he.LeftParts <= 0 || he.Seconds <= 0 {
+		return he
+	}
+	if scale := left.Seconds() / he.LeftParts / he.Seconds; scale < 1 {
+		he.Seconds *= scale
+		he.LowSeconds *= scale
+		he.Requests = max(he.LowRequests, ident.Tokens(float64(he.Requests)*scale))
+		he.scarce = true
+	}
+	return he
 }
 
 // HeadroomFor returns how much escrow a holder has in advance for the budgets
@@ -152,14 +173,22 @@
 	return target
 }
 
-// excessFactor is the multiple of its target that a holder may have before it
-// returns the excess, so that small changes cause no writes.
-const excessFactor = 2
+// excessFactor is the multiple of its target that a holder may have before it returns the
+// excess, so that small changes cause no writes. It is scarceExcessFactor while the time
+// for which the budget lasts limits the target.
+const (
+	excessFactor       = 2
+	scarceExcessFactor = 1.5
+)
 
 // Excess returns how many of its available tokens a holder is to return because
 // its rate has fallen.
 func (ByUse) Excess(de Demand) ident.Tokens {
-	if target := de.target(); de.Available > excessFactor*target {
+	factor := float64(excessFactor)
+	if de.Headroom.scarce {
+		factor = scarceExcessFactor
+	}
+	if target := de.target(); float64(de.Available) > factor*float64(target) {
 		return de.Available - target
 	}
 	return 0
