--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -116,7 +116,7 @@
 
 // headroom is the escrow held in advance. It has to last through outages of the
 // store, which may take 8 s.
-var headroom = escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8}
+var headroom = escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8, LeftParts: 6}
 
 // timeLock leaves little of the escrow unlocked: what is unlocked when a router is
 // killed is lost to the account. A killed router runs again after 1 to 3 s. While
@@ -217,7 +217,7 @@
 	ro.holder = budget.NewHolder(ro.incarnation, set.VM, set.Domain, ro.ledger,
 		budget.WithMeter(me), budget.WithPrepaid(ro.prepaid), budget.WithAddress(func() string { return set.PeerListen }),
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithHeadroom(headroom), budget.WithReadInterval(budgetReadInterval),
-		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(),
+		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(), budget.WithAveragedUse(),
 		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl), budget.WithCongestion(ro.congested))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams),
