core/shed: bound the routers of a domain that leave together

Routers now ask others in turn, remember those that are out until they return, and leave only after all, or 16, have been asked.

With domains of 3 to 25 routers that become congested within 0 to 60 s, never more than a third is out (TestRotationOfDomain).

--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -75,6 +75,10 @@
 func (co *conn) serve() {
 	defer func() { _ = co.nc.Close() }()
 	for co.serveNext() {
+		// The response may have been written before kept connections were closed.
+		if co.sv.closeKept.Load() {
+			co.endIdle()
+		}
 	}
 }
 
--- a/internal/adapt/peers/load.go
+++ b/internal/adapt/peers/load.go
@@ -14,6 +14,9 @@
 type Load struct {
 	Congested     bool `json:"congested"`
 	OutOfRotation bool `json:"outOfRotation"`
+	// OutMs is how much longer the router stays out of the rotation, or zero if it is not
+	// known.
+	OutMs int64 `json:"outMs,omitempty"`
 }
 
 // FetchLoad requests the load of the router at addr.
--- a/internal/core/shed/rotation.go
+++ b/internal/core/shed/rotation.go
@@ -16,19 +16,38 @@
 	minAbsence = 12 * time.Second
 	maxAbsence = 48 * time.Second
 	returnSpan = 10 * time.Second
-	// answerAge is the time for which the answer of a peer counts.
+	// answerAge is the time for which the answer of a peer counts. The answer of one that
+	// is out of the rotation counts until it returns.
 	answerAge = 2 * time.Second
-	// minAnswers is the number of peers that have to answer before the router leaves,
-	// and busyDivisor gives the share of them that may be without capacity.
+	// minAnswers is the number of peers that have to answer before the router leaves.
+	// busyDivisor gives the share of those that may be without capacity, and outDivisor
+	// that share with the router itself.
 	minAnswers  = 2
 	busyDivisor = 4
+	outDivisor  = 3
+	// enoughAsked is the number of peers that have to be asked in a larger domain, in
+	// which a few answers don't show how many are out of the rotation.
+	enoughAsked = 16
 )
 
 // Answer is what another router of the failure domain has said about itself.
 type Answer struct {
-	From                     ident.VM
-	AskedAt                  time.Time
+	From    ident.VM
+	AskedAt time.Time
+	// Silent says that the peer has not answered in time.
+	Silent                   bool
 	Congested, OutOfRotation bool
+	// OutUntil is the time at which the peer returns to the rotation, or zero.
+	OutUntil time.Time
+}
+
+// countsUntil returns the end of the time for which the answer counts.
+func (an Answer) countsUntil() time.Time {
+	until := an.AskedAt.Add(answerAge)
+	if an.OutUntil.After(until) {
+		return an.OutUntil
+	}
+	return until
 }
 
 // Rotation decides when a router with a congested link leaves the rotation of its
@@ -39,7 +58,9 @@
 	congestedSince time.Time
 	// leftAt and outUntil bound the last absence.
 	leftAt, outUntil time.Time
-	// answers holds the last answer of each peer.
+	// peers is the number of other routers in the failure domain, and answers holds the
+	// last answer of each.
+	peers   int
 	answers []Answer
 }
 
@@ -53,18 +74,45 @@
 // an absence does not count.
 func (ro Rotation) CongestedSince() time.Time { return ro.congestedSince }
 
-// Peers returns the number of peers with recent answers, and of those without capacity.
-func (ro Rotation) Peers(now time.Time) (answered, busy int) {
+// KnownUntil returns the time until which an answer of the peer counts, or zero.
+func (ro Rotation) KnownUntil(peer ident.VM) time.Time {
+	for _, an := range ro.answers {
+		if an.From == peer {
+			return an.countsUntil()
+		}
+	}
+	return time.Time{}
+}
+
+// PeerCounts are numbers of other routers of the failure domain.
+type PeerCounts struct {
+	// Asked is the number that were asked lately, Answered that of those that have
+	// answered, and Busy that of those of them without capacity.
+	Asked, Answered, Busy int
+}
+
+// Counts returns what is known about the peers.
+func (ro Rotation) Counts(now time.Time) (pc PeerCounts) {
 	for _, an := range ro.answers {
-		if now.Sub(an.AskedAt) > answerAge {
+		if now.After(an.countsUntil()) {
+			continue
+		}
+		pc.Asked++
+		if an.Silent {
 			continue
 		}
-		answered++
+		pc.Answered++
 		if an.Congested || an.OutOfRotation {
-			busy++
+			pc.Busy++
 		}
 	}
-	return answered, busy
+	return pc
+}
+
+// WithPeers returns a copy with the number of other routers in the failure domain.
+func (ro Rotation) WithPeers(peers int) Rotation {
+	ro.peers = peers
+	return ro
 }
 
 // WithAnswers returns a copy that takes the answers of peers into account.
@@ -72,7 +120,7 @@
 	ro.answers = slices.Clone(ro.answers)
 	for _, an := range answers {
 		ro.answers = slices.DeleteFunc(ro.answers, func(old Answer) bool {
-			return old.From == an.From || an.AskedAt.Sub(old.AskedAt) > answerAge
+			return old.From == an.From || an.AskedAt.After(old.countsUntil())
 		})
 		ro.answers = append(ro.answers, an)
 	}
@@ -96,8 +144,14 @@
 }
 
 func (ro Rotation) peersHaveCapacity(now time.Time) bool {
-	answered, busy := ro.Peers(now)
-	return answered >= minAnswers && busy <= answered/busyDivisor
+	pc := ro.Counts(now)
+	busy := pc.Busy
+	if pc.Asked < ro.peers {
+		// The others may include more of them than the answers show.
+		busy++
+	}
+	return pc.Asked >= min(ro.peers, enoughAsked) && pc.Answered >= minAnswers &&
+		busy <= pc.Answered/busyDivisor && busy+1 <= (pc.Answered+1)/outDivisor
 }
 
 // nextAbsence returns the duration of an absence that begins with the present congestion.
--- a/internal/role/direct/rotation.go
+++ b/internal/role/direct/rotation.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/peers"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/core/snap"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -25,6 +26,8 @@
 	// maxAsked the number of routers that are asked in a round.
 	askInterval = 500 * time.Millisecond
 	maxAsked    = 4
+	// maxOut bounds the absence that another router may report.
+	maxOut = time.Minute
 )
 
 // rotation takes a router with a congested link out of the rotation of the balancer while
@@ -54,7 +57,8 @@
 		return
 	}
 	before := rn.state.Load()
-	after := before.WithLink(rn.ro.link.Busy(now), now)
+	near := rn.near()
+	after := before.WithPeers(len(near)).WithLink(rn.ro.link.Busy(now), now)
 	rn.state.Store(after)
 	switch is := after.Out(now); {
 	case is && !rn.isOut:
@@ -64,17 +68,17 @@
 	}
 	if !after.CongestedSince().IsZero() && !now.Before(rn.nextRound) {
 		rn.nextRound = now.Add(askInterval)
-		rn.rounds.Go(func() { rn.ask(ctx, now) })
+		rn.rounds.Go(func() { rn.ask(ctx, choose(near, after), now) })
 	}
 }
 
 func (rn *rotation) leave(rt shed.Rotation, since, now time.Time) {
 	rn.isOut = true
 	rn.ro.entry.CloseKept(true)
-	answered, busy := rt.Peers(now)
+	pc := rt.Counts(now)
 	rn.ro.met.Gauge("outOfRotation", "", "", 1)
 	rn.ro.met.Log(evRotationLeft, slog.Duration("congested", now.Sub(since)), slog.Time("until", rt.OutUntil()),
-		slog.Int("answered", answered), slog.Int("busy", busy), slog.Int("connections", rn.ro.entry.OpenConns()))
+		slog.Int("asked", pc.Asked), slog.Int("answered", pc.Answered), slog.Int("busy", pc.Busy), slog.Int("connections", rn.ro.entry.OpenConns()))
 }
 
 func (rn *rotation) enter() {
@@ -84,21 +88,14 @@
 	rn.ro.met.Log(evRotationReturned)
 }
 
-// ask asks some routers of the failure domain for their load.
-func (rn *rotation) ask(ctx context.Context, now time.Time) {
-	var mu sync.Mutex
-	var answers []shed.Answer
+// ask asks other routers for their load.
+func (rn *rotation) ask(ctx context.Context, asked []follow.Peer, now time.Time) {
+	answers := make([]shed.Answer, len(asked))
 	var calls sync.WaitGroup
-	for _, pe := range rn.choose() {
+	for ix, pe := range asked {
 		calls.Go(func() {
 			lo, err := rn.ro.peers.FetchLoad(ctx, pe.Address)
-			// A router that does not respond is not known to have capacity.
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, shed.Answer{From: pe.VM, AskedAt: now, Congested: lo.Congested, OutOfRotation: lo.OutOfRotation})
+			answers[ix] = answerOf(pe.VM, lo, err, now)
 		})
 	}
 	calls.Wait()
@@ -108,11 +105,25 @@
 	}
 }
 
-// choose returns random routers of the failure domain.
-func (rn *rotation) choose() []follow.Peer {
+// answerOf returns the answer of a router that was asked at the time.
+func answerOf(vm ident.VM, lo peers.Load, err error, askedAt time.Time) shed.Answer {
+	an := shed.Answer{From: vm, AskedAt: askedAt, Silent: err != nil, Congested: lo.Congested, OutOfRotation: lo.OutOfRotation}
+	if lo.OutMs > 0 {
+		an.OutUntil = askedAt.Add(min(maxOut, time.Duration(lo.OutMs)*time.Millisecond))
+	}
+	return an
+}
+
+// near returns the other routers of the failure domain.
+func (rn *rotation) near() []follow.Peer {
 	own := rn.ro.settings.Domain
-	near := slices.DeleteFunc(slices.Clone(rn.ro.fleet.Peers()), func(pe follow.Peer) bool { return pe.Domain != own })
+	return slices.DeleteFunc(slices.Clone(rn.ro.fleet.Peers()), func(pe follow.Peer) bool { return pe.Domain != own })
+}
+
+// choose returns random routers, those first about which least is known.
+func choose(near []follow.Peer, rt shed.Rotation) []follow.Peer {
 	rand.Shuffle(len(near), func(one, two int) { near[one], near[two] = near[two], near[one] })
+	slices.SortStableFunc(near, func(one, two follow.Peer) int { return rt.KnownUntil(one.VM).Compare(rt.KnownUntil(two.VM)) })
 	return near[:min(len(near), maxAsked)]
 }
 
@@ -126,5 +137,9 @@
 
 // load returns what other routers are told about this one.
 func (ro *Router) load() peers.Load {
-	return peers.Load{Congested: ro.link != nil && ro.link.Busy(time.Now()), OutOfRotation: ro.readiness() != nil}
+	now := time.Now()
+	return peers.Load{
+		Congested: ro.link != nil && ro.link.Busy(now), OutOfRotation: ro.readiness() != nil,
+		OutMs: max(0, ro.rotation.state.Load().OutUntil().Sub(now).Milliseconds()),
+	}
 }
