adapt/bound: the bounds on callers in one place

The shares of a VM's memory and descriptors stood in role/direct, and the budgets with their refusals and log lines in adapt/entry. The front end of the path with sidecars needs the same. No change of behaviour.

--- a/internal/adapt/entry/body.go
+++ b/internal/adapt/entry/body.go
@@ -6,6 +6,7 @@
 	"net/http/httputil"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/quota"
 )
@@ -15,10 +16,6 @@
 	// large as those before it together, so that little is held for what did not arrive.
 	minSegment = 4 << 10
 	maxSegment = 32 << 10
-	// smallBody is the size up to which bodies give way last.
-	smallBody = 64 << 10
-	// stallTime is the time without progress after which a body gives way before others.
-	stallTime = 500 * time.Millisecond
 	// smallRead is the size below which the payload of one read of a chunked body is
 	// small. The wire bytes of one read may be six times as many.
 	smallRead = 1 << 10
@@ -52,7 +49,7 @@
 func newBody(co *conn, hd head, limits intent.Limits, owner string) *body {
 	now := time.Now()
 	bo := &body{co: co, length: hd.length, max: limits.MaxBodyBytes}
-	if bo.lease = co.sv.bodies.Open(quota.NewClaim(owner, now).WithHeld(hd.memory).WithLeft(bo.left()), co.interrupt, now); bo.lease == nil {
+	if bo.lease = co.sv.budgets.Bodies.Open(quota.NewClaim(owner, now).WithHeld(hd.memory).WithLeft(bo.left()), co.interrupt, now); bo.lease == nil {
 		return nil
 	}
 	return bo
@@ -60,7 +57,7 @@
 
 // close releases the memory of the body.
 func (bo *body) close() {
-	bo.co.sv.bodies.Close(bo.lease)
+	bo.co.sv.budgets.Bodies.Close(bo.lease)
 	bo.endPacing()
 }
 
@@ -129,7 +126,7 @@
 		size = min(size, bo.length-bo.arrived)
 	}
 	cl := bo.lease.Claim()
-	if !bo.co.sv.bodies.Set(bo.lease, cl.WithHeld(cl.Held+size), time.Now()) {
+	if !bo.co.sv.budgets.Bodies.Set(bo.lease, cl.WithHeld(cl.Held+size), time.Now()) {
 		return nil, errGaveWay
 	}
 	segment := make([]byte, 0, size)
@@ -146,7 +143,7 @@
 		return !bo.lease.Evicted() && !bo.co.lease.Evicted()
 	}
 	sv := bo.co.sv
-	return sv.bodies.Set(bo.lease, cl, now) && sv.sockets.Set(bo.co.lease, bo.co.lease.Claim().WithRank(rankBody, now), now)
+	return sv.budgets.Bodies.Set(bo.lease, cl, now) && sv.budgets.Conns.Set(bo.co.lease, bo.co.lease.Claim().WithRank(bound.RankBody, now), now)
 }
 
 // pace delays the next read of a body that arrives in very small chunks, while there
@@ -176,8 +173,8 @@
 func (bo *body) complete() bool {
 	now, sv := time.Now(), bo.co.sv
 	bo.endPacing()
-	return sv.bodies.Set(bo.lease, bo.lease.Claim().WithLeft(0).WithFixed(true), now) &&
-		sv.sockets.Set(bo.co.lease, bo.co.lease.Claim().WithFixed(true), now)
+	return sv.budgets.Bodies.Set(bo.lease, bo.lease.Claim().WithLeft(0).WithFixed(true), now) &&
+		sv.budgets.Conns.Set(bo.co.lease, bo.co.lease.Claim().WithFixed(true), now)
 }
 
 // first returns the first segment, and rest the others.
--- a/internal/adapt/entry/conn.go
+++ b/internal/adapt/entry/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
@@ -68,7 +69,7 @@
 )
 
 func newConn(sv *Server, nc net.Conn) *conn {
-	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize), remote: remoteHost(nc)}
+	return &conn{sv: sv, nc: nc, br: bufio.NewReaderSize(nc, bufSize), bw: bufio.NewWriterSize(nc, bufSize), remote: bound.RemoteHost(nc.RemoteAddr().String())}
 }
 
 func (co *conn) extendWriteDeadline() { _ = co.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) }
@@ -96,7 +97,7 @@
 	hd, err := readHead(co.br, limits.MaxHeaderBytes)
 	if err != nil {
 		if co.lease.Evicted() {
-			co.sv.recordShed(limitConns)
+			co.sv.budgets.RecordShed(bound.Conns)
 		}
 		co.reject(head{Request: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}}, err)
 		return false
@@ -123,10 +124,10 @@
 	}
 	switch {
 	case err != nil && co.lease.Evicted():
-		co.refuseEarly(hd, info, co.sv.refusalOf(limitConns))
+		co.refuseEarly(hd, info, co.sv.budgets.Refuse(bound.Conns))
 		return false
 	case errors.Is(err, errGaveWay) || err != nil && bo.lease.Evicted():
-		co.refuseEarly(hd, info, co.sv.refusalOf(limitBodies))
+		co.refuseEarly(hd, info, co.sv.budgets.Refuse(bound.Bodies))
 		return false
 	case err != nil:
 		co.reject(hd, err)
@@ -141,7 +142,7 @@
 func (co *conn) renewLease() bool {
 	if !co.lease.Evicted() {
 		now := time.Now()
-		return co.sv.sockets.Set(co.lease, co.lease.Claim().WithRank(rankHeader, now), now)
+		return co.sv.budgets.Conns.Set(co.lease, co.lease.Claim().WithRank(bound.RankHeader, now), now)
 	}
 	le := co.openLease()
 	if le == nil {
@@ -159,7 +160,7 @@
 	since := time.Now()
 	co.setIdleDeadline(since)
 	if co.requests > 0 {
-		co.sv.sockets.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(rankIdle, since), since)
+		co.sv.budgets.Conns.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(bound.RankIdle, since), since)
 	}
 	co.requests++
 	_, err := co.br.Peek(1)
@@ -222,13 +223,13 @@
 	}
 	_ = co.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	bo := newBody(co, hd, limits, owner)
-	if bo == nil || !co.sv.bodies.Admits(bo.lease.Claim(), time.Now()) {
+	if bo == nil || !co.sv.budgets.Bodies.Admits(bo.lease.Claim(), time.Now()) {
 		return bo, errGaveWay
 	}
 	if hd.length == 0 {
 		return bo, nil
 	}
-	if now := time.Now(); !co.sv.sockets.Set(co.lease, co.lease.Claim().WithRank(rankBody, now), now) {
+	if now := time.Now(); !co.sv.budgets.Conns.Set(co.lease, co.lease.Claim().WithRank(bound.RankBody, now), now) {
 		return bo, errGaveWay
 	}
 	if strings.EqualFold(hd.Header.Get("Expect"), "100-continue") {
@@ -281,7 +282,7 @@
 	}
 	now := time.Now()
 	_ = co.nc.SetReadDeadline(now.Add(lingerTimeout))
-	if co.lease != nil && !co.sv.sockets.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(rankIdle, now), now) {
+	if co.lease != nil && !co.sv.budgets.Conns.Set(co.lease, co.lease.Claim().WithFixed(false).WithRank(bound.RankIdle, now), now) {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(co.br, 1<<20))
--- a/internal/adapt/entry/server.go
+++ b/internal/adapt/entry/server.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
-	"github.com/balsamwood/balsamwood/internal/core/quota"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
@@ -36,10 +36,11 @@
 	limits  func() intent.Limits
 	meter   meter.Meter
 	checks  []Admission
-	bodies  *quota.Budget[quota.ByProgress]
-	sockets *quota.Budget[quota.ByRank]
 	ownerOf func(key string) (string, bool)
-	sheds   shedLog
+	// bodyBytes and maxConns are the limits of budgets.
+	bodyBytes int64
+	maxConns  int
+	budgets   *bound.Budgets
 	// slots has an entry for each open connection, if their number is bounded.
 	slots     chan struct{}
 	closed    chan struct{}
@@ -101,12 +102,16 @@
 	}
 	sv := &Server{
 		ls: ls, handler: ha, pool: po, terms: hn, limits: limits, meter: meter.Nop{}, conns: map[*conn]struct{}{}, closed: make(chan struct{}),
-		bodies: newBodies(0), sockets: newSockets(0), ownerOf: func(string) (string, bool) { return "", false },
+		ownerOf: func(string) (string, bool) { return "", false },
 	}
 	sv.ctx, sv.stop = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(sv)
 	}
+	sv.budgets = bound.NewBudgets(sv.bodyBytes, sv.maxConns, sv.meter)
+	if sv.maxConns > 0 {
+		sv.slots = make(chan struct{}, sv.maxConns+maxTurnAways)
+	}
 	return sv, nil
 }
 
@@ -121,7 +126,7 @@
 func (sv *Server) Serve() error {
 	sv.accepting.Add(1)
 	defer sv.accepting.Done()
-	sv.wg.Go(sv.reportUse)
+	sv.wg.Go(func() { sv.budgets.Report(sv.closed) })
 	for sv.acquireSlot() {
 		nc, err := sv.ls.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -145,7 +150,7 @@
 		sv.mu.Unlock()
 		sv.wg.Go(func() {
 			co.serve()
-			sv.sockets.Close(co.lease)
+			sv.budgets.Conns.Close(co.lease)
 			sv.releaseSlot()
 			sv.mu.Lock()
 			delete(sv.conns, co)
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
 	"github.com/balsamwood/balsamwood/internal/adapt/entry"
@@ -87,27 +88,6 @@
 	// parts, which are rarely written. A connection without responses is detected
 	// within 2 s, so that what others have seen is known within 3 s.
 	partLongPoll = 1600 * time.Millisecond
-	// requestMemoryDivisor divides the memory of the VM; the quotient is what the bodies
-	// of requests may take together. The Go runtime may use 0.6 of the memory, of which
-	// a third is left for what is not collected yet and for everything else.
-	requestMemoryDivisor = 5
-	// reservedFDs is the number of file descriptors that are kept for files.
-	reservedFDs = 200
-	// connShare is the share of the other descriptors for connections of callers. Each
-	// request in progress needs another one for its upstream.
-	connShare = 0.4
-	// idleShare is the share for idle connections to upstreams. What is left is for
-	// second attempts, the store and other routers.
-	idleShare = 0.1
-	// minConns is the least bound of the connections of callers.
-	minConns = 16
-	// connMemoryDivisor divides the memory of the VM; the quotient is what connections of
-	// callers without a request may take. Each takes up to connMemory.
-	connMemoryDivisor = 8
-	connMemory        = 48 << 10
-	// bodyMemoryDivisor divides the memory of the VM; the quotient is what the bodies of
-	// responses may take together.
-	bodyMemoryDivisor = 8
 	// flushParallelism is the number of budgets that are flushed at the same time.
 	flushParallelism = 8
 )
@@ -202,9 +182,10 @@
 		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
 		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams))
+	shares := bound.SharesOf(set.MemoryMB, set.MaxFDs)
 	var err error
 	if ro.entry, err = entry.New(set.Listen, ro.service, ro.pool, pf.HeaderNames, ro.limits, entry.WithMeter(me),
-		entry.WithBodyMemory(int64(set.MemoryMB*1e6/requestMemoryDivisor)), entry.WithMaxConns(maxConns(set)), entry.WithOwner(ro.accountOf)); err != nil {
+		entry.WithBodyMemory(shares.RequestBytes), entry.WithMaxConns(shares.Conns), entry.WithOwner(ro.accountOf)); err != nil {
 		return nil, err
 	}
 	mx := http.NewServeMux()
@@ -223,31 +204,14 @@
 
 // newPool returns the connections to upstreams.
 func newPool(set conf.DirectRouter, pf Platform) *pool.Pool {
-	var opts []pool.Option
-	if set.MemoryMB > 0 {
-		opts = append(opts, pool.WithMemory(int(set.MemoryMB*1e6/bodyMemoryDivisor)))
-	}
-	if set.MaxFDs > 0 {
-		opts = append(opts, pool.WithMaxIdle(max(int(float64(set.MaxFDs-reservedFDs)*idleShare), minConns)))
+	shares := bound.SharesOf(set.MemoryMB, set.MaxFDs)
+	opts := []pool.Option{pool.WithMaxIdle(shares.IdleConns)}
+	if shares.ResponseBytes > 0 {
+		opts = append(opts, pool.WithMemory(int(shares.ResponseBytes)))
 	}
 	return pool.New(pf.HeaderNames, opts...)
 }
 
-// maxConns returns the number of connections of callers, or zero if the settings give
-// no bound.
-func maxConns(set conf.DirectRouter) int {
-	byMemory := int(set.MemoryMB * 1e6 / connMemoryDivisor / connMemory)
-	byFDs := int(float64(set.MaxFDs-reservedFDs) * connShare)
-	switch {
-	case set.MaxFDs == 0:
-		return byMemory
-	case byMemory == 0:
-		return max(byFDs, minConns)
-	default:
-		return max(min(byMemory, byFDs), minConns)
-	}
-}
-
 // accountOf returns the name of the account with the API key.
 func (ro *Router) accountOf(key string) (string, bool) {
 	ac, ok := ro.configs.Load().AccountByKey(key)
