adapt/caller, adapt/serve: bounds on the memory and the connections of callers

The front end of the path with sidecars read bodies without a bound over all of them and without a time limit, and accepted any number of connections. It shares the budgets of the direct router: bodies are charged as they arrive, and at three times their size while the request is served, because they are decoded; stalled bodies give way with 503, Retry-After and Connection: close. Connections that are idle, or whose header or body is incomplete, are closed when there are too many. A body must arrive within 30 s, and one that is announced as too large is refused before it is read. Settings memoryMB and maxFDs of a router, both without effect by default; memoryMB also sets the soft memory limit of the Go runtime.

Measured: adapt/caller, adapt/conf, role/router and role/cmdln pass with -race.

--- a/internal/adapt/caller/chat.go
+++ b/internal/adapt/caller/chat.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := fe.readBody(ec)
+	data, err := fe.readBody(ec, rq.Account.ID)
 	if err != nil {
 		return err
 	}
--- a/internal/adapt/caller/server.go
+++ b/internal/adapt/caller/server.go
@@ -5,19 +5,20 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/app/front"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/port/clock"
 	"github.com/balsamwood/balsamwood/internal/port/engine"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
 // Header fields of requests and responses.
@@ -74,6 +75,7 @@
 	defaultTokens   ident.Tokens
 	maxTokens       ident.Tokens
 	checkReady      func() error
+	budgets         *bound.Budgets
 }
 
 // Option configures a Frontend.
@@ -114,7 +116,7 @@
 			config.Urgent: 30 * time.Second, config.Normal: 2 * time.Minute, config.Batch: 8 * time.Hour,
 		},
 		maxTimeout: 24 * time.Hour, defaultTokens: 512, maxTokens: 16384,
-		checkReady: func() error { return nil },
+		checkReady: func() error { return nil }, budgets: bound.NewBudgets(0, 0, meter.Nop{}),
 	}
 	for _, op := range opts {
 		op(fe)
@@ -127,6 +129,7 @@
 	ec := echo.New()
 	ec.HideBanner, ec.HidePort = true, true
 	ec.HTTPErrorHandler = fe.handleError
+	ec.Use(fe.releaseBody)
 	ec.GET("/healthz", func(ec echo.Context) error { return ec.String(http.StatusOK, "ok\n") })
 	ec.GET("/readyz", fe.readyz)
 	ec.POST("/v1/chat/completions", fe.chat)
@@ -154,6 +157,9 @@
 	if errors.As(err, &he) {
 		rf, status = refuse.New(refuse.BadRequest, "%v", he.Message), he.Code
 	}
+	if rf.Reason == refuse.Overloaded {
+		ec.Response().Header().Set(echo.HeaderConnection, "close")
+	}
 	id, _ := ec.Get(headerRequest).(ident.Request)
 	_ = writeProblem(ec, newProblem(id, status, rf), rf, fe.clk.Now())
 }
@@ -188,16 +194,3 @@
 	}
 	return rq, nil
 }
-
-// readBody returns the request body, or a refusal if it exceeds its limit.
-func (fe *Frontend) readBody(ec echo.Context) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(ec.Response(), ec.Request().Body, fe.maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refuse.New(refuse.TooLarge, "the body exceeds %d bytes", fe.maxBodyBytes)
-	}
-	if err != nil {
-		return nil, refuse.New(refuse.BadRequest, "read body: %v", err)
-	}
-	return data, nil
-}
--- a/internal/adapt/caller/service.go
+++ b/internal/adapt/caller/service.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return rq, refuse.New(refuse.UnknownService, "the service %q has no route for %s %s", id, hr.Method, path)
 	}
-	body, err := fe.readBody(ec)
+	body, err := fe.readBody(ec, rq.Account.ID)
 	if err != nil {
 		return rq, err
 	}
--- a/internal/adapt/conf/router.go
+++ b/internal/adapt/conf/router.go
@@ -22,6 +22,11 @@
 	TLS        TLS          `yaml:"tls" rule:"required"`
 	Log        Log          `yaml:"log"`
 	Limits     RouterLimits `yaml:"limits"`
+	// MemoryMB is the memory of the VM in megabytes. Default: 0, no limit.
+	MemoryMB float64 `yaml:"memoryMB" rule:"min=0"`
+	// MaxFDs is the number of file descriptors that the VM allows the process. Default:
+	// 0, no limit.
+	MaxFDs int `yaml:"maxFDs" rule:"min=0,max=1048576"`
 	// Drain is the time allowed for a graceful shutdown. Default: 30s.
 	Drain time.Duration `yaml:"drain" rule:"min=0s,max=10m"`
 	// RecoveryInterval is the mean interval between two checks for dead routers.
--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return errs.Settings.Wrap(err, "%s", rc.Settings)
 	}
+	setMemoryLimit(set.MemoryMB)
 	me := newMeter(en.err, set.Log, set.VM)
 	defer func() { _ = me.Close() }()
 	ro, err := router.New(set, me, newOpsServer(set.MetricsListen, me))
@@ -74,6 +75,13 @@
 	gcPercent = 200
 )
 
+// setMemoryLimit sets the soft limit of the Go runtime for a VM with so many megabytes.
+func setMemoryLimit(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB * memoryShare * 1e6))
+	}
+}
+
 // Run runs a direct router until the program is told to stop.
 func (dc directCmd) Run(en *env) error {
 	set, err := conf.LoadDirectRouter(dc.Settings)
@@ -81,9 +89,7 @@
 		return errs.Settings.Wrap(err, "%s", dc.Settings)
 	}
 	debug.SetGCPercent(gcPercent)
-	if set.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(set.MemoryMB * memoryShare * 1e6))
-	}
+	setMemoryLimit(set.MemoryMB)
 	out := logs.NewQueue(en.out)
 	defer out.Close()
 	me := newMeter(out, set.Log, set.VM)
--- a/internal/role/router/listen.go
+++ b/internal/role/router/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/adapt/caller"
 	"github.com/balsamwood/balsamwood/internal/adapt/certs"
 	"github.com/balsamwood/balsamwood/internal/adapt/errs"
@@ -27,13 +28,15 @@
 	if ro.certs != nil {
 		callerTLS = ro.certs.CallerServerConfig()
 	}
+	shares := bound.SharesOf(ro.settings.MemoryMB, ro.settings.MaxFDs)
+	ro.budgets = bound.NewBudgets(shares.RequestBytes, shares.Conns, ro.met)
 	ca := caller.New(ro.front, ro.follower.Cell(),
 		caller.WithOutcomes(outcomes{ro.claims}),
 		caller.WithMaxBodyBytes(ro.settings.Limits.MaxBodyBytes),
-		caller.WithReadyCheck(ro.readiness))
+		caller.WithReadyCheck(ro.readiness), caller.WithBudgets(ro.budgets))
 	var err error
 	if ro.caller, err = serve.New(ro.settings.Listen, ca.Handler(),
-		serve.WithTLS(callerTLS), serve.WithMaxHeaderBytes(ro.settings.Limits.MaxHeaderBytes)); err != nil {
+		serve.WithTLS(callerTLS), serve.WithMaxHeaderBytes(ro.settings.Limits.MaxHeaderBytes), serve.WithBudgets(ro.budgets)); err != nil {
 		return errs.Settings.Wrap(err, "listen")
 	}
 	if ro.admin, err = serve.New(ro.settings.AdminListen, ro.adminHandler(), serve.WithTLS(callerTLS)); err != nil {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/bound"
 	"github.com/balsamwood/balsamwood/internal/adapt/bucket"
 	"github.com/balsamwood/balsamwood/internal/adapt/certs"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
@@ -74,6 +75,7 @@
 	// is configured.
 	peerListener net.Listener
 	caller       *serve.Server
+	budgets      *bound.Budgets
 	admin        *serve.Server
 	ops          *serve.Server
 
@@ -161,6 +163,7 @@
 		servers.Go(func() { defer stopServing(); errCh <- sv.Serve() })
 	}
 	workers.Go(func() { ro.watcher.Run(workCtx) })
+	workers.Go(func() { ro.budgets.Report(workCtx.Done()) })
 	workers.Go(func() { ro.archive.Run(workCtx) })
 	workers.Go(func() { ro.applyConfigs(workCtx) })
 	workers.Go(func() { ro.runHolder(workCtx) })
