bench/crowd: the same crowds at a router with sidecars

The clients and the bounds of TestCrowd are unchanged; its checks moved to a function that both tests call.

--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -49,7 +49,7 @@
 // Crowd is a number of clients with the same behaviour.
 type Crowd struct {
 	behaviour Behaviour
-	addr, key string
+	target    Target
 	bodyBytes int
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -58,10 +58,14 @@
 	sent sync.WaitGroup
 }
 
-// Start starts the clients, which send requests with bodies of bodyBytes to the router
-// at the address.
-func Start(ctx context.Context, be Behaviour, count int, addr, key string, bodyBytes int) *Crowd {
-	cr := &Crowd{behaviour: be, addr: addr, key: key, bodyBytes: bodyBytes}
+// Target is where the clients of a crowd send their requests.
+type Target struct {
+	Addr, Path, Key string
+}
+
+// Start starts the clients, which send requests with bodies of bodyBytes to the target.
+func Start(ctx context.Context, be Behaviour, count int, ta Target, bodyBytes int) *Crowd {
+	cr := &Crowd{behaviour: be, target: ta, bodyBytes: bodyBytes}
 	cr.ctx, cr.cancel = context.WithCancel(ctx)
 	cr.sent.Add(count)
 	for no := range count {
@@ -85,7 +89,7 @@
 	sent := sync.OnceFunc(cr.sent.Done)
 	defer sent()
 	for range maxDials {
-		nc, err := (&net.Dialer{}).DialContext(cr.ctx, "tcp", cr.addr)
+		nc, err := (&net.Dialer{}).DialContext(cr.ctx, "tcp", cr.target.Addr)
 		if err != nil {
 			return
 		}
@@ -100,7 +104,7 @@
 }
 
 func (cr *Crowd) send(nc net.Conn, no int) error {
-	head := fmt.Sprintf("POST /voucher/ HTTP/1.1\r\nHost: %s\r\nAttempt-Id: crowd%d\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\n", host, no, cr.key)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: crowd%d\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\n", cr.target.Path, host, no, cr.target.Key)
 	framing := "Transfer-Encoding: chunked\r\n\r\n"
 	switch cr.behaviour {
 	case Idle:
--- a/internal/bench/crowd/router.go
+++ b/internal/bench/crowd/router.go
@@ -17,14 +17,12 @@
 
 const (
 	host        = "desk.example"
+	path        = "/voucher/"
 	ordinaryKey = "ordinary-key"
 	// Key is the API key of an account for the crowd.
 	Key          = "crowd-key"
 	readyTimeout = 20 * time.Second
-	pollInterval = 20 * time.Millisecond
-	// steadyPolls is the number of polls without a rise after which a peak is steady.
-	steadyPolls = 50
-	callTimeout = 5 * time.Second
+	callTimeout  = 5 * time.Second
 	// maxCalls is the number of times that an ordinary request is sent until it is
 	// served. A refusal guarantees that it did not run.
 	maxCalls = 10
@@ -38,11 +36,11 @@
 // Router is a direct router with its stand-ins.
 type Router struct {
 	*procs.Proc
-	// Addr is the address for callers.
-	Addr  string
-	store *opstor.Store
-	app   *origin.Origin
-	calls int
+	// Target is where callers send their requests.
+	Target Target
+	store  *opstor.Store
+	app    *origin.Origin
+	calls  int
 }
 
 // NewRouter starts the stand-ins and the router from the directory bin, and waits until
@@ -55,7 +53,7 @@
 	ro := &Router{store: opstor.New(), app: app}
 	ro.store.Register("app-1", "app", app.Addr())
 	ro.store.Configure(1, opstor.Config{
-		Host: host, Routes: []opstor.Route{{Prefix: "/voucher/", Kind: "non_idempotent", Service: "app"}}, Services: []string{"app"},
+		Host: host, Routes: []opstor.Route{{Prefix: path, Kind: "non_idempotent", Service: "app"}}, Services: []string{"app"},
 		Accounts: []opstor.Account{{Name: "desk", Key: ordinaryKey, Prepaid: 1000}, {Name: "crowd", Key: Key, Prepaid: 1000}}, MaxBodyBytes: li.MaxBodyBytes,
 	})
 	if err := ro.start(ctx, bin, dir, li); err != nil {
@@ -83,7 +81,7 @@
 		return err
 	}
 	var err error
-	ro.Addr = addrs[0]
+	ro.Target = Target{Addr: addrs[0], Path: path, Key: Key}
 	if ro.Proc, err = procs.Start("edge", filepath.Join(bin, "balsamwood"), nil, "direct", "-s", file); err != nil {
 		return err
 	}
@@ -114,8 +112,8 @@
 	for range maxCalls {
 		ro.calls++
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		ca := origin.Call{ID: fmt.Sprint("ordinary", ro.calls), Host: host, Path: "/voucher/", Key: ordinaryKey}
-		status, body, err := ca.Send(callCtx, ro.Addr)
+		ca := origin.Call{ID: fmt.Sprint("ordinary", ro.calls), Host: host, Path: path, Key: ordinaryKey}
+		status, body, err := ca.Send(callCtx, ro.Target.Addr)
 		cancel()
 		if err == nil && status == http.StatusOK {
 			return nil
@@ -125,32 +123,6 @@
 	return errors.Join(all...)
 }
 
-// Peak is the highest use of resources of a router.
-type Peak struct {
-	ResidentBytes int64
-	FDs           int
-}
-
-// AwaitSteady waits until the peak has not risen for some time and returns it.
-func (ro *Router) AwaitSteady() (Peak, error) {
-	var pe Peak
-	for steady := 0; steady < steadyPolls; steady++ {
-		bytes, err := ro.PeakResidentBytes()
-		if err != nil {
-			return pe, err
-		}
-		fds, err := ro.OpenFDs()
-		if err != nil {
-			return pe, err
-		}
-		if bytes > pe.ResidentBytes || fds > pe.FDs {
-			pe, steady = Peak{max(bytes, pe.ResidentBytes), max(fds, pe.FDs)}, 0
-		}
-		time.Sleep(pollInterval)
-	}
-	return pe, nil
-}
-
 // Close stops the router and the stand-ins.
 func (ro *Router) Close() error {
 	var err error
--- a/internal/bench/deploy/deploy.go
+++ b/internal/bench/deploy/deploy.go
@@ -52,6 +52,7 @@
 	log io.Writer
 
 	recoveryInterval time.Duration
+	routerSettings   string
 
 	mu    sync.Mutex
 	nodes []*Node
@@ -70,6 +71,11 @@
 	return func(de *Deployment) { de.recoveryInterval = every }
 }
 
+// WithRouterSettings adds lines to the settings of all routers.
+func WithRouterSettings(lines string) Option {
+	return func(de *Deployment) { de.routerSettings = lines }
+}
+
 // New starts the platform's stand-in. bin is the directory with the programs.
 // Settings files are written to dir.
 func New(bin, dir string, opts ...Option) (*Deployment, error) {
@@ -156,6 +162,7 @@
 	if de.recoveryInterval > 0 {
 		settings += fmt.Sprintf("recovery: %s\n", de.recoveryInterval)
 	}
+	settings += de.routerSettings
 	no, err := de.startProgram("router-"+string(vm), "router", settings, routerStarted)
 	if err != nil {
 		return nil, err
