--- a/internal/adapt/conf/router.go
+++ b/internal/adapt/conf/router.go
@@ -23,7 +23,7 @@
 	Log        Log          `yaml:"log"`
 	Limits     RouterLimits `yaml:"limits"`
 	// MemoryMB is the memory of the VM in megabytes. Default: 0, no limit.
-	MemoryMB float64 `yaml:"memoryMB" rule:"min=0"`
+	MemoryMB float64 `yaml:"memoryMB" rule:"min=32"`
 	// MaxFDs is the number of file descriptors that the VM allows the process. Default:
 	// 0, no limit.
 	MaxFDs int `yaml:"maxFDs" rule:"min=0,max=1048576"`
