core/place: learned speed and concurrency limit of each upstream

Cause: upstreams of a service differ in speed and some slow down before they are full. Costs knew one speed for all upstreams of a service, apart from one that was three times slower, and a load report counted in full for two seconds.

Change: each endpoint learns the duration of work relative to the usual one of its service, from the time to the first event, the gaps between events and the time of calls. Measurements lose weight within two seconds; the reported pace counts as far as it predicts them. Each endpoint learns the number of requests up to which responses are in time for the route's goals; requests beyond it cost more. The cost of a running request follows the measured growth of the gaps. A load report loses weight with its age. Costs vary by 3 % at random, so that routers with the same report do not all choose the same upstream. Sent.Expect, Event and Responded tell place when a response was due and when it came.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -35,6 +35,9 @@
 	soundAfter = time.Second
 	// usualPace is the reported pace of an upstream that works as fast as usual.
 	usualPace = 100
+	// minClientError is the lowest status that reports an error. How soon an upstream
+	// responds with one does not show how fast it works.
+	minClientError = 400
 	// minServerError is the lowest status that reports a failure of the upstream.
 	minServerError = 500
 )
@@ -162,6 +165,9 @@
 		rn: rn, ep: ep, uncached: uncached, known: rn.se.opts.guard.History(rn.parts), at: now,
 		progressed: func() {}, sent: ep.Sent(uncached, rn.demand.Prompt.Unshared(), now),
 	}
+	if rn.route.LatencyGoal > 0 {
+		ex.sent.Expect(now.Add(rn.route.LatencyGoal))
+	}
 	ex.ctx, ex.cancel = context.WithCancelCause(ctx)
 	ex.readSince.Store(int64(now.Sub(rn.info.Arrived)))
 	return ex
@@ -284,7 +290,7 @@
 
 // recordEvent records an event for which the exchange has waited since a time. The time
 // for which the caller did not read does not show that the upstream goes on.
-func (ex *exchange) recordEvent(since, now time.Time) {
+func (ex *exchange) recordEvent(ev proxy.Event, since, now time.Time) {
 	if ex.began {
 		ex.responding += now.Sub(since)
 	}
@@ -294,7 +300,11 @@
 	}
 	ex.ep.Received(now)
 	ex.progressed()
-	ex.sent.FirstEvent(now)
+	if ev.Comment {
+		ex.sent.FirstEvent(now)
+	} else {
+		ex.sent.Event(since, now)
+	}
 }
 
 // countFailure records what a failed send shows about the endpoint and about the parts
@@ -340,6 +350,8 @@
 	case rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry():
 		ex.failed = rn.stream == nil
 		return unusableResponse{rsp.Status(), "an error or no stream"}
+	case rsp.Status() < minClientError:
+		ex.sent.Responded(rn.se.opts.clock.Now())
 	}
 	return ex.deliver()
 }
@@ -384,6 +396,9 @@
 	resumed, continued := rn.stream != nil, false
 	for {
 		since := rn.se.opts.clock.Now()
+		if gap := rn.route.MaxEventGap; gap > 0 && ex.began {
+			ex.sent.Expect(since.Add(gap))
+		}
 		ev, err := ex.nextEvent()
 		if errors.Is(err, io.EOF) && resumed && !continued {
 			return unusableResponse{rsp.Status(), fmt.Sprintf("no event follows %d", rn.lastEvent.Load())}
@@ -395,7 +410,7 @@
 			return err
 		}
 		now := rn.se.opts.clock.Now()
-		ex.recordEvent(since, now)
+		ex.recordEvent(ev, since, now)
 		if forward, err := rn.checkEvent(ev, resumed); err != nil {
 			return err
 		} else if !forward {
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -47,8 +47,6 @@
 	prefillTokens atomic.Int64
 	// prefilling counts this router's requests that have not produced an event yet.
 	prefilling atomic.Int64
-	// slowness is the time of a prefill relative to that expected of the service.
-	slowness mean
 	// reported is the load from the last response that carried one, and
 	// sentSinceReport counts this router's requests since then.
 	reported        atomic.Pointer[report]
@@ -132,7 +130,10 @@
 	if tokens > 0 {
 		ep.profile.recordSent(tokens)
 	}
-	return &Sent{ep: ep, tokens: tokens, unshared: unshared, ahead: ident.Tokens(ahead), at: now}
+	return &Sent{
+		ep: ep, tokens: tokens, unshared: unshared, ahead: ident.Tokens(ahead), at: now,
+		progress: ep.newProgress(tokens, now),
+	}
 }
 
 // Sent is a request that was sent to an upstream. It is used by one goroutine.
@@ -145,6 +146,7 @@
 
 	at        time.Time
 	prefilled bool
+	progress
 }
 
 // FirstEvent counts the end of the prefill phase. Only the first call has an
@@ -154,10 +156,7 @@
 		return
 	}
 	ep, took := se.ep, now.Sub(se.at)
-	if tokens := float64(se.tokens); tokens >= minMeasuredPrompt {
-		expected := float64(se.ahead) / ep.profile.PrefillRate()
-		ep.state.slowness.add(min(max(float64(took)/float64(time.Millisecond)/expected, minSlowness), maxSlowness), slownessWeight, slownessWeight)
-	}
+	se.learnFirst(took, now)
 	ep.profile.recordPrefill(float64(se.unshared), took)
 	se.endPrefill()
 }
@@ -171,6 +170,7 @@
 // Done counts the end of the request. complete says that the response was
 // complete.
 func (se *Sent) Done(now time.Time, complete bool) {
+	se.learnDone(now, complete)
 	if !se.prefilled {
 		se.endPrefill()
 	}
@@ -195,6 +195,7 @@
 
 // Reported records the load that a response carried.
 func (ep *Endpoint) Reported(running, waiting, slots int, now time.Time) {
+	ep.profile.recordLoad(float64(running+waiting) / float64(max(1, slots)))
 	others := max(0, waiting-int(ep.state.prefilling.Load()))
 	ep.state.reported.Store(&report{occupied: running + waiting, slots: slots, waitingOthers: others, at: now})
 	ep.state.sentSinceReport.Store(0)
@@ -285,18 +286,3 @@
 	ahead := float64(int64(tokens) + ep.state.prefillTokens.Load())
 	return time.Duration(ahead / ep.profile.PrefillRate() * float64(time.Millisecond))
 }
-
-// prefillMs returns the cost, in milliseconds, to prefill so many tokens at the
-// upstream after the prompts that are waiting there.
-func (ep *Endpoint) prefillMs(tokens ident.Tokens, now time.Time) float64 {
-	rate := ep.profile.PrefillRate()
-	ms := (prefillWeight*float64(tokens) + float64(ep.state.prefillTokens.Load())) / rate
-	if re := ep.state.reported.Load(); re != nil && re.waitingOthers > 0 {
-		backlog := float64(re.waitingOthers) * ep.profile.MeanUncached() / rate
-		ms += max(0, backlog-float64(now.Sub(re.at))/float64(time.Millisecond))
-	}
-	if slowness := ep.state.slowness.valueOr(1); slowness > slowThreshold {
-		ms *= slowness
-	}
-	return ms
-}
--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,10 +9,13 @@
 )
 
 const (
-	// runningRequestMs is the delay that each running request causes to another
-	// one: it lengthens a decoding step by about 0.02 ms, and a response takes
-	// about 60 steps.
+	// runningRequestMs is the cost of each running request: it lengthens a decoding step
+	// by about 0.02 ms, and a response takes about 60 steps. It is scaled by the measured
+	// growth of the gaps.
 	runningRequestMs = 1.2
+	// decodeMs is the cost of decoding at the usual speed. It counts less than the time
+	// that decoding takes, because later events are due later.
+	decodeMs = 60.0
 	// defaultEngineMs is the time of a whole request, in milliseconds, that is assumed
 	// until one was measured.
 	defaultEngineMs = 3000.0
@@ -74,29 +76,26 @@
 // the same engines, which all routers determine by rendezvous hashing.
 type EnginePolicy struct {
 	prefixes *RecentPrefixes
-	cheapest Cheapest[Demand]
+	cheapest Cheapest[orderedDemand]
+}
+
+// orderedDemand is a demand with the engines that probably cache its prompt.
+type orderedDemand struct {
+	Demand
+	order rendezvousOrder
 }
 
 // NewEnginePolicy returns the policy.
-func NewEnginePolicy() *EnginePolicy {
+func NewEnginePolicy(opts ...Option) *EnginePolicy {
 	en := &EnginePolicy{prefixes: NewRecentPrefixes(prefixLifetime)}
-	en.cheapest = Cheapest[Demand]{
-		Cost:       en.cost,
-		Skip:       func(ep *Endpoint, de Demand) bool { return de.wasTried(ep) },
-		StartIndex: rand.IntN,
-	}
+	en.cheapest = newCheapest(en.cost, opts)
 	return en
 }
 
 // Choose returns the engine and the number of prompt tokens that it probably has
 // to prefill.
 func (en *EnginePolicy) Choose(list []*Endpoint, de Demand, now time.Time) (*Endpoint, ident.Tokens) {
-	order := newRendezvousOrder(list, de.Prompt)
-	pick := en.cheapest
-	pick.Cost = func(ep *Endpoint, de Demand, now time.Time) float64 {
-		return en.cost(ep, de, now) - order.expectedSavingMs(ep, de.Prompt)
-	}
-	ep := pick.Choose(list, de, now)
+	ep := en.cheapest.Choose(list, orderedDemand{de, newRendezvousOrder(list, de.Prompt)}, now)
 	if ep == nil {
 		return nil, 0
 	}
@@ -111,17 +110,17 @@
 	}
 }
 
-// cost returns the expected delay in milliseconds, without the prefixes that
-// other routers probably sent to the engine.
-func (en *EnginePolicy) cost(ep *Endpoint, de Demand, now time.Time) float64 {
+// cost returns the expected delay in milliseconds.
+func (en *EnginePolicy) cost(ep *Endpoint, de orderedDemand, now time.Time) float64 {
 	cost := ep.prefillMs(max(0, de.Prompt.Input-en.cachedTokens(ep, de.Prompt, now)), now)
-	occupied := ep.EstimatedRequests(now)
-	cost += runningRequestMs * float64(occupied)
-	if over := occupied - ep.capacity() + 1; over > 0 {
-		// A slot becomes free each time that one of the running requests ends.
-		cost += ep.profile.ServiceTime(defaultEngineMs) / float64(ep.capacity()) * float64(over)
+	requests, room := ep.expectedRequests(defaultEngineMs, now), ep.Limit(now)
+	cost += runningRequestMs * ep.profile.gapGrowth() / defaultGapGrowth * requests
+	if over := requests - room + 1; over > 0 {
+		// There is room again each time that one of the running requests ends.
+		cost += ep.profile.ServiceTime(defaultEngineMs) / room * over
 	}
-	cost *= ep.Pace(now)
+	slow := ep.Slowness(now)
+	cost = cost*slow + decodeMs*(slow-1) - de.order.expectedSavingMs(ep, de.Prompt)
 	if ep.Domain != de.Domain {
 		cost += remoteDomainMs
 	}
--- a/internal/core/place/plain.go
+++ b/internal/core/place/plain.go
@@ -1,14 +1,15 @@
 package place
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // defaultPlainMs is the time of a call of a plain service, in milliseconds, that is
 // assumed until one was measured.
 const defaultPlainMs = 30.0
 
+// idleLoad is the load at which a call costs twice as much as at an idle upstream. A
+// slower upstream gets calls before a faster one is full.
+const idleLoad = 0.5
+
 // PlainPolicy is the policy for plain services: it chooses the upstream with
 // the lowest load.
 type PlainPolicy struct {
@@ -16,12 +17,8 @@
 }
 
 // NewPlainPolicy returns the policy.
-func NewPlainPolicy() *PlainPolicy {
-	return &PlainPolicy{cheapest: Cheapest[Demand]{
-		Cost:       plainCost,
-		Skip:       func(ep *Endpoint, de Demand) bool { return de.wasTried(ep) },
-		StartIndex: rand.IntN,
-	}}
+func NewPlainPolicy(opts ...Option) *PlainPolicy {
+	return &PlainPolicy{cheapest: newCheapest(plainCost, opts)}
 }
 
 // Choose returns the endpoint with the lowest expected delay.
@@ -29,17 +26,16 @@
 	return pl.cheapest.Choose(list, de, now)
 }
 
-// plainCost returns the expected delay in milliseconds. It is the time of a call
-// if all slots are occupied, and proportional to the load below. Each request
-// beyond the slots of the upstream counts five times as much as one within them.
+// plainCost returns the expected delay in milliseconds at the learned speed. It is
+// proportional to the load, and each request beyond the learned limit counts five times
+// as much as one within it.
 func plainCost(ep *Endpoint, de Demand, now time.Time) float64 {
-	fullLoadMs := ep.profile.ServiceTime(defaultPlainMs)
-	load := float64(ep.EstimatedRequests(now)) / float64(ep.capacity())
-	cost := fullLoadMs * load
+	load := ep.expectedRequests(defaultPlainMs, now) / ep.Limit(now)
+	cost := idleLoad + load
 	if load >= 1 {
-		cost += fullLoadMs * (load - 1) * 4
+		cost += (load - 1) * 4
 	}
-	cost *= ep.Pace(now)
+	cost *= ep.profile.ServiceTime(defaultPlainMs) * ep.Slowness(now)
 	if ep.Domain != de.Domain {
 		cost += remoteDomainMs
 	}
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -53,6 +54,38 @@
 	return best
 }
 
+// Option configures a policy.
+type Option func(*options)
+
+type options struct{ rng *rand.Rand }
+
+// WithRandom sets the source of random numbers, which must not be used concurrently. The
+// default is the shared one.
+func WithRandom(rng *rand.Rand) Option { return func(op *options) { op.rng = rng } }
+
+// dither is the range of the random factor of a cost. Routers that have read the same
+// report do not all choose the upstream that is the cheapest by a few percent.
+const dither = 0.06
+
+// newCheapest returns the choice by a cost that is varied at random.
+func newCheapest[D interface{ wasTried(ep *Endpoint) bool }](cost Cost[D], opts []Option) Cheapest[D] {
+	var op options
+	for _, apply := range opts {
+		apply(&op)
+	}
+	random, index := rand.Float64, rand.IntN
+	if op.rng != nil {
+		random, index = op.rng.Float64, op.rng.IntN
+	}
+	return Cheapest[D]{
+		Cost: func(ep *Endpoint, de D, now time.Time) float64 {
+			return cost(ep, de, now) * (1 + dither*(random()-0.5))
+		},
+		Skip:       func(ep *Endpoint, de D) bool { return de.wasTried(ep) },
+		StartIndex: index,
+	}
+}
+
 // QuietEnd returns the earliest time at which an upstream wants requests again, if all
 // that are not leaving have asked for quiet.
 func QuietEnd(list []*Endpoint, now time.Time) (time.Time, bool) {
--- a/internal/core/place/profile.go
+++ b/internal/core/place/profile.go
@@ -23,14 +23,15 @@
 	fallWeight = 0.03
 	// meanWeight is the weight of a sample in the other means.
 	meanWeight = 0.05
-	// slownessWeight is the weight of a sample in the slowness of one upstream, and
-	// minSlowness and maxSlowness bound it. Up to slowThreshold it is ignored: the
-	// prompts of other routers cause as much, and avoiding an engine for that costs
-	// its cached prefixes.
-	slownessWeight = 0.05
-	slowThreshold  = 3.0
-	minSlowness    = 0.8
-	maxSlowness    = 6.0
+	// defaultGapGrowth is the share by which each request at an engine lengthens the gap
+	// between two events of the others, until it was measured: 0.02 of about 4 ms.
+	defaultGapGrowth = 0.005
+	// gapGrowthRange bounds the measured share relative to that.
+	gapGrowthRange = 4.0
+	// gapWeight is the weight of a sample in the fit of gaps, and gapPrior the weight of
+	// the default in it, as a variance of the number of requests.
+	gapWeight = 0.005
+	gapPrior  = 100.0
 )
 
 // Profile is what a router has learned about the upstreams of one service from
@@ -42,6 +43,13 @@
 	prefillRate mean
 	uncached    mean
 	serviceTime mean
+	// load is the mean of the reported requests per slot.
+	load mean
+	// firstEvents, gaps and calls are what is usual of the times to the first event, of
+	// those between events, and of calls that are no streams.
+	firstEvents, gaps, calls timing
+	// gapFit relates the gaps between events to the number of requests.
+	gapFit atomic.Pointer[lineFit]
 }
 
 // NewProfile returns a profile without measurements.
@@ -59,6 +67,14 @@
 // fallback if none was measured.
 func (pf *Profile) ServiceTime(fallback float64) float64 { return pf.serviceTime.valueOr(fallback) }
 
+// Load returns the mean number of requests per slot that upstreams have reported.
+func (pf *Profile) Load() float64 { return pf.load.valueOr(0) }
+
+func (pf *Profile) recordLoad(load float64) {
+	// A mean of zero is the same as none.
+	pf.load.add(max(load, 1e-6), meanWeight, meanWeight)
+}
+
 // recordPrefill records that so many prompt tokens, none of which can have been
 // cached, were prefilled in the time.
 func (pf *Profile) recordPrefill(tokens float64, took time.Duration) {
@@ -75,6 +91,46 @@
 	pf.serviceTime.add(float64(took)/float64(time.Millisecond), meanWeight, meanWeight)
 }
 
+// gapGrowth returns the share by which each request at an engine lengthens the gaps
+// between the events of the others.
+func (pf *Profile) gapGrowth() float64 {
+	fit := pf.gapFit.Load()
+	if fit == nil {
+		return defaultGapGrowth
+	}
+	idle := fit.meanY / (1 + defaultGapGrowth*fit.meanX)
+	growth := (fit.covariance/idle + gapPrior*defaultGapGrowth) / (fit.variance + gapPrior)
+	return min(max(growth, defaultGapGrowth/gapGrowthRange), defaultGapGrowth*gapGrowthRange)
+}
+
+// recordGap records the mean gap between the events of a response in milliseconds, at
+// the usual speed, with the number of requests at the engine.
+func (pf *Profile) recordGap(gap float64, requests float64) {
+	for {
+		old := pf.gapFit.Load()
+		next := lineFit{meanX: requests, meanY: gap}
+		if old != nil {
+			next = old.WithSample(requests, gap, gapWeight)
+		}
+		if pf.gapFit.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// lineFit holds moving moments of pairs of values. It is immutable.
+type lineFit struct{ meanX, meanY, variance, covariance float64 }
+
+// WithSample returns a copy with one more pair.
+func (lf lineFit) WithSample(xx, yy, weight float64) lineFit {
+	dx, dy := xx-lf.meanX, yy-lf.meanY
+	lf.meanX += weight * dx
+	lf.meanY += weight * dy
+	lf.variance = (1 - weight) * (lf.variance + weight*dx*dx)
+	lf.covariance = (1 - weight) * (lf.covariance + weight*dx*dy)
+	return lf
+}
+
 // mean is a moving mean of positive samples. The first sample becomes the mean.
 type mean struct{ bits atomic.Uint64 }
 
