app/direct: responses are due until they arrive, not until the caller has read them

Cause: a response that a slow caller read late counted as late for its upstream, and a single late response with few requests lowered the limit by a quarter.

Change: a response is due until its last byte has arrived; one that reports an error shows no speed. A late response weighs half as much, and a limit is held for a second before it returns to the number of slots. Gauges upstreamSlowness, upstreamPace and upstreamLimit show what was learned.

--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -35,8 +35,7 @@
 	soundAfter = time.Second
 	// usualPace is the reported pace of an upstream that works as fast as usual.
 	usualPace = 100
-	// minClientError is the lowest status that reports an error. How soon an upstream
-	// responds with one does not show how fast it works.
+	// minClientError is the lowest status that reports an error.
 	minClientError = 400
 	// minServerError is the lowest status that reports a failure of the upstream.
 	minServerError = 500
@@ -248,8 +247,13 @@
 	if ex.rsp != nil {
 		ex.rsp.Close()
 	}
-	ex.sent.Done(ex.rn.se.opts.clock.Now(), ex.complete)
+	now := ex.rn.se.opts.clock.Now()
+	ex.sent.Done(now, ex.complete)
 	ex.cancel(nil)
+	me, id := ex.rn.se.opts.meter, string(ex.ep.ID)
+	me.Gauge("upstreamSlowness", "upstream", id, ex.ep.Slowness(now))
+	me.Gauge("upstreamPace", "upstream", id, ex.ep.Pace(now))
+	me.Gauge("upstreamLimit", "upstream", id, ex.ep.Limit(now))
 }
 
 // classify records what the result of the attempt proves about the request and
@@ -344,14 +348,13 @@
 	if err := ex.read(); err != nil {
 		return err
 	}
+	ex.sent.Responded(rn.se.opts.clock.Now(), rsp.Status() < minClientError)
 	switch {
 	case slices.Contains(notRunStatuses, rsp.Status()):
 		return unusableResponse{rsp.Status(), "without proof that the request was not run"}
 	case rn.stream != nil || rsp.Status() >= minServerError && rn.canRetry():
 		ex.failed = rn.stream == nil
 		return unusableResponse{rsp.Status(), "an error or no stream"}
-	case rsp.Status() < minClientError:
-		ex.sent.Responded(rn.se.opts.clock.Now())
 	}
 	return ex.deliver()
 }
@@ -404,6 +407,7 @@
 			return unusableResponse{rsp.Status(), fmt.Sprintf("no event follows %d", rn.lastEvent.Load())}
 		}
 		if errors.Is(err, io.EOF) {
+			ex.sent.Responded(rn.se.opts.clock.Now(), true)
 			return ex.endStream(rsp)
 		}
 		if err != nil {
--- a/internal/core/place/learned.go
+++ b/internal/core/place/learned.go
@@ -139,7 +139,7 @@
 	firstAt, lastAt time.Time
 	gaps            int
 	waited          time.Duration
-	// respondedAt is when the whole response of a call arrived.
+	// respondedAt is when the response arrived of a call that is no stream.
 	respondedAt time.Time
 }
 
@@ -169,10 +169,13 @@
 	se.lastAt = now
 }
 
-// Responded records that the whole response of a call that is no stream has arrived.
-func (se *Sent) Responded(now time.Time) {
+// Responded records that the whole response has arrived. served says that it reports no
+// error: how soon an upstream responds with one does not show how fast it works.
+func (se *Sent) Responded(now time.Time, served bool) {
 	se.checkDue(now)
-	se.respondedAt = now
+	if served && se.firstAt.IsZero() {
+		se.respondedAt = now
+	}
 }
 
 // checkDue records whether what was expected is late. A long prompt that is late at an
--- a/internal/core/place/learned_test.go
+++ b/internal/core/place/learned_test.go
@@ -32,3 +32,49 @@
 	check(2000, 3.5, 4.1)
 	check(8000, 1, 1.3)
 }
+
+// TestLimit guards against a limit that a single late response decides, that falls below
+// one request, that does not grow again, or that lasts without news. Each step sends
+// requests side by side, whose second event takes so long after a first one in time.
+func TestLimit(t *testing.T) {
+	ep := place.NewEndpoint(place.Upstream{ID: "i", Slots: 64}, place.NewProfile())
+	at := now
+	step := func(count int, gap time.Duration) {
+		var sent []*place.Sent
+		for range count {
+			sent = append(sent, ep.Sent(100, 0, at))
+		}
+		for _, se := range sent {
+			se.Expect(at.Add(time.Second))
+			se.Event(at, at.Add(time.Millisecond))
+			se.Expect(at.Add(400 * time.Millisecond))
+			se.Event(at.Add(time.Millisecond), at.Add(gap))
+			se.Done(at.Add(gap), true)
+		}
+		at = at.Add(gap)
+	}
+	check := func(what string, low, high float64) {
+		t.Helper()
+		if got := ep.Limit(at); got < low || got > high {
+			t.Errorf("limit %.1f %s, want %.0f to %.0f", got, what, low, high)
+		}
+	}
+	step(40, 100*time.Millisecond)
+	check("after responses in time", 64, 64)
+	step(1, 500*time.Millisecond)
+	check("after one late response", 40, 64)
+	for range 20 {
+		step(24, 500*time.Millisecond)
+	}
+	check("while 24 at once are late", 1, 22)
+	for range 20 {
+		step(1, 500*time.Millisecond)
+	}
+	check("while each one is late", 1, 3)
+	for range 20 {
+		step(16, 50*time.Millisecond)
+	}
+	check("after 16 at once in time", 14, 64)
+	at = at.Add(time.Minute)
+	check("after a minute without requests", 60, 64)
+}
--- a/internal/core/place/limit.go
+++ b/internal/core/place/limit.go
@@ -10,12 +10,14 @@
 	// limitMemory is the time in which a learned limit approaches the number of slots by
 	// the factor e while no response shows anything.
 	limitMemory = 10 * time.Second
+	// limitHold is the time without a response after which a limit begins to do so.
+	limitHold = time.Second
 	// lateShare is the share of the requests at an upstream with which a response was
 	// late that the upstream is assumed to serve in time.
 	lateShare = 0.9
 	// lateWeight and onTimeWeight are the weights of one response, so that a single
 	// outlier does not decide.
-	lateWeight   = 0.3
+	lateWeight   = 0.15
 	onTimeWeight = 0.2
 	// limitGrowth is added to the limit by a response that was in time at the limit.
 	limitGrowth = 0.25
@@ -41,7 +43,7 @@
 	if ls == nil {
 		return top
 	}
-	age := max(0, now.Sub(ls.at))
+	age := max(0, now.Sub(ls.at)-limitHold)
 	return min(max(1, top+(ls.requests-top)*math.Exp(-float64(age)/float64(limitMemory))), top)
 }
 
--- a/internal/core/place/speed.go
+++ b/internal/core/place/speed.go
@@ -29,9 +29,6 @@
 	maxBiasWeight = 20
 	// startError is the mean squared error of either prediction before a measurement.
 	startError = 0.1
-	// trustExponent sharpens the choice between two predictions. Their errors share the
-	// variance of single measurements, which says nothing about either.
-	trustExponent = 3
 )
 
 // speed is what was learned about the duration of work at one upstream, as logarithms
@@ -65,7 +62,7 @@
 	log := sp.recent.value(now, speedMemory)
 	if !pace.at.IsZero() {
 		predicted := (math.Log(pace.value) + sp.bias.value(now, biasMemory)) * pace.freshness(now)
-		one, two := math.Pow(sp.recentError, trustExponent), math.Pow(sp.paceError, trustExponent)
+		one, two := cube(sp.recentError), cube(sp.paceError)
 		log += one / (one + two) * (predicted - log)
 	}
 	return math.Exp(min(max(log, -maxLogRatio), maxLogRatio))
@@ -73,6 +70,10 @@
 
 func square(val float64) float64 { return val * val }
 
+// cube sharpens the choice between two predictions. Their errors share the variance of
+// single measurements, which says nothing about either.
+func cube(val float64) float64 { return val * val * val }
+
 // weightedMean is a mean of samples whose weights fade with time. It is immutable.
 type weightedMean struct {
 	mean, weight float64
--- a/internal/core/place/speed_test.go
+++ b/internal/core/place/speed_test.go
@@ -210,7 +210,7 @@
 						if sc.engine {
 							sent.Event(now, now)
 						} else {
-							sent.Responded(now)
+							sent.Responded(now, true)
 						}
 					})
 					if sc.engine && ok {
