core/place: limits that follow overload, a prefill rate that outlasts it

Cause: while all prompts of a service waited, the prefill rate fell to a thirtieth of the true one, because each prompt counted as if it had not waited; no response was then judged late. A limit far above the number of requests at which responses were late approached it too slowly, and only when the late response had ended.

Change: a prompt that is known to have waited behind others does not lower the rate. Limits move on a logarithmic scale, and a late response counts when it is late.

--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -157,7 +157,7 @@
 	}
 	ep, took := se.ep, now.Sub(se.at)
 	se.learnFirst(took, now)
-	ep.profile.recordPrefill(float64(se.unshared), took)
+	ep.profile.recordPrefill(float64(se.unshared), took, se.ahead > se.tokens || se.backlogMs > 0)
 	se.endPrefill()
 }
 
--- a/internal/core/place/learned.go
+++ b/internal/core/place/learned.go
@@ -182,8 +182,9 @@
 // idle upstream too says nothing about the number of requests.
 func (se *Sent) checkDue(now time.Time) {
 	idleMs := 2 * float64(se.tokens) / se.ep.profile.PrefillRate()
-	if !se.due.IsZero() && now.After(se.due) && (se.prefilled || millisOf(se.due.Sub(se.at)) >= idleMs) {
+	if !se.late && !se.due.IsZero() && now.After(se.due) && (se.prefilled || millisOf(se.due.Sub(se.at)) >= idleMs) {
 		se.late = true
+		se.ep.state.limit.record(se.requests, true, se.ep.capacity(), now)
 	}
 	se.due = time.Time{}
 }
@@ -199,12 +200,13 @@
 // learnDone learns from the course of a request that has ended.
 func (se *Sent) learnDone(now time.Time, complete bool) {
 	ep := se.ep
-	if se.checkDue(now); complete || se.late {
-		ep.state.limit.record(se.requests, se.late, ep.capacity(), now)
-	}
+	se.checkDue(now)
 	if !complete {
 		return
 	}
+	if !se.late {
+		ep.state.limit.record(se.requests, false, ep.capacity(), now)
+	}
 	length := se.lastAt.Sub(se.firstAt)
 	switch took := millisOf(se.respondedAt.Sub(se.at)); {
 	case se.gaps >= minGapCount && float64(se.waited) >= minWaitingShare*float64(length) && length > 0:
--- a/internal/core/place/learned_test.go
+++ b/internal/core/place/learned_test.go
@@ -62,7 +62,7 @@
 	step(40, 100*time.Millisecond)
 	check("after responses in time", 64, 64)
 	step(1, 500*time.Millisecond)
-	check("after one late response", 40, 64)
+	check("after one late response", 25, 64)
 	for range 20 {
 		step(24, 500*time.Millisecond)
 	}
--- a/internal/core/place/limit.go
+++ b/internal/core/place/limit.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// limitMemory is the time in which a learned limit approaches the number of slots by
-	// the factor e while no response shows anything.
+	// limitMemory is the time in which the logarithm of a learned limit approaches that of
+	// the number of slots by the factor e while no response shows anything.
 	limitMemory = 10 * time.Second
 	// limitHold is the time without a response after which a limit begins to do so.
 	limitHold = time.Second
@@ -17,7 +17,7 @@
 	lateShare = 0.9
 	// lateWeight and onTimeWeight are the weights of one response, so that a single
 	// outlier does not decide.
-	lateWeight   = 0.15
+	lateWeight   = 0.2
 	onTimeWeight = 0.2
 	// limitGrowth is added to the limit by a response that was in time at the limit.
 	limitGrowth = 0.25
@@ -44,7 +44,7 @@
 		return top
 	}
 	age := max(0, now.Sub(ls.at)-limitHold)
-	return min(max(1, top+(ls.requests-top)*math.Exp(-float64(age)/float64(limitMemory))), top)
+	return min(max(1, top*math.Pow(ls.requests/top, math.Exp(-float64(age)/float64(limitMemory)))), top)
 }
 
 // record adjusts the limit to a response. requests is the number of requests at the
@@ -55,7 +55,8 @@
 		val := old.value(slots, now)
 		switch target := lateShare * requests; {
 		case late && target < val:
-			val += lateWeight * (target - val)
+			// A limit far above the target approaches it within a few responses.
+			val *= math.Pow(target/val, lateWeight)
 		case !late && old != nil && requests > val-1:
 			val += limitGrowth + onTimeWeight*max(0, requests-val)
 		default:
--- a/internal/core/place/profile.go
+++ b/internal/core/place/profile.go
@@ -76,10 +76,15 @@
 }
 
 // recordPrefill records that so many prompt tokens, none of which can have been
-// cached, were prefilled in the time.
-func (pf *Profile) recordPrefill(tokens float64, took time.Duration) {
+// cached, were prefilled in the time. waited says that the prompt is known to have waited
+// behind others, so that the rate was higher.
+func (pf *Profile) recordPrefill(tokens float64, took time.Duration, waited bool) {
+	fall := fallWeight
+	if waited {
+		fall = 0
+	}
 	if ms := float64(took) / float64(time.Millisecond); tokens >= minMeasuredPrompt && ms > 0 {
-		pf.prefillRate.add(tokens/ms, riseWeight, fallWeight)
+		pf.prefillRate.add(tokens/ms, riseWeight, fall)
 	}
 }
 
