--- a/internal/core/place/engine.go
+++ b/internal/core/place/engine.go
@@ -112,19 +112,33 @@
 
 // cost returns the expected delay in milliseconds.
 func (en *EnginePolicy) cost(ep *Endpoint, de orderedDemand, now time.Time) float64 {
-	cost := ep.prefillMs(max(0, de.Prompt.Input-en.cachedTokens(ep, de.Prompt, now)), now)
+	return en.terms(ep, de, now).Total()
+}
+
+// terms returns the parts of the cost.
+func (en *EnginePolicy) terms(ep *Endpoint, de orderedDemand, now time.Time) Terms {
 	requests, room := ep.expectedRequests(defaultEngineMs, now), ep.Limit(now)
-	cost += runningRequestMs * ep.profile.gapGrowth() / defaultGapGrowth * requests
+	te := Terms{
+		Work:     ep.prefillMs(max(0, de.Prompt.Input-en.cachedTokens(ep, de.Prompt, now)), now),
+		Requests: runningRequestMs * ep.profile.gapGrowth() / defaultGapGrowth * requests,
+		Slowness: ep.Slowness(now), Saving: de.order.expectedSavingMs(ep, de.Prompt),
+	}
 	if over := requests - room + 1; over > 0 {
 		// There is room again each time that one of the running requests ends.
-		cost += ep.profile.ServiceTime(defaultEngineMs) / room * over
+		te.OverLimit = ep.profile.ServiceTime(defaultEngineMs) / room * over
 	}
-	slow := ep.Slowness(now)
-	cost = cost*slow + decodeMs*(slow-1) - de.order.expectedSavingMs(ep, de.Prompt)
+	te.SlowDecoding = decodeMs * (te.Slowness - 1)
 	if ep.Domain != de.Domain {
-		cost += remoteDomainMs
+		te.Remote = remoteDomainMs
+	}
+	return te
+}
+
+func (en *EnginePolicy) candidate(ep *Endpoint, list []*Endpoint, de Demand, now time.Time) Candidate {
+	return Candidate{
+		Terms:  en.terms(ep, orderedDemand{de, newRendezvousOrder(list, de.Prompt)}, now),
+		Cached: en.cachedTokens(ep, de.Prompt, now), Requests: ep.expectedRequests(defaultEngineMs, now),
 	}
-	return cost
 }
 
 // cachedTokens returns the number of prompt tokens that the engine has prefilled
--- a/internal/core/place/plain.go
+++ b/internal/core/place/plain.go
@@ -26,18 +26,26 @@
 	return pl.cheapest.Choose(list, de, now)
 }
 
-// plainCost returns the expected delay in milliseconds at the learned speed. It is
-// proportional to the load, and each request beyond the learned limit counts five times
-// as much as one within it.
+// plainCost returns the expected delay in milliseconds.
 func plainCost(ep *Endpoint, de Demand, now time.Time) float64 {
+	return plainTerms(ep, de, now).Total()
+}
+
+// plainTerms returns the parts of the cost. It is proportional to the load, and each
+// request beyond the learned limit counts five times as much as one within it.
+func plainTerms(ep *Endpoint, de Demand, now time.Time) Terms {
+	callMs := ep.profile.ServiceTime(defaultPlainMs)
 	load := ep.expectedRequests(defaultPlainMs, now) / ep.Limit(now)
-	cost := idleLoad + load
+	te := Terms{Work: idleLoad * callMs, Requests: load * callMs, Slowness: ep.Slowness(now)}
 	if load >= 1 {
-		cost += (load - 1) * 4
+		te.OverLimit = (load - 1) * 4 * callMs
 	}
-	cost *= ep.profile.ServiceTime(defaultPlainMs) * ep.Slowness(now)
 	if ep.Domain != de.Domain {
-		cost += remoteDomainMs
+		te.Remote = remoteDomainMs
 	}
-	return cost
+	return te
+}
+
+func (pl *PlainPolicy) candidate(ep *Endpoint, _ []*Endpoint, de Demand, now time.Time) Candidate {
+	return Candidate{Terms: plainTerms(ep, de, now), Requests: ep.expectedRequests(defaultPlainMs, now)}
 }
