--- a/internal/core/place/plain.go
+++ b/internal/core/place/plain.go
@@ -1,14 +1,15 @@
 package place
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // defaultPlainMs is the time of a call of a plain service, in milliseconds, that is
 // assumed until one was measured.
 const defaultPlainMs = 30.0
 
+// idleLoad is the load at which a call costs twice as much as at an idle upstream. A
+// slower upstream gets calls before a faster one is full.
+const idleLoad = 0.5
+
 // PlainPolicy is the policy for plain services: it chooses the upstream with
 // the lowest load.
 type PlainPolicy struct {
@@ -16,12 +17,8 @@
 }
 
 // NewPlainPolicy returns the policy.
-func NewPlainPolicy() *PlainPolicy {
-	return &PlainPolicy{cheapest: Cheapest[Demand]{
-		Cost:       plainCost,
-		Skip:       func(ep *Endpoint, de Demand) bool { return de.wasTried(ep) },
-		StartIndex: rand.IntN,
-	}}
+func NewPlainPolicy(opts ...Option) *PlainPolicy {
+	return &PlainPolicy{cheapest: newCheapest(plainCost, opts)}
 }
 
 // Choose returns the endpoint with the lowest expected delay.
@@ -29,19 +26,26 @@
 	return pl.cheapest.Choose(list, de, now)
 }
 
-// plainCost returns the expected delay in milliseconds. It is the time of a call
-// if all slots are occupied, and proportional to the load below. Each request
-// beyond the slots of the upstream counts five times as much as one within them.
+// plainCost returns the expected delay in milliseconds.
 func plainCost(ep *Endpoint, de Demand, now time.Time) float64 {
-	fullLoadMs := ep.profile.ServiceTime(defaultPlainMs)
-	load := float64(ep.EstimatedRequests(now)) / float64(ep.capacity())
-	cost := fullLoadMs * load
+	return plainTerms(ep, de, now).Total()
+}
+
+// plainTerms returns the parts of the cost. It is proportional to the load, and each
+// request beyond the learned limit counts five times as much as one within it.
+func plainTerms(ep *Endpoint, de Demand, now time.Time) Terms {
+	callMs := ep.profile.ServiceTime(defaultPlainMs)
+	load := ep.expectedRequests(defaultPlainMs, now) / ep.Limit(now)
+	te := Terms{Work: idleLoad * callMs, Requests: load * callMs, Slowness: ep.Slowness(now)}
 	if load >= 1 {
-		cost += fullLoadMs * (load - 1) * 4
+		te.OverLimit = (load - 1) * 4 * callMs
 	}
-	cost *= ep.Pace(now)
 	if ep.Domain != de.Domain {
-		cost += remoteDomainMs
+		te.Remote = remoteDomainMs
 	}
-	return cost
+	return te
+}
+
+func (pl *PlainPolicy) candidate(ep *Endpoint, _ []*Endpoint, de Demand, now time.Time) Candidate {
+	return Candidate{Terms: plainTerms(ep, de, now), Requests: ep.expectedRequests(defaultPlainMs, now)}
 }
