core/place: an outlier does not take the weight of later measurements; test of gaps

Cause: one measurement far from the usual one raised the variance of its kind so much that later ones counted little. Nothing tested that a late gap lowers the limit.

Change: a measurement is bounded before it enters the usual value and the variance. TestLateResponse has gaps in time and late.

--- a/internal/app/direct/learned_test.go
+++ b/internal/app/direct/learned_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/app/direct"
+	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -72,6 +73,10 @@
 // against one that follows the pauses of the caller.
 func TestLateResponse(t *testing.T) {
 	events := []int64{0, 1, 2}
+	conf := intent.New(3, intent.Limits{}).WithRoutes(append(routes(), intent.Route{
+		Name: "gaps", Host: "h", Prefix: "/gaps/", Kind: intent.Stream, Timeout: 5 * time.Second, LatencyGoal: 500 * time.Millisecond,
+		MaxEventGap: 250 * time.Millisecond, AttemptLimit: 1, Targets: []intent.Target{{Service: "s", Weight: 1}}, Anonymous: true,
+	})...).WithAccounts(intent.Account{Name: "desk", Keys: []string{"k"}})
 	for _, tc := range []struct {
 		name, path  string
 		step        upstreamStep
@@ -81,6 +86,8 @@
 		{"first event in time", "/stream/", upstreamStep{status: 200, events: events, end: io.EOF, after: 400 * time.Millisecond}, 0, false},
 		{"first event late", "/stream/", upstreamStep{status: 200, events: events, end: io.EOF, after: 600 * time.Millisecond}, 0, true},
 		{"broken off late", "/stream/", upstreamStep{err: errIncomplete, after: 600 * time.Millisecond}, 0, true},
+		{"gap in time", "/gaps/", upstreamStep{status: 200, events: events, end: io.EOF, gap: 200 * time.Millisecond}, 0, false},
+		{"gap late", "/gaps/", upstreamStep{status: 200, events: events, end: io.EOF, gap: 300 * time.Millisecond}, 0, true},
 		{"response in time", "/once/", upstreamStep{status: 200, after: 400 * time.Millisecond}, 0, false},
 		{"response late", "/once/", upstreamStep{status: 200, after: 600 * time.Millisecond}, 0, true},
 		{"slow caller", "/once/", upstreamStep{status: 200}, time.Second, false},
@@ -89,9 +96,10 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			fx := newFixture(t, 1, 0)
+			svc := direct.New(fixedView{conf, fx.ups}, fx.holder)
 			synctest.Test(t, func(t *testing.T) {
 				ca := &fakeCaller{script: []upstreamStep{tc.step}}
-				fx.svc.Serve(t.Context(), newRequest(tc.path), ca, slowCaller{ca, tc.callerPause})
+				svc.Serve(t.Context(), newRequest(tc.path), ca, slowCaller{ca, tc.callerPause})
 				ep, _ := fx.ups.Endpoint("i0")
 				if diff := cmp.Diff(tc.late, ep.Limit(time.Now()) < 8); diff != "" {
 					t.Errorf("limit %.1f is lower (-want +got):\n%s", ep.Limit(time.Now()), diff)
--- a/internal/core/place/speed.go
+++ b/internal/core/place/speed.go
@@ -116,6 +116,8 @@
 		old := ti.latest.Load()
 		next := timingStats{usual: logRatio, variance: speedVariance}
 		if old != nil {
+			// A single outlier must not take the weight of later measurements.
+			logRatio = min(max(logRatio, old.usual-maxLogRatio), old.usual+maxLogRatio)
 			next = *old
 			next.usual += timingWeight * (logRatio - next.usual)
 			next.variance += timingWeight * (square(logRatio-old.usual-predicted) - next.variance)
