app/budget: no queue for loans while the table does not respond

Cause: each request asked up to twelve routers for a loan under the rows lock of its budget, one after the other, so that those behind waited for 1 s.

Change: the refusal applies to requests of the same budget for 100 ms, and a cached refusal spreads the retries.

--- a/internal/app/budget/deadline_test.go
+++ b/internal/app/budget/deadline_test.go
@@ -124,3 +124,37 @@
 		}
 	})
 }
+
+// poorLenders are lenders that take 100 ms to say that they have nothing to spare.
+type poorLenders struct{}
+
+func (poorLenders) Borrow(context.Context, ident.BudgetRef, ident.Tokens, bool) ident.Tokens {
+	time.Sleep(100 * time.Millisecond)
+	return 0
+}
+
+// TestNoQueueInOutage guards against requests that wait one after the other for loans that
+// no other router can give, while the table does not respond.
+func TestNoQueueInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := table.New().Client()
+		hd := budget.NewHolder("r1", "vm", "d", budget.NewLedger(cl, codecs()), budget.WithLenders(poorLenders{}),
+			budget.WithPrepaid(func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 100_000, 1, true }))
+		if err := hd.Open(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		cl.SetDown(true)
+		var group sync.WaitGroup
+		for range 20 {
+			time.Sleep(10 * time.Millisecond)
+			group.Go(func() {
+				start := time.Now()
+				_, err := hd.Reserve(t.Context(), meals, 3000, config.AvoidRefusal)
+				if waited := time.Since(start); reason(err) != refuse.EscrowUnavailable || waited > 250*time.Millisecond {
+					t.Errorf("%v after %v, want %s within 250ms", err, waited, refuse.EscrowUnavailable)
+				}
+			})
+		}
+		group.Wait()
+	})
+}
--- a/internal/app/budget/holder.go
+++ b/internal/app/budget/holder.go
@@ -29,6 +29,10 @@
 // second while it has up to 25 holders.
 const refusalTTLPerHolder = 20 * time.Millisecond
 
+// maxOutageTTL is the longest time for which a refusal is cached while the table does not
+// respond. It delays the use of what unlocks by expiry or can be borrowed.
+const maxOutageTTL = 100 * time.Millisecond
+
 // phase is the state of a holder. It decides whether requests are refused.
 type phase int32
 
@@ -200,8 +204,7 @@
 			if hd.borrow(ctx, hg, tokens, false) || hd.awaitUnlock(ctx, hg, tokens) {
 				continue
 			}
-			return refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table does not respond").
-				WithRetryAt(now.Add(hd.opts.refusalTTL))
+			return hd.refuseOutage(hg, tokens)
 		}
 		dr := hd.drawWithin(ctx, hg, tokens)
 		if dr.left {
@@ -260,6 +263,15 @@
 	return err == nil
 }
 
+// refuseOutage returns the refusal of a request while the table does not respond, and
+// caches it, so that requests do not ask the same lenders one after the other.
+func (hd *Holder) refuseOutage(hg *holding, tokens ident.Tokens) *refuse.Refusal {
+	now := hd.opts.clock.Now()
+	re := refuse.New(refuse.EscrowUnavailable, "no escrow is left and the table does not respond").WithRetryAt(now.Add(hd.opts.refusalTTL))
+	hg.cacheRefusal(re, now.Add(min(hd.opts.refusalTTL, maxOutageTTL)), tokens)
+	return re
+}
+
 // refuseDraw returns the refusal of a request for which a draw failed, and caches
 // it for a short time.
 func (hd *Holder) refuseDraw(hg *holding, tokens ident.Tokens, err error) *refuse.Refusal {
--- a/internal/app/budget/holding.go
+++ b/internal/app/budget/holding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -126,7 +127,11 @@
 	if cr == nil || !now.Before(cr.until) || tokens < cr.tokens {
 		return nil
 	}
-	return cr.refusal
+	if cr.refusal.RetryAt.IsZero() {
+		return cr.refusal
+	}
+	// Callers that are refused for the same reason are not to retry at the same moment.
+	return cr.refusal.WithRetryAt(cr.refusal.RetryAt.Add(rand.N(retrySpread)))
 }
 
 // demand describes the holding for the policy that sizes grants.
