core/shed, role/direct: an overloaded router leaves the rotation earlier and for longer

Cause: a link that is full with the bodies of refused requests lets no answers of other routers arrive, so that a router found out too late, or never, that others have capacity; after 12 s it returned to the same client account. Change: others are asked while the link is in use, and their answers count for 5 s; the router leaves after 0.25 s of congestion instead of 0.75 s, for 20 s instead of 12 s, up to 60 s; a refusal counts as congestion.

--- a/internal/core/shed/link.go
+++ b/internal/core/shed/link.go
@@ -258,6 +258,8 @@
 	spread := time.Duration(li.seconds.Mean(de.Route) * float64(time.Second))
 	committed := max(li.in.committed.wait(ns), li.out.committed.wait(ns)) - spreadFactor*spread
 	if expected := max(wait, committed); expected > limit && li.guaranteed.wait(ns) > 0 {
+		// The bodies of refused requests may use the link unread.
+		li.congestedUntil.emptyAt.Store(ns + int64(congestionHold))
 		return Decision{Wait: expected, Limit: limit, RetryAt: now.Add(li.retryDelay(de, now))}
 	}
 	li.guaranteed.add(body+headBytes+response, ns, limit)
@@ -325,6 +327,10 @@
 	return li.Busy(now) || li.timeouts.simultaneous(now)
 }
 
+// InUse reports whether admitted requests would still be on the link if it carried half
+// of its rate.
+func (li *Link) InUse(now time.Time) bool { return li.guaranteed.wait(li.nanos(now)) > 0 }
+
 // Busy reports whether the queue of the link was long within the time of a call.
 func (li *Link) Busy(now time.Time) bool {
 	ns := li.nanos(now)
--- a/internal/core/shed/rotation.go
+++ b/internal/core/shed/rotation.go
@@ -10,15 +10,15 @@
 const (
 	// minCongested is how long the link has to be congested without interruption before
 	// the router leaves the rotation. One burst counts as congestion for congestionHold.
-	minCongested = 750 * time.Millisecond
+	minCongested = 250 * time.Millisecond
 	// minAbsence is the time out of the rotation, which doubles up to maxAbsence each
 	// time that congestion returns within returnSpan. A balancer needs 2 s to notice.
-	minAbsence = 12 * time.Second
-	maxAbsence = 48 * time.Second
+	minAbsence = 20 * time.Second
+	maxAbsence = 60 * time.Second
 	returnSpan = 10 * time.Second
 	// answerAge is the time for which the answer of a peer counts. The answer of one that
 	// is out of the rotation counts until it returns.
-	answerAge = 2 * time.Second
+	answerAge = 5 * time.Second
 	// minAnswers is the number of peers that have to answer before the router leaves.
 	// busyDivisor gives the share of those that may be without capacity, and outDivisor
 	// that share with the router itself.
--- a/internal/role/direct/rotation.go
+++ b/internal/role/direct/rotation.go
@@ -22,10 +22,12 @@
 )
 
 const (
-	// askInterval is the shortest time between two rounds of calls to other routers, and
-	// maxAsked the number of routers that are asked in a round.
-	askInterval = 500 * time.Millisecond
-	maxAsked    = 4
+	// askInterval is the shortest time between two rounds of calls to other routers while
+	// the link is congested, and usedAskInterval while it is in use: on a congested link
+	// answers come too late. maxAsked is the number of routers that are asked in a round.
+	askInterval     = 500 * time.Millisecond
+	usedAskInterval = time.Second
+	maxAsked        = 4
 	// maxOut bounds the absence that another router may report.
 	maxOut = time.Minute
 )
@@ -66,8 +68,12 @@
 	case !is && rn.isOut:
 		rn.enter()
 	}
-	if !after.CongestedSince().IsZero() && !now.Before(rn.nextRound) {
-		rn.nextRound = now.Add(askInterval)
+	interval, due := usedAskInterval, rn.ro.link.InUse(now)
+	if !after.CongestedSince().IsZero() {
+		interval, due = askInterval, true
+	}
+	if due && !now.Before(rn.nextRound) {
+		rn.nextRound = now.Add(interval)
 		rn.rounds.Go(func() { rn.ask(ctx, choose(near, after), now) })
 	}
 }
