--- a/internal/app/budget/lease_test.go
+++ b/internal/app/budget/lease_test.go
@@ -38,6 +38,9 @@
 	served  int
 }
 
+// leaseHeadroom is that of the other models, limited by the time that a budget lasts.
+var leaseHeadroom = escrow.Headroom{Seconds: 16, LowSeconds: 12, Requests: 4, LowRequests: 4, Parts: 3, IdleParts: 8, LeftParts: 6}
+
 // leaseVM is a VM whose router is killed and started again.
 type leaseVM struct {
 	name ident.VM
@@ -87,7 +90,7 @@
 		budget.WithGrantSizer(escrow.ByUse{}), budget.WithSharedLock(), budget.WithUncheckedDraws(), budget.WithAveragedUse(),
 		// One at a time, so that the sequence of faults repeats.
 		budget.WithFlushParallelism(1),
-		budget.WithHeadroom(modelHeadroom),
+		budget.WithHeadroom(leaseHeadroom),
 		budget.WithReadInterval(2*time.Second), budget.WithSettleBatch(8))
 	for ma.hd.Open(context.Background()) != nil {
 		time.Sleep(10 * time.Millisecond)
