app/hedge: calls wait longer while the own link is congested

Cause: a call was sent again through up to three other routers after 60 ms, which adds to the queue on the same link, was given up after 60 ms more, and declared the table unreachable.

Change: WithCongestion. While the own link is congested, the next access path is tried after 600 ms, and a timeout does not make the table unreachable. The default is never.

--- a/internal/app/hedge/table.go
+++ b/internal/app/hedge/table.go
@@ -63,6 +63,13 @@
 // WithMeter sets the meter. By default nothing is recorded.
 func WithMeter(me meter.Meter) Option { return func(tb *Table) { tb.meter = me } }
 
+// WithCongestion sets the source of whether the own link is congested. While it is, a
+// timeout is no evidence that the table cannot be reached, and a call waits longer before
+// it is made on the next access path, which uses the same link. The default is never.
+func WithCongestion(congested func(now time.Time) bool) Option {
+	return func(tb *Table) { tb.congested = congested }
+}
+
 // Table is a store.Table that is reached on several access paths. A commit may be
 // under way on more than one path at a time: its conditions let it take effect
 // once, and a condition that fails because it did is reported as
@@ -72,6 +79,8 @@
 	routers Routers
 	clock   clock.Clock
 	meter   meter.Meter
+	// congested reports whether the own link is congested.
+	congested func(now time.Time) bool
 	// unreachable is set while the table does not respond on the direct path, and
 	// lastProbe is when that path was last tried.
 	unreachable atomic.Bool
@@ -85,7 +94,7 @@
 
 // NewTable returns a table that is reached directly and through other routers.
 func NewTable(direct store.Table, routers Routers, opts ...Option) *Table {
-	tb := &Table{direct: direct, routers: routers, clock: clock.System{}, meter: meter.Nop{}}
+	tb := &Table{direct: direct, routers: routers, clock: clock.System{}, meter: meter.Nop{}, congested: func(time.Time) bool { return false }}
 	for _, apply := range opts {
 		apply(tb)
 	}
@@ -164,6 +173,9 @@
 // hedgeDelay returns how long a call waits for a path before it starts on the
 // next one.
 func (tb *Table) hedgeDelay() time.Duration {
+	if tb.congested(tb.clock.Now()) {
+		return maxDelay
+	}
 	return min(max(slowFactor*time.Duration(tb.usualTime.Load()), minDelay), maxDelay)
 }
 
@@ -183,6 +195,7 @@
 		tb.usualTime.Store(max(int64(elapsed), usual+int64(usualTimeWeight*float64(int64(elapsed)-usual))))
 	}
 	switch {
+	case unreachable && elapsed >= minDelay && tb.congested(tb.clock.Now()):
 	case unreachable && tb.unreachable.CompareAndSwap(false, true):
 		now := tb.clock.Now()
 		tb.lastProbe.Store(&now)
