--- a/internal/app/hedge/table.go
+++ b/internal/app/hedge/table.go
@@ -63,8 +63,9 @@
 // WithMeter sets the meter. By default nothing is recorded.
 func WithMeter(me meter.Meter) Option { return func(tb *Table) { tb.meter = me } }
 
-// WithCongestion sets what tells whether the router's own link is congested. A call that
-// gets no response is then no evidence against the table. The default is never.
+// WithCongestion sets the source of whether the own link is congested. While it is, a
+// timeout is no evidence that the table cannot be reached, and a call waits longer before
+// it is made on the next access path, which uses the same link. The default is never.
 func WithCongestion(congested func(now time.Time) bool) Option {
 	return func(tb *Table) { tb.congested = congested }
 }
@@ -78,7 +79,7 @@
 	routers Routers
 	clock   clock.Clock
 	meter   meter.Meter
-	// congested tells whether the router's own link is congested.
+	// congested reports whether the own link is congested.
 	congested func(now time.Time) bool
 	// unreachable is set while the table does not respond on the direct path, and
 	// lastProbe is when that path was last tried.
@@ -172,6 +173,9 @@
 // hedgeDelay returns how long a call waits for a path before it starts on the
 // next one.
 func (tb *Table) hedgeDelay() time.Duration {
+	if tb.congested(tb.clock.Now()) {
+		return maxDelay
+	}
 	return min(max(slowFactor*time.Duration(tb.usualTime.Load()), minDelay), maxDelay)
 }
 
