core/shed: fleet with clients that stay at their router; docs

Asking 16 peers before leaving cost a second of overload. Eight are enough if two more peers without capacity are assumed among those not asked.

--- a/internal/core/shed/rotation.go
+++ b/internal/core/shed/rotation.go
@@ -25,9 +25,10 @@
 	minAnswers  = 2
 	busyDivisor = 4
 	outDivisor  = 3
-	// enoughAsked is the number of peers that have to be asked in a larger domain, in
-	// which a few answers don't show how many are out of the rotation.
-	enoughAsked = 16
+	// enoughAsked is the number of peers that have to be asked in a larger domain, and
+	// unknownBusy that of those without capacity that are assumed among the others.
+	enoughAsked = 8
+	unknownBusy = 2
 )
 
 // Answer is what another router of the failure domain has said about itself.
@@ -147,8 +148,7 @@
 	pc := ro.Counts(now)
 	busy := pc.Busy
 	if pc.Asked < ro.peers {
-		// The others may include more of them than the answers show.
-		busy++
+		busy += unknownBusy
 	}
 	return pc.Asked >= min(ro.peers, enoughAsked) && pc.Answered >= minAnswers &&
 		busy <= pc.Answered/busyDivisor && busy+1 <= (pc.Answered+1)/outDivisor
