app/budget: a throttled path is no contact with the table; more escrow while budgets last

Cause: an error of several access paths that contains a throttled one counted as a response of a busy table, so that requests at routers that the store turns away waited a second for nothing; and a sixth of the time that a budget lasts is too little for a cut of 8 s. Change: such a call is evidence that the table does not respond; LeftParts is 2 instead of 6. TestThrottledPathIsNoContact fails in its three cases without the change.

--- a/internal/app/budget/calls.go
+++ b/internal/app/budget/calls.go
@@ -63,15 +63,17 @@
 	wt.state.Update(func(old reach.Table) (reach.Table, bool) { return old.WithCall(ca), true })
 }
 
-// resultOf returns what the error of a call says about the table.
+// resultOf returns what the error of a call says about the table. An error of several
+// access paths may contain more than one cause: a path that is throttled while no other one
+// responds cannot be used.
 func resultOf(err error) reach.Result {
 	switch {
 	case err == nil, errors.Is(err, store.ErrConflict):
 		return reach.Responded
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled) && errors.Is(err, context.DeadlineExceeded):
+		return reach.Rejected
 	case errors.Is(err, store.ErrThrottled):
 		return reach.Throttled
-	case errors.Is(err, store.ErrUnavailable):
-		return reach.Rejected
 	default:
 		return reach.Silent
 	}
--- a/internal/app/budget/deadline_test.go
+++ b/internal/app/budget/deadline_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/balsamwood/balsamwood/internal/app/budget"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/refuse"
 	"github.com/balsamwood/balsamwood/internal/fake/table"
+	"github.com/balsamwood/balsamwood/internal/port/store"
 )
 
 // TestShortDeadlineIsNoOutage guards against taking the deadline of one request for an
@@ -158,3 +162,30 @@
 		group.Wait()
 	})
 }
+
+// TestThrottledPathIsNoContact guards against requests that wait for a table that throttles
+// this router until their time for a draw is over, as if the table could be reached. The
+// others are to be served from what other routers lend.
+func TestThrottledPathIsNoContact(t *testing.T) {
+	for name, failure := range map[string]error{
+		"one path":               store.ErrThrottled,
+		"others time out":        errors.Join(store.ErrThrottled, context.DeadlineExceeded),
+		"others are unavailable": errors.Join(store.ErrThrottled, store.ErrUnavailable),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := table.New().Client()
+				hd := budget.NewHolder("r1", "vm", "d", budget.NewLedger(cl, codecs()),
+					budget.WithPrepaid(func(ident.BudgetRef) (ident.Tokens, ident.Revision, bool) { return 1000, 1, true }))
+				if err := hd.Open(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				cl.SetPause(func(context.Context) error { return failure })
+				_, err := hd.Reserve(t.Context(), meals, 10, config.AvoidRefusal)
+				if diff := cmp.Diff("no escrow is left and the table does not respond", refuse.From(err).Detail); diff != "" {
+					t.Errorf("refusal (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -96,7 +96,7 @@
 
 // headroom is the escrow held in advance. It has to last through outages of the
 // store, which may take 8 s.
-var headroom = escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8, LeftParts: 6}
+var headroom = escrow.Headroom{Seconds: 16, LowSeconds: 10, Requests: 4, LowRequests: 1, Parts: 2, IdleParts: 8, LeftParts: 2}
 
 // timeLock leaves little of the escrow unlocked: what is unlocked when a router is
 // killed is lost to the account. A killed router runs again after 1 to 3 s. While
