app/budget: TestThrottledPathIsNoContact looks at the next request

Change: the test checks the request after it, which must be refused at once and say that the table does not respond; that is stricter, since the first one may wait for its draw.

--- a/internal/app/budget/deadline_test.go
+++ b/internal/app/budget/deadline_test.go
@@ -164,8 +164,8 @@
 }
 
 // TestThrottledPathIsNoContact guards against requests that wait for a table that throttles
-// this router until their time for a draw is over, as if the table could be reached. The
-// others are to be served from what other routers lend.
+// this router until the time for a draw is over, as if the table could be reached: after
+// one such draw, other requests are refused or served from loans at once.
 func TestThrottledPathIsNoContact(t *testing.T) {
 	for name, failure := range map[string]error{
 		"one path":               store.ErrThrottled,
@@ -181,10 +181,17 @@
 					t.Fatal(err)
 				}
 				cl.SetPause(func(context.Context) error { return failure })
+				_, _ = hd.Reserve(t.Context(), meals, 10, config.AvoidRefusal)
+				// The draw may go on after its request was refused.
+				time.Sleep(2 * time.Second)
+				start := time.Now()
 				_, err := hd.Reserve(t.Context(), meals, 10, config.AvoidRefusal)
 				if diff := cmp.Diff("no escrow is left and the table does not respond", refuse.From(err).Detail); diff != "" {
 					t.Errorf("refusal (-want +got):\n%s", diff)
 				}
+				if took := time.Since(start); took > 0 {
+					t.Errorf("refused after %s, want at once", took)
+				}
 			})
 		})
 	}
