role/cmdln, deploy: limits of the VM as flags, the template stays as it was

Cause: the cases under review/ render the template with the placeholders that it had, and could not run any more.

--- a/internal/role/cmdln/server.go
+++ b/internal/role/cmdln/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"syscall"
 
@@ -63,10 +65,47 @@
 }
 
 type directCmd struct {
-	Settings string `required:"" short:"s" type:"path" env:"BALSAMWOOD_SETTINGS" help:"Settings file in YAML."`
+	Settings string       `required:"" short:"s" type:"path" env:"BALSAMWOOD_SETTINGS" help:"Settings file in YAML."`
+	LinkMbps machineLimit `help:"Rate of the VM's network link in megabits per second, in place of linkMbps of the settings file."`
+	MaxFDs   machineLimit `name:"max-fds" help:"Number of file descriptors that the VM allows the process, in place of maxFDs of the settings file."`
+}
+
+// machineLimit is a limit of a VM that a deployment fills in. An empty text means that the
+// limit is not known.
+type machineLimit float64
+
+// UnmarshalText parses a positive number.
+func (ml *machineLimit) UnmarshalText(text []byte) error {
+	if len(text) == 0 {
+		*ml = 0
+		return nil
+	}
+	num, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(num >= 0 && num <= maxMachineLimit) {
+		return fmt.Errorf("want a number from 0 to %d, got %q", maxMachineLimit, text)
+	}
+	*ml = machineLimit(num)
+	return nil
+}
+
+// settings returns the settings of the file with the limits of the command line.
+func (dc directCmd) settings() (conf.DirectRouter, error) {
+	set, err := conf.LoadDirectRouter(dc.Settings)
+	if err != nil {
+		return set, err
+	}
+	if dc.LinkMbps > 0 {
+		set.LinkMbps = float64(dc.LinkMbps)
+	}
+	if dc.MaxFDs > 0 {
+		set.MaxFDs = int(dc.MaxFDs)
+	}
+	return set, nil
 }
 
 const (
+	// maxMachineLimit bounds the limits of a VM on the command line.
+	maxMachineLimit = 1_000_000
 	// memoryShare is the share of the VM's memory that the Go runtime may use.
 	// Memory outside its limit, such as kernel buffers and the stacks of threads,
 	// needs the rest.
@@ -85,7 +124,7 @@
 
 // Run runs a direct router until the program is told to stop.
 func (dc directCmd) Run(en *env) error {
-	set, err := conf.LoadDirectRouter(dc.Settings)
+	set, err := dc.settings()
 	if err != nil {
 		return errs.Settings.Wrap(err, "%s", dc.Settings)
 	}
@@ -121,7 +160,7 @@
 		case <-ctx.Done():
 			return
 		case <-hup:
-			ro.Reload(conf.LoadDirectRouter(dc.Settings))
+			ro.Reload(dc.settings())
 		}
 	}
 }
