review: case 7, an entry that lacks fields names an engine of another service

Cause: the check of an upstream entry requires five of its fields only. An entry of another writer that lacks the others is used, and moves an engine to another service.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -32,6 +32,7 @@
 // scenarios holds the case of each folder.
 var scenarios = map[string]scenario{
 	"6": restoredAfterStop,
+	"7": forgedEntry,
 }
 
 func main() {
