review: case 8, a part that crashes engines is let through again after an outage

Cause: records of parts that were learned while the table was down are never written later, and a newer record with one end replaces the ones that block.

Done: review/8 with a script.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -33,6 +33,7 @@
 var scenarios = map[string]scenario{
 	"6": restoredAfterStop,
 	"7": forgedEntry,
+	"8": deadlyPartAfterOutage,
 }
 
 func main() {
