review: case 9, taking away the last tenant opens all routes

Cause: a configuration with an empty list of tenants is taken for one without tenants, in which callers need no key.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -34,6 +34,7 @@
 	"6": restoredAfterStop,
 	"7": forgedEntry,
 	"8": deadlyPartAfterOutage,
+	"9": lastTenantRemoved,
 }
 
 func main() {
--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -25,7 +25,7 @@
 // configure writes a config with a resumable stream route to engines and a route for
 // actions that may run once.
 func (fl *fleet) configure(version int, tenants ...tenant) {
-	var list []any
+	list := []any{}
 	for _, te := range tenants {
 		list = append(list, map[string]any{"Name": te.name, "ApiKeys": []string{te.key}, "Priority": 1, "Prepaid": te.prepaid})
 	}
