review: case 10, a late check-in of an engine undoes its draining

Cause: entries of an upstream are ordered by the store's version only. A report that the store performs seconds later counts as the newest one, although its sequence is lower.

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -34,6 +34,9 @@
 	born     int64
 	sequence int
 	up       bool
+	draining bool
+	// lost receives the next check-in, which gets no answer, or is nil.
+	lost chan func()
 	// silent says that the engine does not report to the store.
 	silent bool
 }
@@ -71,10 +74,42 @@
 		return
 	}
 	en.sequence++
-	en.fl.store.Put("servers", en.id, map[string]any{
-		"Service": en.service, "Address": en.addr, "Zone": "z-a", "Version": "v1", "Slots": engineSlots, "State": "ready",
+	entry := en.entry()
+	if en.lost != nil {
+		en.lost <- func() { en.fl.store.Put("servers", en.id, entry) }
+		en.lost = nil
+		return
+	}
+	en.fl.store.Put("servers", en.id, entry)
+}
+
+// entry returns what the engine says of itself.
+func (en *engine) entry() map[string]any {
+	state := "ready"
+	if en.draining {
+		state = "draining"
+	}
+	return map[string]any{
+		"Service": en.service, "Address": en.addr, "Zone": "z-a", "Version": "v1", "Slots": engineSlots, "State": state,
 		"WarmupLeftMs": 0, "Stage": "prefill_decode", "Sequence": en.sequence, "born": en.born,
-	})
+	}
+}
+
+// loseNext makes the next check-in get no answer. It returns a channel that then
+// receives what performs it later.
+func (en *engine) loseNext() <-chan func() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.lost = make(chan func(), 1)
+	return en.lost
+}
+
+// drain makes the engine report that it leaves.
+func (en *engine) drain() {
+	en.mu.Lock()
+	en.draining = true
+	en.mu.Unlock()
+	en.report()
 }
 
 func (en *engine) checkIn() {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -31,10 +31,11 @@
 
 // scenarios holds the case of each folder.
 var scenarios = map[string]scenario{
-	"6": restoredAfterStop,
-	"7": forgedEntry,
-	"8": deadlyPartAfterOutage,
-	"9": lastTenantRemoved,
+	"6":  restoredAfterStop,
+	"7":  forgedEntry,
+	"8":  deadlyPartAfterOutage,
+	"9":  lastTenantRemoved,
+	"10": lateCheckIn,
 }
 
 func main() {
