review: case 7, two engines work on one stream while the first is silent

Cause: a standby sends a resumable stream to a second engine and ends the first run only when the second one responds, however long that takes.

The cases from before are renumbered, the gravest first; the one on an empty list of tenants gives way.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -32,10 +32,10 @@
 // scenarios holds the case of each folder.
 var scenarios = map[string]scenario{
 	"6":  restoredAfterStop,
-	"7":  forgedEntry,
-	"8":  deadlyPartAfterOutage,
-	"9":  lastTenantRemoved,
-	"10": lateCheckIn,
+	"7":  silentEngine,
+	"8":  forgedEntry,
+	"9":  lateCheckIn,
+	"10": deadlyPartAfterOutage,
 }
 
 func main() {
