review: routers of the cases take ports below those of outgoing channels

Cause: a router that starts again may find its port in use by an outgoing channel, and the case then can't run.

--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -78,18 +80,29 @@
 	done     chan struct{}
 }
 
+const (
+	// firstPort and lastPort bound the ports of routers. They are below those that the
+	// system gives to outgoing channels, so that a router that starts again finds its own
+	// still free.
+	firstPort = 12_000
+	lastPort  = 30_000
+)
+
 // freePorts returns loopback addresses with free ports.
 func freePorts(count int) ([]string, error) {
 	var out []string
-	for range count {
-		ls, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := firstPort + rand.IntN(lastPort-firstPort)/2; port < lastPort; port++ {
+		if len(out) == count {
+			return out, nil
+		}
+		ls, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = ls.Close() }()
+		_ = ls.Close()
 		out = append(out, ls.Addr().String())
 	}
-	return out, nil
+	return nil, errors.New("too few free ports")
 }
 
 // addRouters writes the settings of routers and starts them. Each is the seed of the
