review: the prompts of case 9 have the parts of the sheet

Cause: the prompts had one shared part of 16,000 tokens. The sheet of the site has two, of at most 6,290 and 11,300 tokens.

--- a/review/rig2/silent.go
+++ b/review/rig2/silent.go
@@ -22,11 +22,14 @@
 	silentFor = 1500 * time.Millisecond
 	// stopWithin is the time within which the engine before has to stop.
 	stopWithin = 400 * time.Millisecond
-	// The prompts of the case have a long shared part, as those of the longest kind of
-	// request of the site do.
-	silentShared = 16_000
-	silentOwn    = 2_890
-	silentCalls  = 6
+	// The prompts have the two shared parts of the kind of request monthly-summary, which
+	// are at most 6,290 and 11,300 tokens long on its sheet, and an own part of the mean
+	// length.
+	silentSet     = 4_500
+	silentSubject = 10_500
+	silentShared  = silentSet + silentSubject
+	silentOwn     = 2_890
+	silentCalls   = 6
 )
 
 // span is the work of one engine on one request.
@@ -59,12 +62,12 @@
 	sp.to = time.Now()
 }
 
-// prefill returns how long the engine reads a prompt. It keeps the shared part of each
+// prefill returns how long the engine reads a prompt. It keeps the shared parts of each
 // prompt that it has read.
 func (wl *workLog) prefill(en *engine, prompt string) time.Duration {
 	wl.mu.Lock()
 	defer wl.mu.Unlock()
-	shared, _, _ := strings.Cut(prompt, ":")
+	shared := prompt[:max(0, strings.LastIndex(prompt, ","))]
 	key, tokens := en.id+" "+shared, silentOwn
 	if !wl.cached[key] {
 		tokens += silentShared
@@ -159,7 +162,7 @@
 	ask := func(prefix string, no int) {
 		id := fmt.Sprintf("%s%04d", prefix, no)
 		ca := call{id: id, path: streamPath, key: te.key, input: silentShared + silentOwn, output: restoredOutput, deadline: 5 * time.Second}
-		ca.parts = fmt.Sprintf("5c1e07a%d:%d,%s:%d", no, silentShared, id, silentOwn)
+		ca.parts = fmt.Sprintf("5c1e07a2:%d,91bd3f0%d:%d,%s:%d", silentSet, no, silentSubject, id, silentOwn)
 		_ = ca.send(ctx, fl.routers[0])
 	}
 	if err := sleep(ctx, contactTime+time.Second); err != nil {
