adapt/sock: a reset during an upload ends a response as incomplete

Callers got a part of a response as the complete one. An upstream responded to a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the request body was still being written.

Cause: the kernel reports the error of a connection to one call only. The write of the request body runs beside the read of the response and was blocked, so it usually received ECONNRESET. Reads then return io.EOF, which is the mark of a complete response that has no length.

A net.Conn that is not reset is unchanged.

Change: sock.Conn records the first error of a write. At the end of the input it ends a write in progress by its deadline, so that the write returns the error if it has received one, and Read returns this error in place of io.EOF. EPIPE is no such error: the kernel gives it to a write after the other side has closed in good order, and the response before that is complete. The pool of direct routers and the HTTP client of all other adapters use this type.

This does not depend on which call receives the error: it is in the read, or in a write that has returned or returns at the deadline.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/flow"
+	"github.com/balsamwood/balsamwood/internal/adapt/sock"
 	"github.com/balsamwood/balsamwood/internal/core/shed"
 )
 
@@ -74,7 +75,7 @@
 	if se.dial == nil {
 		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
 	}
-	se.dial = flow.CountingDial(se.dial, se.link)
+	se.dial = flow.CountingDial(sock.Dial(se.dial), se.link)
 	if se.noReuseAfterErrors {
 		se.dial = withErrorConns(se.dial)
 	}
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -95,7 +95,7 @@
 
 // conn is a connection to an upstream.
 type conn struct {
-	net.Conn
+	*sock.Conn
 	br   *bufio.Reader
 	head *headLimiter
 	// sentIDs holds the hashes of the ids of all requests on the connection.
@@ -142,14 +142,15 @@
 	if err != nil {
 		return nil, err
 	}
-	hl := &headLimiter{src: flow.NewReader(nc, li, shed.Others)}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, link: li}, nil
+	sc := sock.NewConn(nc)
+	hl := &headLimiter{src: flow.NewReader(sc, li, shed.Others)}
+	return &conn{Conn: sc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, link: li}, nil
 }
 
 // reset closes the connection and discards the bytes that were not sent yet, so that a
 // request that was given up does not reach the upstream later.
 func (co *conn) reset() {
-	if tc, ok := co.Conn.(*net.TCPConn); ok {
+	if tc, ok := co.NetConn().(*net.TCPConn); ok {
 		_ = tc.SetLinger(0)
 	}
 	_ = co.Close()
@@ -212,7 +213,7 @@
 	if co.br.Buffered() > 0 {
 		return false
 	}
-	st := sock.StateOf(co.Conn)
+	st := sock.StateOf(co.NetConn())
 	return st == sock.Empty || st == sock.Unknown
 }
 
--- a/internal/adapt/sock/sock.go
+++ b/internal/adapt/sock/sock.go
@@ -1,4 +1,4 @@
-// Package sock looks at the state of sockets without reading from them.
+// Package sock tells the state of sockets and the way in which connections ended.
 package sock
 
 import (
--- a/internal/fake/origin/caller.go
+++ b/internal/fake/origin/caller.go
@@ -17,12 +17,18 @@
 	// Parts lists the parts of the prompt as ID:TOKENS, separated by commas. By
 	// default the prompt has two parts.
 	Parts string
+	// Body is the request body. By default it is a few bytes.
+	Body string
 }
 
 // Send sends the request to a router and returns the status and the body of the
 // response. It returns an error if the response is incomplete.
 func (ca Call) Send(ctx context.Context, addr string) (int, string, error) {
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+ca.Path, strings.NewReader("body"))
+	body := "body"
+	if ca.Body != "" {
+		body = ca.Body
+	}
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+ca.Path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -43,6 +49,6 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(body), err
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
 }
--- a/internal/fake/script/script.go
+++ b/internal/fake/script/script.go
@@ -1,4 +1,4 @@
-// Package script is a stand-in for a server that writes fixed bytes, whatever it is
+// Package script holds stand-ins for servers that write fixed bytes, whatever they are
 // asked.
 package script
 
--- /dev/null
+++ b/internal/role/direct/broken_test.go
@@ -0,0 +1,48 @@
+package direct_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/fake/origin"
+	"github.com/balsamwood/balsamwood/internal/fake/script"
+)
+
+// TestBrokenResponse guards against a caller that gets the broken response of an upstream
+// as the response to its request.
+func TestBrokenResponse(t *testing.T) {
+	const fields = "Attempt-Id: b1\r\nServer-Stamp: s\r\n"
+	for _, tc := range []struct {
+		name, response string
+		end            func(*net.TCPConn)
+	}{
+		{"reset during the upload", "HTTP/1.1 200 OK\r\n" + fields + "\r\npart", script.Reset},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sv, err := script.NewEarly(tc.response, tc.end)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(sv.Close)
+			fl := newTestFleet(t, 0)
+			fl.store.Register("app-1", "app", sv.Addr())
+			tr := fl.router("edge-0")
+			ca := origin.Call{ID: "b1", Host: "h.example", Path: "/voucher/x", Key: "k1", Body: strings.Repeat("b", 3<<20)}
+			statuses := map[int]int{}
+			for range 10 {
+				status, _, err := ca.Send(t.Context(), tr.set.Listen)
+				if err != nil {
+					t.Fatal(err)
+				}
+				statuses[status]++
+			}
+			if diff := cmp.Diff(map[int]int{http.StatusBadGateway: 10}, statuses); diff != "" {
+				t.Errorf("responses by status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
