adapt/strict: a status that HTTP does not have is no response

An upstream in trouble sent a response with the status 000. Callers of a direct router waited for it until their deadline and got 504, or they got what followed the header, such as a 200 inside the body, as the response. A sidecar took the status for the result of the call and stored it under the call's key. Statuses from 600 on were passed on, and 101, which no request asks for, was skipped like an interim response.

Cause: net/http accepts each status of three digits. The pool skipped those below 200 as interim responses, and the client of the sidecars took them as they were.

Change: strict.Check rejects statuses outside 100 to 599, and 101. The pool and client.Do, through which all other adapters read responses, call it for each header. The attempt fails at once as incomplete, so that it is repeated only where the route allows, and otherwise answered with 502.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/flow"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
+	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 	"github.com/balsamwood/balsamwood/internal/core/shed"
 )
 
@@ -105,6 +106,10 @@
 	if err != nil {
 		return resp, used != nil, err
 	}
+	if err := strict.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, true, err
+	}
 	if used != nil {
 		if err := checkStatus(*used, resp); err != nil {
 			_ = resp.Body.Close()
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -158,6 +159,9 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
 		}
+		if err := strict.Check(httpResp); err != nil {
+			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
+		}
 		if hasJoinedHeads(httpResp) {
 			return fmt.Errorf("%w: the header contains the status line of another response", proxy.ErrIncomplete)
 		}
--- a/internal/role/direct/broken_test.go
+++ b/internal/role/direct/broken_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,12 +16,15 @@
 // TestBrokenResponse guards against a caller that gets the broken response of an upstream
 // as the response to its request.
 func TestBrokenResponse(t *testing.T) {
+	readBody := func(tc *net.TCPConn) { _, _ = io.Copy(io.Discard, tc) }
 	const fields = "Attempt-Id: b1\r\nServer-Stamp: s\r\n"
 	for _, tc := range []struct {
 		name, response string
 		end            func(*net.TCPConn)
 	}{
 		{"reset during the upload", "HTTP/1.1 200 OK\r\n" + fields + "\r\npart", script.Reset},
+		{"status 000", "HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody", readBody},
+		{"status 000 before a success", "HTTP/1.1 000 OK\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody", readBody},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sv, err := script.NewEarly(tc.response, tc.end)
