adapt/strict: a field name with a blank in it makes a response invalid

An upstream in trouble sent a header in which the name of a field held a blank. Callers got the response: with the line passed on (X Own: a), with the line joined to the field before it, so that the Server-Stamp was not the upstream's (a line that begins with a blank), or with a body that was not the upstream's, because a length in such a line is no length (Content-Length : 4).

Cause: net/http accepts blanks inside and after a name, and appends a line that begins with a blank to the value before it. The pool and the client of the sidecars took its result as it was. Names with control bytes are rejected by net/http already; the tests for them passed without a change and stay.

The attempt fails as incomplete. RFC 9112 lets a proxy reject such a line (section 5.2). The bytes are recorded up to the limit of a header and released with its end. Bodies that contain such lines, also that of a skipped copy before the header, are not affected.

Clients of sidecars read the header through http.Transport, which shows no lines. They still join a line that begins with a blank to the one before it, as the same section says, and pass on Content-Type and Location only.

--- a/internal/adapt/plain/invalid_test.go
+++ b/internal/adapt/plain/invalid_test.go
@@ -18,6 +18,9 @@
 	for _, tc := range []struct{ name, response string }{
 		{"status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody"},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nbody"},
+		{"blank in the name of a field", "HTTP/1.1 200 OK\r\nX Own: a\r\nContent-Length: 4\r\n\r\nbody"},
+		{"blank after the name of a length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 4\r\n\r\nbody"},
+		{"control byte in the name of a field", "HTTP/1.1 200 OK\r\nX\x01Own: a\r\nContent-Length: 4\r\n\r\nbody"},
 		{"status 600", "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -20,6 +20,7 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/flow"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
+	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -66,30 +67,33 @@
 // errHeadTooLarge means that maxHeadBytes did not contain the header of a response.
 var errHeadTooLarge = errors.New("no header of a response within 64 KiB")
 
-// headLimiter bounds the bytes that are read from a connection while the header of
-// a response is read. The methods are called by one goroutine at a time.
-type headLimiter struct {
-	src     io.Reader
-	limited bool
-	left    int
+// headReader bounds and records the bytes that are read from a connection while the
+// header of a response is read. The methods are called by one goroutine at a time.
+type headReader struct {
+	src    io.Reader
+	inHead bool
+	left   int
+	// raw holds the bytes that were read since begin.
+	raw []byte
 }
 
-// limit bounds what is read from now on to so many bytes.
-func (hl *headLimiter) limit(bytes int) { hl.limited, hl.left = true, bytes }
+// begin bounds what is read from now on to so many bytes, and records it.
+func (hr *headReader) begin(bytes int) { hr.inHead, hr.left = true, bytes }
 
-// lift removes the bound.
-func (hl *headLimiter) lift() { hl.limited = false }
+// end removes the bound and the record.
+func (hr *headReader) end() { hr.inHead, hr.raw = false, nil }
 
 // Read reads from the connection within the bound.
-func (hl *headLimiter) Read(buf []byte) (int, error) {
-	if !hl.limited {
-		return hl.src.Read(buf)
+func (hr *headReader) Read(buf []byte) (int, error) {
+	if !hr.inHead {
+		return hr.src.Read(buf)
 	}
-	if hl.left <= 0 {
+	if hr.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := hl.src.Read(buf[:min(len(buf), hl.left)])
-	hl.left -= n
+	n, err := hr.src.Read(buf[:min(len(buf), hr.left)])
+	hr.left -= n
+	hr.raw = append(hr.raw, buf[:n]...)
 	return n, err
 }
 
@@ -97,7 +101,7 @@
 type conn struct {
 	*sock.Conn
 	br   *bufio.Reader
-	head *headLimiter
+	head *headReader
 	// sentIDs holds the hashes of the ids of all requests on the connection.
 	sentIDs []uint64
 	// expiresAt is the time from which the idle connection must not be reused.
@@ -143,8 +147,23 @@
 		return nil, err
 	}
 	sc := sock.NewConn(nc)
-	hl := &headLimiter{src: flow.NewReader(sc, li, shed.Others)}
-	return &conn{Conn: sc, br: bufio.NewReaderSize(hl, readBufSize), head: hl, link: li}, nil
+	hr := &headReader{src: flow.NewReader(sc, li, shed.Others)}
+	return &conn{Conn: sc, br: bufio.NewReaderSize(hr, readBufSize), head: hr, link: li}, nil
+}
+
+// readHead reads the header of the next response to a request with the method, and checks
+// that HTTP allows it. It is called between begin and end of the headReader.
+func (co *conn) readHead(method string) (*http.Response, error) {
+	start := len(co.head.raw) - co.br.Buffered()
+	httpResp, err := http.ReadResponse(co.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	end := len(co.head.raw) - co.br.Buffered()
+	if err := strict.CheckLines(co.head.raw[start:end]); err != nil {
+		return nil, err
+	}
+	return httpResp, strict.Check(httpResp)
 }
 
 // reset closes the connection and discards the bytes that were not sent yet, so that a
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -13,7 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
@@ -151,17 +150,14 @@
 // readHeader reads the header and checks that the response belongs to the request.
 // Interim responses and late copies of earlier responses are skipped.
 func (rsp *response) readHeader(rq Request) error {
-	rsp.conn.head.limit(maxHeadBytes)
-	defer rsp.conn.head.lift()
+	rsp.conn.head.begin(maxHeadBytes)
+	defer rsp.conn.head.end()
 	hn := rsp.pool.terms
 	for {
-		httpResp, err := http.ReadResponse(rsp.conn.br, &http.Request{Method: rq.Method})
+		httpResp, err := rsp.conn.readHead(rq.Method)
 		if err != nil {
 			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
 		}
-		if err := strict.Check(httpResp); err != nil {
-			return fmt.Errorf("%w: %w", proxy.ErrIncomplete, err)
-		}
 		if hasJoinedHeads(httpResp) {
 			return fmt.Errorf("%w: the header contains the status line of another response", proxy.ErrIncomplete)
 		}
--- a/internal/role/direct/broken_test.go
+++ b/internal/role/direct/broken_test.go
@@ -17,14 +17,20 @@
 // as the response to its request.
 func TestBrokenResponse(t *testing.T) {
 	readBody := func(tc *net.TCPConn) { _, _ = io.Copy(io.Discard, tc) }
+	closeWrite := func(tc *net.TCPConn) { _ = tc.CloseWrite() }
 	const fields = "Attempt-Id: b1\r\nServer-Stamp: s\r\n"
+	const framed = "Content-Length: 4\r\n\r\nbody"
 	for _, tc := range []struct {
 		name, response string
 		end            func(*net.TCPConn)
 	}{
 		{"reset during the upload", "HTTP/1.1 200 OK\r\n" + fields + "\r\npart", script.Reset},
-		{"status 000", "HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody", readBody},
-		{"status 000 before a success", "HTTP/1.1 000 OK\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nbody", readBody},
+		{"status 000", "HTTP/1.1 000 OK\r\n" + fields + framed, readBody},
+		{"status 000 before a success", "HTTP/1.1 000 OK\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + framed, readBody},
+		{"blank in the name of a field", "HTTP/1.1 200 OK\r\n" + fields + "X Own: a\r\n" + framed, readBody},
+		{"blank before the name of a field", "HTTP/1.1 200 OK\r\n" + fields + " X-Own: a\r\n" + framed, readBody},
+		{"blank after the name of a length", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 4\r\n\r\nbody, more", closeWrite},
+		{"control byte in the name of a field", "HTTP/1.1 200 OK\r\n" + fields + "X\x01Own: a\r\n" + framed, readBody},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sv, err := script.NewEarly(tc.response, tc.end)
