adapt/flow: one method wraps the connections of a dial function

sock.Dial, withErrorConns and CountingDial each repeated the loop through dial, error and wrapper. Dial.With holds it, and the client composes its three wrappers with it. No behaviour changes.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -76,13 +76,14 @@
 	if se.dial == nil {
 		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
 	}
-	se.dial = flow.CountingDial(sock.Dial(se.dial), se.link)
+	dial := flow.Dial(se.dial).With(func(nc net.Conn) net.Conn { return sock.NewConn(nc) })
+	dial = flow.CountingDial(dial, se.link)
 	if se.noReuseAfterErrors {
-		se.dial = withErrorConns(se.dial)
+		dial = dial.With(func(nc net.Conn) net.Conn { return &errorConn{Conn: nc} })
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         se.dial,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: se.maxIdleConns,
 			IdleConnTimeout:     se.idleTimeout,
 			DisableCompression:  true,
--- a/internal/adapt/client/single.go
+++ b/internal/adapt/client/single.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -28,17 +27,6 @@
 	errorRead atomic.Bool
 }
 
-// withErrorConns returns the function with connections of type errorConn.
-func withErrorConns(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		nc, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &errorConn{Conn: nc}, nil
-	}
-}
-
 // Write writes nothing after a response with an error status. The transport then sends
 // the request on another connection.
 func (ec *errorConn) Write(data []byte) (int, error) {
--- a/internal/adapt/flow/flow.go
+++ b/internal/adapt/flow/flow.go
@@ -74,17 +74,24 @@
 // Dial is a function that opens connections.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// With returns the function with wrapped connections.
+func (di Dial) With(wrap func(net.Conn) net.Conn) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := di(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return wrap(nc), nil
+	}
+}
+
 // CountingDial returns the function with connections whose bytes are counted as other
 // than those of bodies. Without a link it returns dial.
 func CountingDial(dial Dial, li *shed.Link) Dial {
 	if li == nil {
 		return dial
 	}
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		nc, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &conn{nc, NewReader(nc, li, shed.Others), NewWriter(nc, li, shed.Others)}, nil
-	}
+	return dial.With(func(nc net.Conn) net.Conn {
+		return &conn{nc, NewReader(nc, li, shed.Others), NewWriter(nc, li, shed.Others)}
+	})
 }
