adapt/pool, adapt/sock: less state behind the checks of responses

headReader derives what is left of the bound from the bytes that it has recorded, and sock.Conn returns io.EOF or the error of a write from one place. serveUnframed of the pool's tests is built on script.Early, of which it was a twin. Servers of tests that wait for a signal end with the test too, so that a failure is reported at once and not by the timeout of the test program.

No behaviour changes, and the tests keep their assertions. With end always io.EOF, TestEndDuringWrite and both tests called TestResetDuringUpload fail as before.

--- a/internal/adapt/plain/upload_test.go
+++ b/internal/adapt/plain/upload_test.go
@@ -18,13 +18,16 @@
 func TestResetDuringUpload(t *testing.T) {
 	emitted := make(chan struct{})
 	sv, err := script.NewEarly("HTTP/1.1 200 OK\r\n\r\npart", func(tc *net.TCPConn) {
-		<-emitted
+		select {
+		case <-emitted:
+		case <-t.Context().Done():
+		}
 		script.Reset(tc)
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer sv.Close()
+	t.Cleanup(sv.Close)
 	up := plain.New("http://" + sv.Addr())
 	ca := engine.Call{Method: http.MethodPost, Path: "/filings", Body: make([]byte, 12<<20)}
 	outcomes := map[refuse.Outcome]int{}
--- a/internal/adapt/pool/conn.go
+++ b/internal/adapt/pool/conn.go
@@ -72,13 +72,12 @@
 type headReader struct {
 	src    io.Reader
 	inHead bool
-	left   int
-	// raw holds the bytes that were read since begin.
+	// raw holds the bytes that were read since begin, at most maxHeadBytes.
 	raw []byte
 }
 
-// begin bounds what is read from now on to so many bytes, and records it.
-func (hr *headReader) begin(bytes int) { hr.inHead, hr.left = true, bytes }
+// begin bounds and records what is read from now on.
+func (hr *headReader) begin() { hr.inHead = true }
 
 // end removes the bound and the record.
 func (hr *headReader) end() { hr.inHead, hr.raw = false, nil }
@@ -88,11 +87,11 @@
 	if !hr.inHead {
 		return hr.src.Read(buf)
 	}
-	if hr.left <= 0 {
+	left := maxHeadBytes - len(hr.raw)
+	if left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := hr.src.Read(buf[:min(len(buf), hr.left)])
-	hr.left -= n
+	n, err := hr.src.Read(buf[:min(len(buf), left)])
 	hr.raw = append(hr.raw, buf[:n]...)
 	return n, err
 }
--- a/internal/adapt/pool/response.go
+++ b/internal/adapt/pool/response.go
@@ -150,7 +150,7 @@
 // readHeader reads the header and checks that the response belongs to the request.
 // Interim responses and late copies of earlier responses are skipped.
 func (rsp *response) readHeader(rq Request) error {
-	rsp.conn.head.begin(maxHeadBytes)
+	rsp.conn.head.begin()
 	defer rsp.conn.head.end()
 	hn := rsp.pool.terms
 	for {
--- a/internal/adapt/pool/unframed_test.go
+++ b/internal/adapt/pool/unframed_test.go
@@ -1,17 +1,16 @@
 package pool_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/fake/script"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
@@ -19,30 +18,23 @@
 // reset is not nil, it resets the connection once the channel yields a value.
 func serveUnframed(t *testing.T, response string, reset <-chan struct{}) (addr string, conns chan struct{}) {
 	t.Helper()
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	conns = make(chan struct{}, 8)
+	sv, err := script.NewEarly(response, func(tc *net.TCPConn) {
+		conns <- struct{}{}
+		if reset == nil {
+			return
+		}
+		select {
+		case <-reset:
+		case <-t.Context().Done():
+		}
+		script.Reset(tc)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ls.Close() })
-	conns = make(chan struct{}, 8)
-	go func() {
-		for {
-			nc, err := ls.Accept()
-			if err != nil {
-				return
-			}
-			conns <- struct{}{}
-			if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				_, _ = io.WriteString(nc, response)
-			}
-			if reset != nil {
-				<-reset
-				_ = nc.(*net.TCPConn).SetLinger(0)
-			}
-			_ = nc.Close()
-		}
-	}()
-	return ls.Addr().String(), conns
+	t.Cleanup(sv.Close)
+	return sv.Addr(), conns
 }
 
 // TestUnframed guards against taking a response with neither a length nor chunks for
--- a/internal/adapt/pool/upload_test.go
+++ b/internal/adapt/pool/upload_test.go
@@ -29,11 +29,9 @@
 		_ = tc.CloseWrite()
 		_, _ = io.Copy(io.Discard, tc)
 	}
-	released := make(chan struct{})
-	defer close(released)
 	leaveBody := func(tc *net.TCPConn) {
 		_ = tc.CloseWrite()
-		<-released
+		<-t.Context().Done()
 	}
 	body := make([]byte, uploadBytes)
 	for _, tc := range []struct {
--- a/internal/adapt/sock/conn.go
+++ b/internal/adapt/sock/conn.go
@@ -1,7 +1,6 @@
 package sock
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -47,17 +46,15 @@
 func (co *Conn) Read(buf []byte) (int, error) {
 	n, err := co.Conn.Read(buf)
 	if errors.Is(err, io.EOF) {
-		if failure := co.failure(); failure != nil {
-			err = failure
-		}
+		err = co.end()
 	}
 	return n, err
 }
 
-// failure returns the error of the connection that a Write received, or nil. A write that
+// end returns the error of the connection that a Write received, or io.EOF. A write that
 // follows the close of the other side fails with EPIPE, which says nothing about the
 // bytes that were read before the close.
-func (co *Conn) failure() error {
+func (co *Conn) end() error {
 	// A Write in progress returns the error that it received, and otherwise a timeout.
 	_ = co.SetWriteDeadline(time.Unix(1, 0))
 	co.mu.Lock()
@@ -66,16 +63,5 @@
 	if errors.As(co.writeErr, &errno) && errno != syscall.EPIPE {
 		return co.writeErr
 	}
-	return nil
-}
-
-// Dial returns the function with connections of type *Conn.
-func Dial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		nc, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(nc), nil
-	}
+	return io.EOF
 }
--- a/internal/fake/origin/caller.go
+++ b/internal/fake/origin/caller.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,11 +25,7 @@
 // Send sends the request to a router and returns the status and the body of the
 // response. It returns an error if the response is incomplete.
 func (ca Call) Send(ctx context.Context, addr string) (int, string, error) {
-	body := "body"
-	if ca.Body != "" {
-		body = ca.Body
-	}
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+ca.Path, strings.NewReader(body))
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+ca.Path, strings.NewReader(cmp.Or(ca.Body, "body")))
 	if err != nil {
 		return 0, "", err
 	}
@@ -49,6 +46,6 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data), err
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
 }
