adapt/client: the connection of an invalid response is not reused

What an upstream sent late after an invalid response without a body, such as a complete 200, was passed on as the response to the next request on the connection.

Change: both checks are one. The connection that refuses further writes is used by all clients; an invalid response marks it always, an error status only with WithoutReuseAfterErrors, as before. The transport then sends the next request on another connection, since nothing of it was written. A request that is written just before the mark is set is not covered, as before.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -16,7 +16,6 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/flow"
 	"github.com/balsamwood/balsamwood/internal/adapt/sock"
-	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 	"github.com/balsamwood/balsamwood/internal/core/shed"
 )
 
@@ -78,9 +77,7 @@
 	}
 	dial := flow.Dial(se.dial).With(func(nc net.Conn) net.Conn { return sock.NewConn(nc) })
 	dial = flow.CountingDial(dial, se.link)
-	if se.noReuseAfterErrors {
-		dial = dial.With(func(nc net.Conn) net.Conn { return &errorConn{Conn: nc} })
-	}
+	dial = dial.With(func(nc net.Conn) net.Conn { return &errorConn{Conn: nc, noReuse: se.noReuseAfterErrors} })
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dial,
@@ -107,16 +104,10 @@
 	if err != nil {
 		return resp, used != nil, err
 	}
-	if err := strict.Check(resp); err != nil {
+	if err := checkResponse(used, resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, true, err
 	}
-	if used != nil {
-		if err := checkStatus(*used, resp); err != nil {
-			_ = resp.Body.Close()
-			return nil, true, err
-		}
-	}
 	resp.Body = bodyWithProgress(re.Context(), resp.Body)
 	return resp, used != nil, nil
 }
--- a/internal/adapt/client/single.go
+++ b/internal/adapt/client/single.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/strict"
 )
 
 var (
-	// errErrorRead means that a connection is not used again after an error status.
-	errErrorRead = errors.New("client: a response with an error status was read on the connection")
+	// errErrorRead means that a connection is not used again because of a response.
+	errErrorRead = errors.New("client: a response that is invalid or has an error status was read on the connection")
 	// errSecondError means that a response may belong to an earlier request.
 	errSecondError = errors.New("client: a second response with an error status on one connection")
 )
@@ -20,15 +22,16 @@
 // connections are reused.
 func WithoutReuseAfterErrors() Option { return func(se *settings) { se.noReuseAfterErrors = true } }
 
-// errorConn is a connection that cannot be written to after a response with an error
-// status.
+// errorConn is a connection that cannot be written to after an invalid response, or, with
+// noReuse, after one with an error status.
 type errorConn struct {
 	net.Conn
+	noReuse   bool
 	errorRead atomic.Bool
 }
 
-// Write writes nothing after a response with an error status. The transport then sends
-// the request on another connection.
+// Write writes nothing after such a response. The transport then sends the request on
+// another connection.
 func (ec *errorConn) Write(data []byte) (int, error) {
 	if ec.errorRead.Load() {
 		return 0, errErrorRead
@@ -36,16 +39,30 @@
 	return ec.Conn.Write(data)
 }
 
-// checkStatus returns an error if the response has an error status and is not the first
-// such response on its connection. A request may be written just before the first one
-// is recorded.
-func checkStatus(nc net.Conn, resp *http.Response) error {
-	if tc, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = tc.NetConn()
+// checkResponse returns an error if the response is invalid, or if its connection has
+// noReuse and this is not its first response with an error status. A request may be
+// written just before the first one is recorded. The connection may be nil.
+func checkResponse(used *net.Conn, resp *http.Response) error {
+	err := strict.Check(resp)
+	ec := errorConnOf(used)
+	if ec == nil || err == nil && !(ec.noReuse && resp.StatusCode >= http.StatusBadRequest) {
+		return err
 	}
-	ec, ok := nc.(*errorConn)
-	if !ok || resp.StatusCode < http.StatusBadRequest || !ec.errorRead.Swap(true) {
+	if ec.errorRead.Swap(true) && err == nil {
+		return errSecondError
+	}
+	return err
+}
+
+// errorConnOf returns the connection, also below TLS, or nil if it is none of New.
+func errorConnOf(used *net.Conn) *errorConn {
+	if used == nil {
 		return nil
 	}
-	return errSecondError
+	nc := *used
+	if tc, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = tc.NetConn()
+	}
+	ec, _ := nc.(*errorConn)
+	return ec
 }
