app/follow: event 5121 has the lifetime and the number of the report

Whether a row that makes an upstream ready again is a later report, an earlier one that the store performed late, or that of another lifetime could not be told from the log: 5121 showed the version of the store only.

--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -369,7 +369,8 @@
 	}
 	if !exists || old.Upstream != en.Upstream || old.expired || old.unusable {
 		us.meter.Log(evUpstream, slog.String("upstream", string(id)), slog.Uint64("version", en.position.Version),
-			slog.String("service", string(en.Service)), slog.String("address", en.Address), slog.Bool("leaving", en.Leaving))
+			slog.String("service", string(en.Service)), slog.String("address", en.Address), slog.Bool("leaving", en.Leaving),
+			slog.Int64("startedMs", en.StartedMs), slog.Int64("sequence", en.Sequence))
 	}
 }
 
