app/follow: an earlier report of an upstream is ignored when the store writes it late

Callers saw requests that may run only once go to an upstream that had reported that it leaves; what it ran then was lost with its exit.

Cause: rows of an upstream were ordered by the store's version, the order in which the store performs writes. A check-in that got no answer and was performed seconds later took the place of the later ones.

Change: a row counts only if its report is not earlier than the known one, by the lifetime and the number that the upstream gives. This holds after the removal of the entry and after an entry that cannot be decoded as well, and for reports of an earlier lifetime under the same id. Those are taken again if written 10 s after the last report of the known lifetime, because a clock that was set back must not keep an upstream out of use. It works because the upstream numbers its reports itself, so that no delay of the store changes their order. Rows of a copy that the store has returned from are treated as before.

--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	evCold      = meter.Event{Number: 5126, Level: slog.LevelInfo, Text: "upstream is cold, it gets few requests"}
 	evWarm      = meter.Event{Number: 5127, Level: slog.LevelInfo, Text: "upstream is warm"}
 	evOddEntry  = meter.Event{Number: 5128, Level: slog.LevelWarn, Text: "a figure of an upstream entry cannot be used and is ignored"}
+	evLate      = meter.Event{Number: 5129, Level: slog.LevelInfo, Text: "the store wrote an earlier report of an upstream late, it is ignored"}
 	evBadEntry  = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
 )
 
@@ -37,6 +39,9 @@
 	// removedRetention is how long a removed upstream is remembered. The store returns
 	// from copies that are some seconds old.
 	removedRetention = 10 * time.Minute
+	// lateWriteTime is the time after which the store performs no write any more that it
+	// has not answered, with a margin. It takes up to 6 s.
+	lateWriteTime = 10 * time.Second
 )
 
 // DecodeUpstream decodes the row of an upstream.
@@ -44,6 +49,10 @@
 
 // Upstreams holds the upstreams known from a feed. It is a Sink.
 //
+// The store may perform a write seconds after the later ones of the same upstream. The
+// reports of an upstream are therefore ordered by its lifetime and their number, not by
+// the store's version.
+//
 // When the store returns from an older copy, the rows of the copy are taken as its
 // state, except that an upstream that has left since stays so until it reports itself
 // again.
@@ -56,6 +65,8 @@
 	entries map[ident.Upstream]entry
 	// removed holds the last entries of the upstreams that were removed lately.
 	removed map[ident.Upstream]removal
+	// late holds the positions of the rows that were written late and are ignored.
+	late map[ident.Upstream]epoch.Position
 	// eraStart is the position of the first read in the store's era. Rows up to it may
 	// be those of the copy that the store returned from.
 	eraStart epoch.Position
@@ -97,6 +108,9 @@
 	// coldUntil is when the upstream stops being cold by its entry, or by the time of its
 	// service if its lifetime began while this router was running.
 	coldUntil time.Time
+	// lateUntil is when a report of an earlier lifetime is no longer taken for a late write.
+	// The clock of the upstream may have been set back before its lifetime began.
+	lateUntil time.Time
 }
 
 // WithColdUntil returns a copy that is cold until a time.
@@ -155,6 +169,7 @@
 	us := &Upstreams{
 		cell: snap.NewCell(place.EndpointMap{}), decode: decode, meter: me,
 		entries: map[ident.Upstream]entry{}, removed: map[ident.Upstream]removal{},
+		late:   map[ident.Upstream]epoch.Position{},
 		cooled: map[ident.Upstream]time.Time{}, cold: map[ident.Upstream]bool{},
 	}
 	for _, opt := range opts {
@@ -236,6 +251,7 @@
 			us.removed[id] = rm.WithoutCopied()
 		}
 	}
+	maps.DeleteFunc(us.late, func(id ident.Upstream, _ epoch.Position) bool { return !present[id] })
 	us.publish(now)
 }
 
@@ -303,9 +319,13 @@
 		return
 	}
 	if ro.Deleted {
+		delete(us.late, id)
 		us.remove(id, now)
 		return
 	}
+	if po, ok := us.late[id]; ok && po == ro.Position {
+		return
+	}
 	next, err := us.decode(ro)
 	if err != nil {
 		us.entries[id] = old.WithUnusable(ro.Position)
@@ -314,7 +334,18 @@
 		}
 		return
 	}
-	switch rm, wasRemoved := us.removed[id]; {
+	rm, wasRemoved := us.removed[id]
+	known := old
+	if known.ID == "" {
+		known = rm.entry
+	}
+	switch {
+	case us.isLate(ro, next, known, now):
+		us.late[id] = ro.Position
+		us.meter.Log(evLate, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
+			slog.Int64("startedMs", next.StartedMs), slog.Int64("sequence", next.Sequence), slog.Bool("leaving", next.Leaving),
+			slog.Uint64("knownVersion", known.position.Version), slog.Int64("knownStartedMs", known.StartedMs), slog.Int64("knownSequence", known.Sequence))
+		return
 	case exists && us.outdated(ro, next, old) && next.StartedMs < old.StartedMs:
 		us.remove(id, now)
 		return
@@ -326,12 +357,12 @@
 		}
 		return
 	}
-	known := old
-	if !exists {
-		known = us.removed[id].entry
-	}
 	delete(us.removed, id)
-	en := entry{Entry: next, position: ro.Position}
+	delete(us.late, id)
+	en := entry{Entry: next, position: ro.Position, lateUntil: known.lateUntil}
+	if en.position != known.position {
+		en.lateUntil = now.Add(lateWriteTime)
+	}
 	if first {
 		known = en
 	}
@@ -393,10 +424,29 @@
 	us.cell.Store(us.endpoints())
 }
 
+// isLate reports whether the row is an earlier report than the known one, which the store
+// has written later. A report without a lifetime cannot be ordered and is never late.
+func (us *Upstreams) isLate(ro feed.Row, next place.Entry, known entry, now time.Time) bool {
+	switch {
+	case next.StartedMs == 0 || known.StartedMs == 0 || us.mayBeCopied(ro, known):
+		return false
+	case next.StartedMs < known.StartedMs:
+		return now.Before(known.lateUntil)
+	default:
+		return next.Compare(known.Entry) < 0
+	}
+}
+
 // outdated reports whether the row may be that of a copy that does not contain what the
 // upstream has reported since.
 func (us *Upstreams) outdated(ro feed.Row, next place.Entry, known entry) bool {
-	return known.position.Era < ro.Position.Era && !ro.Position.After(us.eraStart) && next.Compare(known.Entry) <= 0
+	return us.mayBeCopied(ro, known) && next.Compare(known.Entry) <= 0
+}
+
+// mayBeCopied reports whether the row may be that of a copy from which the store has
+// returned since the known entry was written.
+func (us *Upstreams) mayBeCopied(ro feed.Row, known entry) bool {
+	return known.position.Era < ro.Position.Era && !ro.Position.After(us.eraStart)
 }
 
 // remove removes an entry, or marks it as expired during the grace period.
