--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -95,75 +95,6 @@
 	}
 }
 
-// entry is an upstream with the position of its row. An expired entry was removed
-// from the store during an outage and stays in use for a grace period. The row of an
-// unusable entry cannot be decoded, and its upstream is not used.
-type entry struct {
-	place.Entry
-	position epoch.Position
-	expired  bool
-	unusable bool
-	// announced says that the upstream has announced in a response that it leaves.
-	announced bool
-	// coldUntil is when the upstream stops being cold by its entry, or by the time of its
-	// service if its lifetime began while this router was running.
-	coldUntil time.Time
-	// lateUntil is when a report of an earlier lifetime is no longer taken for a late write.
-	// The clock of the upstream may have been set back before its lifetime began.
-	lateUntil time.Time
-}
-
-// WithColdUntil returns a copy that is cold until a time.
-func (en entry) WithColdUntil(until time.Time) entry {
-	en.coldUntil = until
-	return en
-}
-
-// WithAnnounced returns a copy that is leaving because the upstream has announced it.
-func (en entry) WithAnnounced() entry {
-	en.Upstream = en.WithLeaving(true)
-	en.announced = true
-	return en
-}
-
-// WithExpired returns a copy that is expired.
-func (en entry) WithExpired() entry {
-	en.expired = true
-	return en
-}
-
-// WithUnusable returns a copy with the position of a row that cannot be decoded. It
-// keeps what the upstream reported before.
-func (en entry) WithUnusable(po epoch.Position) entry {
-	en.position, en.unusable, en.expired = po, true, false
-	return en
-}
-
-// removal is an entry that was removed at a time.
-type removal struct {
-	entry
-	at time.Time
-	// copied is the entry in a copy from which the store has returned at the time
-	// copiedAt, or nil. It is that of an upstream that goes on, unless it expires.
-	copied   *entry
-	copiedAt time.Time
-}
-
-// WithCopied returns a copy with the entry of an older copy of the store.
-func (rm removal) WithCopied(en entry, now time.Time) removal {
-	if rm.copied == nil {
-		rm.copiedAt = now
-	}
-	rm.copied = &en
-	return rm
-}
-
-// WithoutCopied returns a copy whose entry the store does not contain.
-func (rm removal) WithoutCopied() removal {
-	rm.copied = nil
-	return rm
-}
-
 // NewUpstreams returns Upstreams without entries.
 func NewUpstreams(decode DecodeUpstream, me meter.Meter, opts ...UpstreamsOption) *Upstreams {
 	us := &Upstreams{
@@ -323,7 +254,7 @@
 		us.remove(id, now)
 		return
 	}
-	if po, ok := us.late[id]; ok && po == ro.Position {
+	if late, ok := us.late[id]; ok && late == ro.Position {
 		return
 	}
 	next, err := us.decode(ro)
@@ -341,10 +272,7 @@
 	}
 	switch {
 	case us.isLate(ro, next, known, now):
-		us.late[id] = ro.Position
-		us.meter.Log(evLate, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
-			slog.Int64("startedMs", next.StartedMs), slog.Int64("sequence", next.Sequence), slog.Bool("leaving", next.Leaving),
-			slog.Uint64("knownVersion", known.position.Version), slog.Int64("knownStartedMs", known.StartedMs), slog.Int64("knownSequence", known.Sequence))
+		us.ignoreLate(ro, next, known)
 		return
 	case exists && us.outdated(ro, next, old) && next.StartedMs < old.StartedMs:
 		us.remove(id, now)
@@ -437,6 +365,14 @@
 	}
 }
 
+// ignoreLate records that the row is late, so that it stays ignored when it is read again.
+func (us *Upstreams) ignoreLate(ro feed.Row, next place.Entry, known entry) {
+	us.late[ident.Upstream(ro.Key)] = ro.Position
+	us.meter.Log(evLate, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
+		slog.Int64("startedMs", next.StartedMs), slog.Int64("sequence", next.Sequence), slog.Bool("leaving", next.Leaving),
+		slog.Uint64("knownVersion", known.position.Version), slog.Int64("knownStartedMs", known.StartedMs), slog.Int64("knownSequence", known.Sequence))
+}
+
 // outdated reports whether the row may be that of a copy that does not contain what the
 // upstream has reported since.
 func (us *Upstreams) outdated(ro feed.Row, next place.Entry, known entry) bool {
