app/follow: random orders of late reports

TestLateReportsAtRandom lets an upstream report, leave, crash and start again under its id for 300 s while the store performs one write in four 1 to 6 s late, with 60 seeds.

--- /dev/null
+++ b/internal/app/follow/late_random_test.go
@@ -0,0 +1,161 @@
+package follow_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/core/epoch"
+	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
+)
+
+const (
+	stepsPerSecond = 10
+	// checkInSteps is the time between two reports. A row is removed when it was not
+	// written for three times as long.
+	checkInSteps = 12
+	rereadSteps  = 5 * stepsPerSecond
+)
+
+// report is what an upstream reports about itself.
+type report struct {
+	startedMs, sequence int64
+	leaving             bool
+}
+
+// String returns the report as decodeStates decodes it.
+func (re report) String() string {
+	return fmt.Sprint(re.startedMs, " ", re.sequence, map[bool]string{false: " ready", true: " leaving"}[re.leaving])
+}
+
+// lateStore is a store with the row of one upstream. It performs one write in four 1 to
+// 6 s late.
+type lateStore struct {
+	random    *rand.Rand
+	version   uint64
+	row       *report
+	writtenAt int
+	waiting   []lateWrite
+}
+
+// lateWrite is a write that the store performs at a step.
+type lateWrite struct {
+	report
+	at int
+}
+
+func (ls *lateStore) write(re report, step int) {
+	delay := 0
+	if ls.random.IntN(4) == 0 {
+		delay = stepsPerSecond + ls.random.IntN(5*stepsPerSecond)
+	}
+	ls.waiting = append(ls.waiting, lateWrite{re, step + delay})
+}
+
+func (ls *lateStore) set(row *report) {
+	ls.version++
+	ls.row = row
+}
+
+// run performs the writes that are due, and removes a row that is no longer written.
+func (ls *lateStore) run(step int) {
+	ls.waiting = slices.DeleteFunc(ls.waiting, func(lw lateWrite) bool {
+		if lw.at <= step {
+			ls.set(&lw.report)
+			ls.writtenAt = step
+		}
+		return lw.at <= step
+	})
+	if ls.row != nil && step-ls.writtenAt > 3*checkInSteps {
+		ls.set(nil)
+	}
+}
+
+// lateUpstream is an upstream that leaves, crashes, and starts again under its id. Its
+// last report is kept when it has ended.
+type lateUpstream struct {
+	report
+	running bool
+	nextAt  int
+	endsAt  int
+}
+
+// run lets the upstream act at a step.
+func (lu *lateUpstream) run(ls *lateStore, step int) {
+	switch random := ls.random; {
+	case !lu.running:
+		if random.IntN(4*stepsPerSecond) == 0 {
+			*lu = lateUpstream{report: report{startedMs: int64(step) + 1}, running: true, nextAt: step}
+		}
+	case lu.leaving && step >= lu.endsAt:
+		lu.running = false
+		if random.IntN(2) == 0 {
+			ls.set(nil)
+		}
+	case !lu.leaving && random.IntN(12*stepsPerSecond) == 0:
+		lu.leaving, lu.nextAt, lu.endsAt = true, step, step+random.IntN(8*stepsPerSecond)
+	case random.IntN(60*stepsPerSecond) == 0:
+		lu.running = false
+	}
+	if lu.running && step >= lu.nextAt {
+		lu.sequence++
+		lu.nextAt = step + checkInSteps
+		ls.write(lu.report, step)
+	}
+}
+
+// TestLateReportsAtRandom guards against an upstream that is used as ready or in an
+// earlier lifetime after a report was read by which it leaves or has started again, and
+// against one whose last report is ignored, while the store performs writes late.
+func TestLateReportsAtRandom(t *testing.T) {
+	for seed := range uint64(60) {
+		ls := &lateStore{random: rand.New(rand.NewPCG(seed, 0))}
+		us, up := follow.NewUpstreams(decodeStates, meter.Nop{}), lateUpstream{}
+		start, left, lifetime, read := time.Now(), map[int64]bool{}, int64(0), uint64(0)
+		us.Replace(feed.Batch{Position: epoch.At(1, 0)}, start)
+		for step := range 300 * stepsPerSecond {
+			now := start.Add(time.Duration(step) * time.Second / stepsPerSecond)
+			up.run(ls, step)
+			ls.run(step)
+			whole := step%rereadSteps == 0
+			if whole || ls.version > read && ls.random.IntN(4) > 0 {
+				read = ls.version
+				var text string
+				if ls.row != nil {
+					text = ls.row.String()
+					left[ls.row.startedMs] = left[ls.row.startedMs] || ls.row.leaving
+					lifetime = max(lifetime, ls.row.startedMs)
+				}
+				ba := reports(1, ls.version, text)
+				switch {
+				case !whole:
+					us.ApplyChanges(ba, now)
+				case ls.row == nil:
+					us.Replace(feed.Batch{Position: ba.Position}, now)
+				default:
+					us.Replace(ba, now)
+				}
+			}
+			us.RemoveExpired(now)
+			var got []report
+			for _, ep := range us.Load().Upstreams() {
+				got = append(got, report{startedMs: ep.StartedMs, leaving: ep.Leaving})
+				if ep.StartedMs < lifetime || left[ep.StartedMs] && !ep.Leaving {
+					t.Fatalf("seed %d step %d: lifetime %d is used, leaving %v; lifetime %d has reported", seed, step, ep.StartedMs, ep.Leaving, lifetime)
+				}
+			}
+			if ls.row == nil || read != ls.version || *ls.row != up.report {
+				continue
+			}
+			if diff := cmp.Diff([]report{{startedMs: up.startedMs, leaving: up.leaving}}, got, cmp.AllowUnexported(report{})); diff != "" {
+				t.Fatalf("seed %d step %d: last report is not in force (-want +got):\n%s", seed, step, diff)
+			}
+		}
+	}
+}
