--- a/internal/app/follow/entry.go
+++ b/internal/app/follow/entry.go
@@ -20,8 +20,8 @@
 	// coldUntil is when the upstream stops being cold by its entry, or by the time of its
 	// service if its lifetime began while this router was running.
 	coldUntil time.Time
-	// lateUntil is when a report of an earlier lifetime is no longer taken for a late write.
-	// The clock of the upstream may have been set back before its lifetime began.
+	// lateUntil is until when a report of an earlier lifetime is taken for a late write.
+	// Afterwards it is that of a new lifetime, before which the clock was set back.
 	lateUntil time.Time
 }
 
--- a/internal/app/follow/late_random_test.go
+++ b/internal/app/follow/late_random_test.go
@@ -23,15 +23,15 @@
 	rereadSteps  = 5 * stepsPerSecond
 )
 
-// report is what an upstream reports about itself.
-type report struct {
+// upstreamReport is what an upstream reports about itself.
+type upstreamReport struct {
 	startedMs, sequence int64
 	leaving             bool
 }
 
 // String returns the report as decodeStates decodes it.
-func (re report) String() string {
-	return fmt.Sprint(re.startedMs, " ", re.sequence, map[bool]string{false: " ready", true: " leaving"}[re.leaving])
+func (ur upstreamReport) String() string {
+	return fmt.Sprint(ur.startedMs, " ", ur.sequence, map[bool]string{false: " ready", true: " leaving"}[ur.leaving])
 }
 
 // lateStore is a store with the row of one upstream. It performs one write in four 1 to
@@ -39,26 +39,26 @@
 type lateStore struct {
 	random    *rand.Rand
 	version   uint64
-	row       *report
+	row       *upstreamReport
 	writtenAt int
 	waiting   []lateWrite
 }
 
 // lateWrite is a write that the store performs at a step.
 type lateWrite struct {
-	report
+	upstreamReport
 	at int
 }
 
-func (ls *lateStore) write(re report, step int) {
+func (ls *lateStore) write(ur upstreamReport, step int) {
 	delay := 0
 	if ls.random.IntN(4) == 0 {
 		delay = stepsPerSecond + ls.random.IntN(5*stepsPerSecond)
 	}
-	ls.waiting = append(ls.waiting, lateWrite{re, step + delay})
+	ls.waiting = append(ls.waiting, lateWrite{ur, step + delay})
 }
 
-func (ls *lateStore) set(row *report) {
+func (ls *lateStore) set(row *upstreamReport) {
 	ls.version++
 	ls.row = row
 }
@@ -67,7 +67,7 @@
 func (ls *lateStore) run(step int) {
 	ls.waiting = slices.DeleteFunc(ls.waiting, func(lw lateWrite) bool {
 		if lw.at <= step {
-			ls.set(&lw.report)
+			ls.set(&lw.upstreamReport)
 			ls.writtenAt = step
 		}
 		return lw.at <= step
@@ -80,7 +80,7 @@
 // lateUpstream is an upstream that leaves, crashes, and starts again under its id. Its
 // last report is kept when it has ended.
 type lateUpstream struct {
-	report
+	upstreamReport
 	running bool
 	nextAt  int
 	endsAt  int
@@ -91,7 +91,7 @@
 	switch random := ls.random; {
 	case !lu.running:
 		if random.IntN(4*stepsPerSecond) == 0 {
-			*lu = lateUpstream{report: report{startedMs: int64(step) + 1}, running: true, nextAt: step}
+			*lu = lateUpstream{upstreamReport: upstreamReport{startedMs: int64(step) + 1}, running: true, nextAt: step}
 		}
 	case lu.leaving && step >= lu.endsAt:
 		lu.running = false
@@ -106,7 +106,7 @@
 	if lu.running && step >= lu.nextAt {
 		lu.sequence++
 		lu.nextAt = step + checkInSteps
-		ls.write(lu.report, step)
+		ls.write(lu.upstreamReport, step)
 	}
 }
 
@@ -143,17 +143,17 @@
 				}
 			}
 			us.RemoveExpired(now)
-			var got []report
+			var got []upstreamReport
 			for _, ep := range us.Load().Upstreams() {
-				got = append(got, report{startedMs: ep.StartedMs, leaving: ep.Leaving})
+				got = append(got, upstreamReport{startedMs: ep.StartedMs, leaving: ep.Leaving})
 				if ep.StartedMs < lifetime || left[ep.StartedMs] && !ep.Leaving {
 					t.Fatalf("seed %d step %d: lifetime %d is used, leaving %v; lifetime %d has reported", seed, step, ep.StartedMs, ep.Leaving, lifetime)
 				}
 			}
-			if ls.row == nil || read != ls.version || *ls.row != up.report {
+			if ls.row == nil || read != ls.version || *ls.row != up.upstreamReport {
 				continue
 			}
-			if diff := cmp.Diff([]report{{startedMs: up.startedMs, leaving: up.leaving}}, got, cmp.AllowUnexported(report{})); diff != "" {
+			if diff := cmp.Diff([]upstreamReport{{startedMs: up.startedMs, leaving: up.leaving}}, got, cmp.AllowUnexported(upstreamReport{})); diff != "" {
 				t.Fatalf("seed %d step %d: last report is not in force (-want +got):\n%s", seed, step, diff)
 			}
 		}
--- a/internal/app/follow/late_test.go
+++ b/internal/app/follow/late_test.go
@@ -30,7 +30,7 @@
 // has reported again.
 func TestLateReport(t *testing.T) {
 	type step struct {
-		at     time.Duration
+		second int
 		report string
 	}
 	for _, tc := range []struct {
@@ -67,7 +67,7 @@
 				start := time.Now()
 				us.Replace(feed.Batch{Position: epoch.At(1, 1)}, start)
 				for ix, st := range tc.steps {
-					now := start.Add(st.at * time.Second)
+					now := start.Add(time.Duration(st.second) * time.Second)
 					ba := reports(1, uint64(ix)+2, st.report)
 					if reread {
 						if st.report == "" {
