app/follow: a first report after the removal of an upstream waits for the next one

Callers saw requests go to an upstream whose entry had been removed because it left: its last check-in had not been seen and was written after the removal.

Cause: a report with a higher number than the known ones was taken for news after the removal. The number does not tell whether it was made before it.

Change: such a report is used once another one follows, or once it has stood for 5 s without expiring (5130), as rows of an older copy of the store were before. It works because an upstream that goes on reports every 1.2 s, and one that is gone does not; the store removes the row of that one. Entries that expired in an outage are used at once, as before. The cost is one interval for an upstream that was cut from the store outside an outage.

--- a/internal/app/follow/entry.go
+++ b/internal/app/follow/entry.go
@@ -55,23 +55,36 @@
 type removal struct {
 	entry
 	at time.Time
-	// copied is the entry in a copy from which the store has returned at the time
-	// copiedAt, or nil. It is that of an upstream that goes on, unless it expires.
-	copied   *entry
-	copiedAt time.Time
+	// unconfirmed is the entry of a row that the upstream may have written before its
+	// removal, or nil, and unconfirmedAt when the first such row was read. It is that of an
+	// upstream that goes on if it is written again or does not expire.
+	unconfirmed   *entry
+	unconfirmedAt time.Time
 }
 
-// WithCopied returns a copy with the entry of an older copy of the store.
-func (rm removal) WithCopied(en entry, now time.Time) removal {
-	if rm.copied == nil {
-		rm.copiedAt = now
+// WithUnconfirmed returns a copy with the entry of a row that may be older than the
+// removal.
+func (rm removal) WithUnconfirmed(en entry, now time.Time) removal {
+	if rm.unconfirmed == nil {
+		rm.unconfirmedAt = now
 	}
-	rm.copied = &en
+	rm.unconfirmed = &en
 	return rm
 }
 
-// WithoutCopied returns a copy whose entry the store does not contain.
-func (rm removal) WithoutCopied() removal {
-	rm.copied = nil
+// WithoutUnconfirmed returns a copy whose upstream has no row in the store.
+func (rm removal) WithoutUnconfirmed() removal {
+	rm.unconfirmed = nil
 	return rm
 }
+
+// mayPrecede reports whether a report of the removed lifetime may have been made before
+// the removal and written late: it is later than the known ones, and no other one has
+// followed. Entries that expired in an outage are written again when it has ended, and an
+// upstream that is leaving gets no requests anyway.
+func (rm removal) mayPrecede(next entry) bool {
+	if rm.expired || next.Leaving || next.StartedMs == 0 || next.StartedMs != rm.StartedMs {
+		return false
+	}
+	return next.Compare(rm.Entry) > 0 && (rm.unconfirmed == nil || next.Compare(rm.unconfirmed.Entry) <= 0)
+}
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -15,15 +15,16 @@
 )
 
 var (
-	evUpstream  = meter.Event{Number: 5121, Level: slog.LevelInfo, Text: "upstream entry in force"}
-	evRemoved   = meter.Event{Number: 5122, Level: slog.LevelInfo, Text: "upstream entry removed"}
-	evExpired   = meter.Event{Number: 5123, Level: slog.LevelWarn, Text: "upstream entry expired during an outage, the upstream stays in use for a grace period"}
-	evAnnounced = meter.Event{Number: 5125, Level: slog.LevelInfo, Text: "upstream announced in a response that it leaves"}
-	evCold      = meter.Event{Number: 5126, Level: slog.LevelInfo, Text: "upstream is cold, it gets few requests"}
-	evWarm      = meter.Event{Number: 5127, Level: slog.LevelInfo, Text: "upstream is warm"}
-	evOddEntry  = meter.Event{Number: 5128, Level: slog.LevelWarn, Text: "a figure of an upstream entry cannot be used and is ignored"}
-	evLate      = meter.Event{Number: 5129, Level: slog.LevelInfo, Text: "the store wrote an earlier report of an upstream late, it is ignored"}
-	evBadEntry  = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
+	evUpstream    = meter.Event{Number: 5121, Level: slog.LevelInfo, Text: "upstream entry in force"}
+	evRemoved     = meter.Event{Number: 5122, Level: slog.LevelInfo, Text: "upstream entry removed"}
+	evExpired     = meter.Event{Number: 5123, Level: slog.LevelWarn, Text: "upstream entry expired during an outage, the upstream stays in use for a grace period"}
+	evAnnounced   = meter.Event{Number: 5125, Level: slog.LevelInfo, Text: "upstream announced in a response that it leaves"}
+	evCold        = meter.Event{Number: 5126, Level: slog.LevelInfo, Text: "upstream is cold, it gets few requests"}
+	evWarm        = meter.Event{Number: 5127, Level: slog.LevelInfo, Text: "upstream is warm"}
+	evOddEntry    = meter.Event{Number: 5128, Level: slog.LevelWarn, Text: "a figure of an upstream entry cannot be used and is ignored"}
+	evLate        = meter.Event{Number: 5129, Level: slog.LevelInfo, Text: "the store wrote an earlier report of an upstream late, it is ignored"}
+	evUnconfirmed = meter.Event{Number: 5130, Level: slog.LevelInfo, Text: "removed upstream reported again, it is used after its next report"}
+	evBadEntry    = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
 )
 
 const (
@@ -179,7 +180,7 @@
 	}
 	for id, rm := range us.removed {
 		if !present[id] {
-			us.removed[id] = rm.WithoutCopied()
+			us.removed[id] = rm.WithoutUnconfirmed()
 		}
 	}
 	maps.DeleteFunc(us.late, func(id ident.Upstream, _ epoch.Position) bool { return !present[id] })
@@ -222,9 +223,9 @@
 	changed := false
 	for id, rm := range us.removed {
 		switch {
-		case rm.copied != nil && now.Sub(rm.copiedAt) >= expiryTime:
+		case rm.unconfirmed != nil && now.Sub(rm.unconfirmedAt) >= expiryTime:
 			delete(us.removed, id)
-			us.put(id, *rm.copied)
+			us.put(id, *rm.unconfirmed)
 			changed = true
 		case now.Sub(rm.at) >= removedRetention:
 			delete(us.removed, id)
@@ -270,23 +271,33 @@
 	if known.ID == "" {
 		known = rm.entry
 	}
-	switch {
-	case us.isLate(ro, next, known, now):
+	if us.isLate(ro, next, known, now) {
 		us.ignoreLate(ro, next, known)
 		return
+	}
+	delete(us.late, id)
+	en := us.newEntry(ro, next, known, now, first)
+	switch {
 	case exists && us.outdated(ro, next, old) && next.StartedMs < old.StartedMs:
 		us.remove(id, now)
-		return
 	case exists && us.outdated(ro, next, old) && old.Leaving:
-		return
 	case wasRemoved && us.outdated(ro, next, rm.entry):
 		if !rm.Leaving {
-			us.removed[id] = rm.WithCopied(us.withCold(entry{Entry: next, position: ro.Position}, rm.entry, now), now)
+			us.removed[id] = rm.WithUnconfirmed(en, now)
 		}
-		return
+	case wasRemoved && rm.mayPrecede(en):
+		us.removed[id] = rm.WithUnconfirmed(en, now)
+		us.meter.Log(evUnconfirmed, slog.String("upstream", ro.Key), slog.Uint64("version", ro.Position.Version),
+			slog.Int64("startedMs", next.StartedMs), slog.Int64("sequence", next.Sequence), slog.Int64("knownSequence", rm.Sequence))
+	default:
+		delete(us.removed, id)
+		us.put(id, en)
 	}
-	delete(us.removed, id)
-	delete(us.late, id)
+}
+
+// newEntry returns the entry of a row. known is what was known of the upstream before, and
+// first says that nothing was read before.
+func (us *Upstreams) newEntry(ro feed.Row, next place.Entry, known entry, now time.Time, first bool) entry {
 	en := entry{Entry: next, position: ro.Position, lateUntil: known.lateUntil}
 	if en.position != known.position {
 		en.lateUntil = now.Add(lateWriteTime)
@@ -298,7 +309,7 @@
 	if known.announced && next.StartedMs <= known.StartedMs {
 		en = en.WithAnnounced()
 	}
-	us.put(id, en)
+	return en
 }
 
 // withCold returns the entry with the end of its cold time: as it reports, or else that
@@ -341,7 +352,7 @@
 	defer us.mu.Unlock()
 	if rm, ok := us.removed[up.ID]; ok && up.StartedMs >= rm.StartedMs {
 		rm.entry = rm.WithAnnounced()
-		us.removed[up.ID] = rm.WithoutCopied()
+		us.removed[up.ID] = rm.WithoutUnconfirmed()
 	}
 	en, ok := us.entries[up.ID]
 	if !ok || en.announced || up.StartedMs < en.StartedMs {
@@ -388,7 +399,7 @@
 // remove removes an entry, or marks it as expired during the grace period.
 func (us *Upstreams) remove(id ident.Upstream, now time.Time) {
 	if rm, ok := us.removed[id]; ok {
-		us.removed[id] = rm.WithoutCopied()
+		us.removed[id] = rm.WithoutUnconfirmed()
 	}
 	en, ok := us.entries[id]
 	if !ok {
