--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -18,13 +18,13 @@
 	evUpstream    = meter.Event{Number: 5121, Level: slog.LevelInfo, Text: "upstream entry in force"}
 	evRemoved     = meter.Event{Number: 5122, Level: slog.LevelInfo, Text: "upstream entry removed"}
 	evExpired     = meter.Event{Number: 5123, Level: slog.LevelWarn, Text: "upstream entry expired during an outage, the upstream stays in use for a grace period"}
+	evBadEntry    = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
 	evAnnounced   = meter.Event{Number: 5125, Level: slog.LevelInfo, Text: "upstream announced in a response that it leaves"}
 	evCold        = meter.Event{Number: 5126, Level: slog.LevelInfo, Text: "upstream is cold, it gets few requests"}
 	evWarm        = meter.Event{Number: 5127, Level: slog.LevelInfo, Text: "upstream is warm"}
 	evOddEntry    = meter.Event{Number: 5128, Level: slog.LevelWarn, Text: "a figure of an upstream entry cannot be used and is ignored"}
 	evLate        = meter.Event{Number: 5129, Level: slog.LevelInfo, Text: "the store wrote an earlier report of an upstream late, it is ignored"}
 	evUnconfirmed = meter.Event{Number: 5130, Level: slog.LevelInfo, Text: "removed upstream reported again, it is used after its next report"}
-	evBadEntry    = meter.Event{Number: 5124, Level: slog.LevelWarn, Text: "upstream entry cannot be used"}
 )
 
 const (
@@ -40,8 +40,8 @@
 	// removedRetention is how long a removed upstream is remembered. The store returns
 	// from copies that are some seconds old.
 	removedRetention = 10 * time.Minute
-	// lateWriteTime is the time after which the store performs no write any more that it
-	// has not answered, with a margin. It takes up to 6 s.
+	// lateWriteTime is how long the store may take to perform a write that it has not
+	// answered, which is 6 s at most, with a margin.
 	lateWriteTime = 10 * time.Second
 )
 
@@ -52,7 +52,8 @@
 //
 // The store may perform a write seconds after the later ones of the same upstream. The
 // reports of an upstream are therefore ordered by its lifetime and their number, not by
-// the store's version.
+// the store's version. One that follows a removal may have been made before it, and the
+// upstream is used once another report has followed.
 //
 // When the store returns from an older copy, the rows of the copy are taken as its
 // state, except that an upstream that has left since stays so until it reports itself
@@ -268,6 +269,7 @@
 	}
 	rm, wasRemoved := us.removed[id]
 	known := old
+	// An entry that was unusable from the start holds no report.
 	if known.ID == "" {
 		known = rm.entry
 	}
