app/follow: the tests of late reports share how a row is delivered

Found in a read-through: two tests passed rows on as a change or as a whole read in the same way, a decoder repeated the one beside it, and the comment of RemoveExpired named only one of the two kinds of unconfirmed entries. The assertions are the same, and the code differs in that comment only.

--- a/internal/app/follow/late_random_test.go
+++ b/internal/app/follow/late_random_test.go
@@ -149,15 +149,7 @@
 					}
 					newest, removed = *ls.row, false
 				}
-				ba := reports(1, ls.version, text)
-				switch {
-				case !whole:
-					us.ApplyChanges(ba, now)
-				case ls.row == nil:
-					us.Replace(feed.Batch{Position: ba.Position}, now)
-				default:
-					us.Replace(ba, now)
-				}
+				deliver(us, ls.version, text, whole, now)
 			}
 			us.RemoveExpired(now)
 			var got []upstreamReport
--- a/internal/app/follow/late_test.go
+++ b/internal/app/follow/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +10,6 @@
 
 	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/core/epoch"
-	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 	"github.com/balsamwood/balsamwood/internal/port/meter"
@@ -20,12 +20,25 @@
 
 // decodeStates decodes "STARTED SEQUENCE STATE". The address contains the lifetime.
 func decodeStates(ro feed.Row) (place.Entry, error) {
-	en, state := place.Entry{Upstream: place.Upstream{ID: ident.Upstream(ro.Key), Service: "s"}}, ""
-	_, err := fmt.Sscan(string(ro.Value), &en.StartedMs, &en.Sequence, &state)
-	en.Address, en.Leaving = fmt.Sprint(en.StartedMs), state == "leaving"
+	en, err := decodeReport(ro)
+	en.Address, en.Leaving = fmt.Sprint(en.StartedMs), strings.HasSuffix(string(ro.Value), " leaving")
 	return en, err
 }
 
+// deliver passes on the row of a version with the report, or its deletion, as a change or
+// as the whole table.
+func deliver(us *follow.Upstreams, version uint64, report string, whole bool, now time.Time) {
+	ba := reports(1, version, report)
+	switch {
+	case !whole:
+		us.ApplyChanges(ba, now)
+	case report == "":
+		us.Replace(feed.Batch{Position: ba.Position}, now)
+	default:
+		us.Replace(ba, now)
+	}
+}
+
 // TestLateReport guards against an upstream that is used again because the store
 // performs one of its earlier writes late, and against one that is not used although it
 // has reported again.
@@ -74,15 +87,7 @@
 				for ix, st := range tc.steps {
 					now := start.Add(time.Duration(st.second) * time.Second)
 					us.RemoveExpired(now)
-					ba := reports(1, uint64(ix)+2, st.report)
-					if reread {
-						if st.report == "" {
-							ba.Rows = nil
-						}
-						us.Replace(ba, now)
-						continue
-					}
-					us.ApplyChanges(ba, now)
+					deliver(us, uint64(ix)+2, st.report, reread, now)
 				}
 				got := ""
 				for _, up := range us.Load().Upstreams() {
--- a/internal/app/follow/upstreams.go
+++ b/internal/app/follow/upstreams.go
@@ -216,8 +216,8 @@
 }
 
 // RemoveExpired removes expired entries that were not written again in the grace
-// period, and forgets upstreams that were removed long ago. Entries of an older copy of
-// the store that have not expired since are used again.
+// period, and forgets upstreams that were removed long ago. Unconfirmed entries of removed
+// upstreams that have not expired since are used again.
 func (us *Upstreams) RemoveExpired(now time.Time) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
