app/follow: failures after the first one and calls to other routers are logged

A router that was behind showed the first failed read of a feed only, and nothing of its calls to other routers. Events 5107 and 5108 have what tells a full link from a store that is down or an omitted change; the metrics gossipCalls and gossipErrors count the calls. No change of behaviour.

--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
+	"github.com/balsamwood/balsamwood/internal/port/meter"
 )
 
+var evPeersSilent = meter.Event{Number: 5108, Level: slog.LevelWarn, Text: "no other router responds while a feed is overdue"}
+
 // FetchConfig requests a configuration newer than the revision after from
 // the router at addr, and reports whether it has one.
 type FetchConfig func(ctx context.Context, addr string, after ident.Revision) (feed.Row, bool, error)
@@ -31,22 +35,25 @@
 // Gossip asks other routers while a feed is overdue: because its calls fail, or because
 // a large row is slow to arrive.
 type Gossip struct {
-	feed  *Loop
-	peers func() []string
+	subject string
+	feed    *Loop
+	peers   func() []string
 	// ask updates this router's state from the router at an address.
-	ask func(ctx context.Context, addr string)
+	ask func(ctx context.Context, addr string) error
+	// logAt is when the next round without a response is logged.
+	logAt time.Time
 }
 
 // NewGossip returns a Gossip that updates the configuration, which lo reads from its
 // feed. peers returns the addresses of other routers, and fetch requests a
 // configuration from one of them.
 func NewGossip(co *Config, lo *Loop, peers func() []string, fetch FetchConfig) *Gossip {
-	return &Gossip{feed: lo, peers: peers, ask: func(ctx context.Context, addr string) {
+	return &Gossip{subject: "configuration", feed: lo, peers: peers, ask: func(ctx context.Context, addr string) error {
 		newer, ok, err := fetch(ctx, addr, co.Load().Revision())
-		// An error is ignored, because the next round asks other routers.
 		if err == nil && ok {
 			co.Offer(newer, addr)
 		}
+		return err
 	}}
 }
 
@@ -54,27 +61,51 @@
 // reads from its feed. It is separate from that of the configuration, which may take
 // long to arrive.
 func NewClosureGossip(cs *Closures, lo *Loop, peers func() []string, fetch FetchClosures) *Gossip {
-	return &Gossip{feed: lo, peers: peers, ask: func(ctx context.Context, addr string) {
+	return &Gossip{subject: "closures", feed: lo, peers: peers, ask: func(ctx context.Context, addr string) error {
 		st, ok, err := fetch(ctx, addr)
-		// An error is ignored, because the next round asks other routers.
 		if err == nil && ok {
 			cs.Offer(st, addr, time.Now())
 		}
+		return err
 	}}
 }
 
 // Run asks other routers while the feed is overdue, until ctx ends.
 func (gs *Gossip) Run(ctx context.Context) {
 	for sleep(ctx, gossipInterval/2+rand.N(gossipInterval)) {
-		if gs.feed.OverdueFor(time.Now()) < gossipDelay {
-			continue
+		if gs.feed.OverdueFor(time.Now()) >= gossipDelay {
+			gs.round(ctx)
+		}
+	}
+}
+
+// round asks gossipFanout routers. A router that does not respond is not asked again:
+// the next round asks others.
+func (gs *Gossip) round(ctx context.Context) {
+	peers := gs.peers()
+	asked, failed := 0, 0
+	var last error
+	for _, ix := range rand.Perm(len(peers)) {
+		if asked == gossipFanout {
+			break
 		}
-		peers := gs.peers()
-		for asked, ix := range rand.Perm(len(peers)) {
-			if asked >= gossipFanout {
-				break
-			}
-			gs.ask(ctx, peers[ix])
+		asked++
+		if err := gs.ask(ctx, peers[ix]); err != nil {
+			failed, last = failed+1, err
 		}
 	}
+	gs.record(asked, failed, last)
+}
+
+// record counts the calls of a round and logs one without a response.
+func (gs *Gossip) record(asked, failed int, last error) {
+	gs.feed.meter.Count("gossipCalls", "subject", gs.subject, int64(asked))
+	gs.feed.meter.Count("gossipErrors", "subject", gs.subject, int64(failed))
+	now := time.Now()
+	if failed == 0 || failed < asked || now.Before(gs.logAt) {
+		return
+	}
+	gs.logAt = now.Add(lossLogInterval)
+	gs.feed.meter.Log(evPeersSilent, slog.String("subject", gs.subject), slog.Int("asked", asked),
+		slog.Duration("overdue", gs.feed.OverdueFor(now)), slog.String("error", last.Error()))
 }
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -23,6 +23,7 @@
 	evHistoryLost   = meter.Event{Number: 5103, Level: slog.LevelInfo, Text: "feed history lost, all rows are read again"}
 	evNewEra        = meter.Event{Number: 5105, Level: slog.LevelWarn, Text: "the store returned from an older copy, its rows are taken as its state"}
 	evSlowRead      = meter.Event{Number: 5104, Level: slog.LevelInfo, Text: "rows of a feed took long to arrive"}
+	evStillLost     = meter.Event{Number: 5107, Level: slog.LevelWarn, Text: "feed is still lost"}
 )
 
 // errEarlierEra means that a response is older than the known era of the store.
@@ -50,6 +51,8 @@
 	rereadBytesPerSecond = 12 << 10
 	// slowTransfer is the transfer time from which a read is logged.
 	slowTransfer = 200 * time.Millisecond
+	// lossLogInterval is the minimum time between two log records about one loss.
+	lossLogInterval = 2 * time.Second
 )
 
 // Sink receives the rows of a feed. Its methods are called by one goroutine.
@@ -93,6 +96,8 @@
 	position epoch.Position
 	rereadAt time.Time
 	failures int
+	// lossLogAt is when the next failure of a lost feed is logged.
+	lossLogAt time.Time
 	// busy means that the last call brought changes, and pause is the minimum time between
 	// the starts of the last call and the next.
 	busy    bool
@@ -245,13 +250,25 @@
 	lo.meter.Count("feedErrors", "feed", lo.name, 1)
 	before := lo.contact.Load()
 	if before.lost() {
+		lo.logLoss(before, err, now)
 		return
 	}
+	lo.lossLogAt = now.Add(lossLogInterval)
 	lo.contact.Store(before.WithLoss(now))
 	lo.sink.Lost(now)
 	lo.meter.Log(evFeedLost, slog.String("feed", lo.name), slog.Uint64("version", lo.position.Version), slog.String("error", err.Error()))
 }
 
+// logLoss logs a further failure of a lost feed, unless one was logged lately.
+func (lo *Loop) logLoss(before contact, err error, now time.Time) {
+	if now.Before(lo.lossLogAt) {
+		return
+	}
+	lo.lossLogAt = now.Add(lossLogInterval)
+	lo.meter.Log(evStillLost, slog.String("feed", lo.name), slog.Uint64("version", lo.position.Version),
+		slog.Duration("lostFor", now.Sub(before.lostAt)), slog.Int("failures", lo.failures), slog.String("error", err.Error()))
+}
+
 // recover records a call that succeeded, before its rows are passed on. It marks a
 // lost feed as available and requests a read of all rows.
 func (lo *Loop) recover(now time.Time) {
