--- a/internal/adapt/peers/document_test.go
+++ b/internal/adapt/peers/document_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,8 +16,10 @@
 
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/peers"
+	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/shed"
 	"github.com/balsamwood/balsamwood/internal/fake/pipes"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
 )
@@ -106,6 +110,42 @@
 	}
 }
 
+// TestConfigOverFullLink guards against a router whose link callers have filled and that
+// cannot ask other routers for the configuration and the closed failure domains: opening
+// a connection and each response wait in the queue of the link.
+func TestConfigOverFullLink(t *testing.T) {
+	const wait = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		row, state := configOf(manyRoutes), follow.ClosureState{Position: epoch.At(1, 3), Closures: []follow.Closure{}}
+		handler := peers.Handler(peers.LocalRouter{
+			CurrentConfig: func() (feed.Row, ident.Revision) { return row, 9 },
+			Closures:      func() (follow.ClosureState, bool) { return state, true },
+		})
+		dial, stop := pipes.Serve(http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
+			time.Sleep(wait)
+			handler.ServeHTTP(wr, re)
+		}), pipes.Link{})
+		defer stop()
+		li := shed.NewLink(10, time.Now())
+		// Two seconds of the link.
+		li.Sent(5<<20, shed.Others, time.Now())
+		slow := func(ctx context.Context, network, addr string) (net.Conn, error) {
+			time.Sleep(wait)
+			return dial(ctx, network, addr)
+		}
+		cl := peers.NewClient(func() []string { return nil }, client.WithDial(slow), client.WithLink(li), client.WithoutKeepAlives())
+		got, ok, err := cl.FetchConfig(t.Context(), "router", 8)
+		if diff := cmp.Diff(row, got); diff != "" || !ok || err != nil {
+			t.Errorf("configuration: newer %v, %v (-want +got):\n%s", ok, err, diff)
+		}
+		li.Sent(5<<20, shed.Others, time.Now())
+		closed, ok, err := cl.FetchClosures(t.Context(), "router")
+		if diff := cmp.Diff(state.Position, closed.Position); diff != "" || !ok || err != nil {
+			t.Errorf("closures: known %v, %v (-want +got):\n%s", ok, err, diff)
+		}
+	})
+}
+
 // TestFetchConfigNotNewer guards against taking the missing body of a response
 // without a document for an error.
 func TestFetchConfigNotNewer(t *testing.T) {
--- a/internal/fake/pipes/pipes.go
+++ b/internal/fake/pipes/pipes.go
@@ -21,11 +21,18 @@
 	return &Listener{conns: make(chan net.Conn), done: make(chan struct{})}
 }
 
-// Dial opens a connection. It waits until the other end is accepted.
-func (li *Listener) Dial(context.Context) (net.Conn, error) {
+// Dial opens a connection. It waits until the other end is accepted, the listener is
+// closed, or ctx ends.
+func (li *Listener) Dial(ctx context.Context) (net.Conn, error) {
 	near, far := net.Pipe()
-	li.conns <- far
-	return near, nil
+	select {
+	case li.conns <- far:
+		return near, nil
+	case <-li.done:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // Accept returns the far end of the next connection.
