adapt/client: a call is not given up as silent while the own link is congested

Callers saw requests handled by a configuration that the operator had replaced 14 s and 24 s before, at one router of 37.

Cause: callers fill the link of a router. Opening a connection and each response then wait in the queue of the link, while the client's timeouts assume that it is empty: 100 ms to open a connection to another router, 500 ms to 1 s for the header of a response of the store, 500 ms between 4 KiB of a body. The router could neither read the configuration nor ask for it, and each read began again from its first byte.

Change: while the link is congested, a deadline of the client is extended, by 1 s at most: each direction of the link may hold half a second. Over a free link nothing changes, and a silent connection is found as soon as before. Closed failure domains are read with the timeouts of the configuration. Other routers are asked at the same time, because one that does not respond now takes longer.

TestGossip counts its calls with an atomic, because they are now made at the same time; what it checks is the same.

--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -43,22 +43,21 @@
 // default is 256, enough for the slots of one engine; the minimum is 1.
 func WithMaxIdleConns(n int) Option { return func(se *settings) { se.maxIdleConns = n } }
 
-// WithDialTimeout sets the timeout for opening a connection. The default is
-// 2 s.
+// WithDialTimeout sets the timeout for opening a connection, which is up to a second
+// longer while the link is congested. The default is 2 s.
 func WithDialTimeout(d time.Duration) Option { return func(se *settings) { se.dialTimeout = d } }
 
 // WithIdleTimeout sets the time after which an idle connection is closed. The
 // default is 60 s.
 func WithIdleTimeout(d time.Duration) Option { return func(se *settings) { se.idleTimeout = d } }
 
-// WithDial sets the function that opens connections; the dial timeout then has no
-// effect. The default is TCP.
+// WithDial sets the function that opens connections. The default is TCP.
 func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
 	return func(se *settings) { se.dial = dial }
 }
 
-// WithLink sets the link on which the bytes of the connections are counted. The default
-// is none.
+// WithLink sets the link on which the bytes of the connections are counted, and whose
+// congestion extends timeouts. The default is none.
 func WithLink(li *shed.Link) Option { return func(se *settings) { se.link = li } }
 
 // WithoutKeepAlives makes every request open its own connection. By default,
@@ -73,24 +72,42 @@
 		opt(&se)
 	}
 	if se.dial == nil {
-		se.dial = (&net.Dialer{Timeout: se.dialTimeout}).DialContext
+		se.dial = (&net.Dialer{}).DialContext
 	}
-	dial := flow.Dial(se.dial).With(func(nc net.Conn) net.Conn { return sock.NewConn(nc) })
+	dial := dialInTime(se.dial, se.dialTimeout, se.link).With(func(nc net.Conn) net.Conn { return sock.NewConn(nc) })
 	dial = flow.CountingDial(dial, se.link)
 	dial = dial.With(func(nc net.Conn) net.Conn { return &errorConn{Conn: nc, noReuse: se.noReuseAfterErrors} })
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: se.maxIdleConns,
-			IdleConnTimeout:     se.idleTimeout,
-			DisableCompression:  true,
-			DisableKeepAlives:   se.disableKeepAlives,
-
-			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+	hc := &http.Client{
 		// A redirect of a POST with status 307 would send it twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
+	tr := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: se.maxIdleConns,
+		IdleConnTimeout:     se.idleTimeout,
+		DisableCompression:  true,
+		DisableKeepAlives:   se.disableKeepAlives,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	if hc.Transport = tr; se.link != nil {
+		hc.Transport = linkTransport{tr, se.link}
+	}
+	return hc
+}
+
+// linkTransport makes calls over a link, whose state extends their deadlines.
+type linkTransport struct {
+	*http.Transport
+	link *shed.Link
+}
+
+// RoundTrip makes a call.
+func (lt linkTransport) RoundTrip(re *http.Request) (*http.Response, error) {
+	if pr, ok := re.Context().Value(progressKey{}).(*progress); ok {
+		pr.expiry.useLink(lt.link)
+	}
+	return lt.Transport.RoundTrip(re)
 }
 
 // Do sends the request. After an error, sent reports whether the request may
--- a/internal/adapt/client/progress.go
+++ b/internal/adapt/client/progress.go
@@ -8,16 +8,7 @@
 )
 
 // ErrStalled means that a response arrived more slowly than the lowest rate.
-var ErrStalled error = stalledError{}
-
-// stalledError is a timeout, like net.Error.
-type stalledError struct{}
-
-// Error returns the text of the error.
-func (stalledError) Error() string { return "client: the response makes no progress" }
-
-// Timeout reports true.
-func (stalledError) Timeout() bool { return true }
+const ErrStalled = timeoutError("client: the response makes no progress")
 
 // Rate is a lowest rate of a transfer: at least Bytes in each Window.
 type Rate struct {
@@ -28,13 +19,14 @@
 // WithLowestRate returns a context for one call of Do. It ends with ErrStalled as its
 // cause if the header of the response has not arrived by the time headerBy, or after
 // that if the body arrives more slowly than the rate. There is no limit on the whole
-// transfer, which depends on the size of the response and on the link. The caller
-// calls stop when it has read the body.
+// transfer, which depends on the size of the response and on the link. While the link of
+// the client is congested, the call goes on for up to a second longer. The caller calls
+// stop when it has read the body.
 func WithLowestRate(ctx context.Context, headerBy time.Time, rate Rate) (rateCtx context.Context, stop context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	pr := &progress{rate: rate, timer: time.AfterFunc(time.Until(headerBy), func() { cancel(ErrStalled) })}
+	pr := &progress{rate: rate, expiry: newExpiry(headerBy, nil, func() { cancel(ErrStalled) })}
 	return context.WithValue(ctx, progressKey{}, pr), func() {
-		pr.stop()
+		pr.expiry.stop()
 		cancel(context.Canceled)
 	}
 }
@@ -44,11 +36,11 @@
 
 // progress ends a call when its response arrives too slowly.
 type progress struct {
-	rate Rate
+	rate   Rate
+	expiry *expiry
 
-	mu    sync.Mutex
-	timer *time.Timer
-	// received counts the bytes since the timer was reset.
+	mu sync.Mutex
+	// received counts the bytes since the deadline was set.
 	received int
 }
 
@@ -69,16 +61,10 @@
 	defer pr.mu.Unlock()
 	if pr.received += bytes; pr.received >= pr.rate.Bytes {
 		pr.received = 0
-		pr.timer.Reset(pr.rate.Window)
+		pr.expiry.reset(time.Now().Add(pr.rate.Window))
 	}
 }
 
-func (pr *progress) stop() {
-	pr.mu.Lock()
-	defer pr.mu.Unlock()
-	pr.timer.Stop()
-}
-
 type progressBody struct {
 	io.ReadCloser
 	pr *progress
--- a/internal/adapt/peers/closures.go
+++ b/internal/adapt/peers/closures.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/core/epoch"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -70,8 +71,8 @@
 // FetchClosures requests the closed failure domains that the router at addr knows, and
 // reports whether it knows them.
 func (cl *Client) FetchClosures(ctx context.Context, addr string) (follow.ClosureState, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
+	ctx, stop := client.WithLowestRate(ctx, time.Now().Add(configTimeout), configRate)
+	defer stop()
 	re, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+closuresPath, nil)
 	if err != nil {
 		return follow.ClosureState{}, false, err
--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -79,33 +81,30 @@
 	}
 }
 
-// round asks gossipFanout routers. A router that does not respond is not asked again:
-// the next round asks others.
+// round asks gossipFanout routers at the same time, because one that does not respond
+// takes long while the own link is congested. The next round asks others.
 func (gs *Gossip) round(ctx context.Context) {
 	peers := gs.peers()
-	asked, failed := 0, 0
-	var last error
-	for _, ix := range rand.Perm(len(peers)) {
-		if asked == gossipFanout {
-			break
-		}
-		asked++
-		if err := gs.ask(ctx, peers[ix]); err != nil {
-			failed, last = failed+1, err
-		}
+	order := rand.Perm(len(peers))
+	errs := make([]error, min(gossipFanout, len(order)))
+	var calls sync.WaitGroup
+	for no := range errs {
+		calls.Go(func() { errs[no] = gs.ask(ctx, peers[order[no]]) })
 	}
-	gs.record(asked, failed, last)
+	calls.Wait()
+	gs.record(errs)
 }
 
 // record counts the calls of a round and logs one without a response.
-func (gs *Gossip) record(asked, failed int, last error) {
-	gs.feed.meter.Count("gossipCalls", "subject", gs.subject, int64(asked))
-	gs.feed.meter.Count("gossipErrors", "subject", gs.subject, int64(failed))
+func (gs *Gossip) record(errs []error) {
+	failed := slices.DeleteFunc(slices.Clone(errs), func(err error) bool { return err == nil })
+	gs.feed.meter.Count("gossipCalls", "subject", gs.subject, int64(len(errs)))
+	gs.feed.meter.Count("gossipErrors", "subject", gs.subject, int64(len(failed)))
 	now := time.Now()
-	if failed == 0 || failed < asked || now.Before(gs.logAt) {
+	if len(failed) == 0 || len(failed) < len(errs) || now.Before(gs.logAt) {
 		return
 	}
 	gs.logAt = now.Add(lossLogInterval)
-	gs.feed.meter.Log(evPeersSilent, slog.String("subject", gs.subject), slog.Int("asked", asked),
-		slog.Duration("overdue", gs.feed.OverdueFor(now)), slog.String("error", last.Error()))
+	gs.feed.meter.Log(evPeersSilent, slog.String("subject", gs.subject), slog.Int("asked", len(errs)),
+		slog.Duration("overdue", gs.feed.OverdueFor(now)), slog.String("error", failed[0].Error()))
 }
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,10 +179,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
 		co, lo := startFollower(t, sc)
-		asked := 0
+		var asked atomic.Int64
 		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
 			func(_ context.Context, addr string, after ident.Revision) (feed.Row, bool, error) {
-				asked++
+				asked.Add(1)
 				if addr == "a" {
 					return feed.Row{}, false, errDown
 				}
@@ -191,7 +192,7 @@
 		done := make(chan struct{})
 		go func() { defer close(done); gs.Run(ctx) }()
 		time.Sleep(3 * time.Second)
-		askedBefore := asked
+		askedBefore := asked.Load()
 		sc.set(func(sc *scriptedFeed) { sc.down = true })
 		time.Sleep(2 * time.Second)
 		if co.Load().Revision() != 7 || askedBefore != 0 {
