app/follow: a large row is not read again after each lost call

Callers of a router with a full link waited behind its own reads: after each lost call to a feed all rows were read again, 444 KB of an unchanged configuration after 1,400 routes were added. On a link of 10 Mbit/s that takes 0.36 s without other traffic and over 2 s beside callers, causes the next lost call, and delays the next change.

Change: the reads after a loss use at most a tenth of the time. The first one is made at once, as before, and so are all those of rows that arrive quickly. Changes that the history lacks are still found: the store says so, and then all rows are read.

TestBoundReadsAfterLosses failed before: 179 reads of 2 s in 10 min, 30 are allowed.

--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -49,6 +49,9 @@
 	// traffic that the planned size allows a router. Large rows are read again less
 	// often.
 	rereadBytesPerSecond = 12 << 10
+	// rereadShare is the divisor of the time that reads after a loss may use. On a full
+	// link the read of a large row would cause the next loss.
+	rereadShare = 10
 	// slowTransfer is the transfer time from which a read is logged.
 	slowTransfer = 200 * time.Millisecond
 	// lossLogInterval is the minimum time between two log records about one loss.
@@ -95,7 +98,9 @@
 
 	position epoch.Position
 	rereadAt time.Time
-	failures int
+	// mayRereadAt is when all rows may be read again after a loss.
+	mayRereadAt time.Time
+	failures    int
 	// lossLogAt is when the next failure of a lost feed is logged.
 	lossLogAt time.Time
 	// busy means that the last call brought changes, and pause is the minimum time between
@@ -195,6 +200,7 @@
 	case whole:
 		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
 		lo.rereadAt = now.Add(interval + rand.N(interval/4))
+		lo.mayRereadAt = now.Add(rereadShare * ba.Transfer)
 		lo.replace(ba)
 	case ba.Position.Era > lo.position.Era:
 		lo.enterEra(ba)
@@ -270,7 +276,8 @@
 }
 
 // recover records a call that succeeded, before its rows are passed on. It marks a
-// lost feed as available and requests a read of all rows.
+// lost feed as available and requests a read of all rows, unless the last one took long
+// and was made lately.
 func (lo *Loop) recover(now time.Time) {
 	before := lo.contact.Load()
 	lo.contact.Store(contact{succeededAt: now})
@@ -278,7 +285,9 @@
 		return
 	}
 	// The history may lack changes that were made in the meantime.
-	lo.rereadAt = time.Time{}
+	if lo.mayRereadAt.Before(lo.rereadAt) {
+		lo.rereadAt = lo.mayRereadAt
+	}
 	lo.sink.Recovered(now)
 	lo.meter.Log(evFeedAvailable, slog.String("feed", lo.name), slog.Duration("lostFor", now.Sub(before.lostAt)), slog.Int("failures", lo.failures))
 	lo.failures = 0
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -248,6 +248,42 @@
 	})
 }
 
+// lossyFeed loses every second call for changes. Reading all rows takes long.
+type lossyFeed struct {
+	calls, reads atomic.Int64
+	transfer     time.Duration
+}
+
+func (lf *lossyFeed) All(context.Context) (feed.Batch, error) {
+	lf.reads.Add(1)
+	time.Sleep(lf.transfer)
+	return feed.Batch{Rows: []feed.Row{row(10, "4")}, Position: epoch.Position{Version: 10}, Bytes: 444 << 10, Transfer: lf.transfer}, nil
+}
+
+func (lf *lossyFeed) Changes(_ context.Context, _ epoch.Position, wait time.Duration) (feed.Batch, error) {
+	time.Sleep(wait)
+	if lf.calls.Add(1)%2 == 0 {
+		return feed.Batch{}, errDown
+	}
+	return feed.Batch{Position: epoch.Position{Version: 10}}, nil
+}
+
+// TestBoundReadsAfterLosses guards against a full link that is kept full by reads of a
+// large row which has not changed: each lost call led to such a read, and each read to
+// lost calls.
+func TestBoundReadsAfterLosses(t *testing.T) {
+	const span, transfer, share = 10 * time.Minute, 2 * time.Second, 10
+	synctest.Test(t, func(t *testing.T) {
+		lf := &lossyFeed{transfer: transfer}
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		follow.NewLoop("configuration", lf, follow.NewConfig(decode, meter.Nop{}).Sink()).Run(ctx)
+		if reads := time.Duration(lf.reads.Load()); (reads-1)*transfer > span/share {
+			t.Errorf("%d reads of %v in %v, want at most a tenth of the time", reads, transfer, span)
+		}
+	})
+}
+
 func decodeUpstream(ro feed.Row) (place.Entry, error) {
 	if string(ro.Value) == "broken" {
 		return place.Entry{}, errors.New("broken")
