app/resume, app/direct: a stream goes on at the software release that began it

Callers got streams that were joined from two software releases of a service, marked complete: after the upstream of a stream had ended, the router resumed it at any other upstream, and so did the router at which a caller took it up.

Cause: routers did not read the release of an upstream, and nothing said which one had begun a stream.

Change: the first event fixes the release for further attempts, also for a standby that responds at the same time. Each router keeps the releases of the streams that it serves. A caller's request that takes a stream up is sent to its release only. If no router knows the release, it is refused at once with 503: after all routers were killed, the upstreams in service say nothing about those that have just left. While there was one release for the life of a stream, no message is needed.

--- a/internal/adapt/entry/info.go
+++ b/internal/adapt/entry/info.go
@@ -38,6 +38,7 @@
 		}
 		info.LastEvent = num
 	}
+	info.Resumes = ident.Request(hd.Header.Get(hn.Resumes))
 	if text := hd.Header.Get(hn.TokenCounts); text != "" {
 		pr, err := promptOf(hd.Header, hn, text)
 		if err != nil {
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/balsamwood/balsamwood/internal/adapt/client"
 	"github.com/balsamwood/balsamwood/internal/adapt/codec"
 	"github.com/balsamwood/balsamwood/internal/app/follow"
+	"github.com/balsamwood/balsamwood/internal/app/resume"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/port/feed"
@@ -82,6 +83,9 @@
 	// AddStatement stores the last statement of a router that ends, and reports
 	// whether it did.
 	AddStatement func(st escrow.Statement) bool
+	// AddStreams keeps records of streams, and FindStream returns what is known of one.
+	AddStreams func(streams []resume.Stream)
+	FindStream func(qu resume.Query) (resume.Stream, bool)
 	// Table is the table, accessed directly by this router.
 	Table store.Table
 }
@@ -101,6 +105,8 @@
 	mx.Handle("GET "+configPath, newDocuments(local.CurrentConfig))
 	mx.HandleFunc("GET "+closuresPath, serveClosures(local.Closures))
 	mx.HandleFunc("GET "+loadPath, func(wr http.ResponseWriter, _ *http.Request) { writeJSON(wr, local.Load()) })
+	mx.HandleFunc("POST "+streamsPath, serveStreams(local.AddStreams))
+	mx.HandleFunc("GET "+streamsPath, serveStream(local.FindStream))
 	mx.HandleFunc("POST "+statementPath, func(wr http.ResponseWriter, re *http.Request) {
 		var st escrow.Statement
 		err := json.NewDecoder(http.MaxBytesReader(wr, re.Body, maxDocumentBytes)).Decode(&st)
--- a/internal/adapt/terms/terms.go
+++ b/internal/adapt/terms/terms.go
@@ -12,6 +12,9 @@
 	// LastEventID is the number of the last event that the sender of the request
 	// has.
 	LastEventID string
+	// Resumes is the request that brought the first event of the stream that the request
+	// takes up.
+	Resumes string
 	// Model, TokenCounts (prompt and maximum output, separated by a comma) and
 	// PromptParts (ID:TOKENS, separated by commas) describe a prompt.
 	Model       string
@@ -40,7 +43,7 @@
 // Default returns the names of the project's own deployment.
 func Default() HeaderNames {
 	return HeaderNames{
-		RequestID: "Balsamwood-Request", TimeLeft: "Balsamwood-Time-Left-Ms", LastEventID: "Last-Event-Id",
+		RequestID: "Balsamwood-Request", TimeLeft: "Balsamwood-Time-Left-Ms", LastEventID: "Last-Event-Id", Resumes: "Balsamwood-Resumes",
 		Model: "Balsamwood-Model", TokenCounts: "Balsamwood-Tokens", PromptParts: "Balsamwood-Prompt-Parts",
 		Account: "Balsamwood-Account", Instance: "Balsamwood-Instance", Urgency: "Balsamwood-Urgency",
 		NotRun: "Balsamwood-Not-Run", Load: "Balsamwood-Load", Leaving: "Balsamwood-Leaving", Cold: "Balsamwood-Cold-Left-Ms",
--- a/internal/app/direct/attempt.go
+++ b/internal/app/direct/attempt.go
@@ -77,6 +77,11 @@
 	}
 	next := sb.stop(err)
 	rn.merge(sb)
+	if next != nil && !rn.mayContinue(next) {
+		// The current upstream began the stream while the other one responded.
+		rn.discard(next)
+		next = nil
+	}
 	if next == nil && ex.failed && !rn.canRetry() {
 		// No other upstream has taken over, and none may be tried.
 		err = ex.deliver()
@@ -478,6 +483,7 @@
 	if rn.route.Kind != intent.Stream || !rn.route.Resumable {
 		rn.fixed.Store(true)
 	}
+	rn.began(ex.ep)
 	rn.timeToFirst = now.Sub(rn.info.Arrived)
 	rn.se.opts.meter.Observe("firstEvent", "route", rn.route.Name, rn.timeToFirst)
 	rn.se.engines.RecordPrompt(ex.ep, rn.demand.Prompt, now)
--- /dev/null
+++ b/internal/app/direct/release_test.go
@@ -0,0 +1,158 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/balsamwood/balsamwood/internal/adapt/entry"
+	"github.com/balsamwood/balsamwood/internal/adapt/pool"
+	"github.com/balsamwood/balsamwood/internal/adapt/terms"
+	"github.com/balsamwood/balsamwood/internal/app/direct"
+	"github.com/balsamwood/balsamwood/internal/app/resume"
+	"github.com/balsamwood/balsamwood/internal/core/ident"
+	"github.com/balsamwood/balsamwood/internal/core/intent"
+	"github.com/balsamwood/balsamwood/internal/core/place"
+	"github.com/balsamwood/balsamwood/internal/core/retry"
+)
+
+// streamRecords are the known streams of a test.
+type streamRecords map[ident.Request]resume.Stream
+
+// Began does nothing.
+func (streamRecords) Began(resume.Stream, time.Time) {}
+
+// Find returns the record.
+func (sr streamRecords) Find(_ context.Context, qu resume.Query) (resume.Stream, bool) {
+	st, ok := sr[qu.ID]
+	return st, ok
+}
+
+// serveRelease starts an upstream that sends the events from the requested one to the
+// third, or breaks off after the first two of a whole stream. Its events carry its release.
+func serveRelease(t *testing.T, release string) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	go func() {
+		for {
+			nc, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				re, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					return
+				}
+				next := 0
+				_, _ = fmt.Sscan(re.Header.Get("Last-Event-Id"), &next)
+				_, _ = io.WriteString(nc, streamHead+"\r\n")
+				if next > 0 {
+					_, _ = io.WriteString(nc, chunkOf(fmt.Sprintf("id: %d\ndata: %s\n\n", next+1, release))+lastChunk)
+					return
+				}
+				for no := 1; no <= 2; no++ {
+					_, _ = io.WriteString(nc, chunkOf(fmt.Sprintf("id: %d\ndata: %s\n\n", no, release)))
+				}
+			}()
+		}
+	}()
+	return ls.Addr().String()
+}
+
+// callReleases sends a request to a router with one upstream of each release, which is the
+// more attractive the earlier it stands, and returns the status and the releases of the
+// events.
+func callReleases(t *testing.T, sr streamRecords, fields string, names ...string) (status int, events []string) {
+	t.Helper()
+	var ups []place.Upstream
+	for no, name := range names {
+		ups = append(ups, place.Upstream{ID: ident.Upstream(fmt.Sprint("i", no)), Address: serveRelease(t, name), Service: "s", Slots: 64 >> (3 * no), Release: name})
+	}
+	conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
+		Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 5 * time.Second,
+		LatencyGoal: 4 * time.Second, AttemptLimit: 4, Targets: []intent.Target{{Service: "s", Weight: 1}},
+	})
+	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, nil, direct.WithStreams(sr), direct.WithRetries(func() direct.RetryBudget {
+		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
+	}))
+	sv, err := entry.New("127.0.0.1:0", svc, pool.New(terms.Default()), terms.Default(), func() intent.Limits { return intent.Limits{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = sv.Serve() }()
+	t.Cleanup(func() { _ = sv.Close() })
+	nc, err := net.Dial("tcp", sv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+scriptedField+fields+"Connection: close\r\n\r\n")
+	rsp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(rsp.Body)
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if release, ok := strings.CutPrefix(line, "data: "); ok {
+			events = append(events, release)
+		}
+	}
+	return rsp.StatusCode, events
+}
+
+// TestStreamOfOneRelease guards against a stream that breaks off and goes on at an
+// upstream of another software release, whose events do not fit.
+func TestStreamOfOneRelease(t *testing.T) {
+	for range 10 {
+		_, events := callReleases(t, nil, "", "v1", "v2")
+		if len(events) != 2 || events[0] != events[1] {
+			t.Errorf("events of the releases %v, want two of one release", events)
+		}
+		_, events = callReleases(t, nil, "", "v1", "v2", "v1", "v2")
+		if len(events) != 3 || events[0] != events[1] || events[1] != events[2] {
+			t.Errorf("events of the releases %v, want three of one release", events)
+		}
+	}
+}
+
+// TestTakenUpStream guards against a caller that takes up a stream and gets the rest from
+// another software release than the one that began it, or is refused although an upstream
+// of that release is in service.
+func TestTakenUpStream(t *testing.T) {
+	type result struct {
+		Status int
+		Events []string
+	}
+	sr := streamRecords{"a": {Service: "s", Release: "v1"}, "b": {Service: "s", Release: "v2"}, "c": {Service: "s", Release: "v0"}}
+	for _, tc := range []struct {
+		name, fields string
+		want         result
+	}{
+		{"earlier release", "Balsamwood-Resumes: a\r\nLast-Event-Id: 2\r\n", result{200, []string{"v1"}}},
+		{"later release", "Balsamwood-Resumes: b\r\nLast-Event-Id: 2\r\n", result{200, []string{"v2"}}},
+		{"release that is gone", "Balsamwood-Resumes: c\r\nLast-Event-Id: 2\r\n", result{503, nil}},
+		{"unknown release", "Balsamwood-Resumes: d\r\nLast-Event-Id: 2\r\n", result{503, nil}},
+		{"unknown stream", "Last-Event-Id: 2\r\n", result{503, nil}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			status, events := callReleases(t, sr, tc.fields, "v1", "v2")
+			if diff := cmp.Diff(tc.want, result{status, events}); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/app/direct/run.go
+++ b/internal/app/direct/run.go
@@ -47,7 +47,7 @@
 )
 
 // run is the state of one request. One goroutine changes it. A standby only reads
-// what resolve has set, lastEvent and fixed, and counts sends and runs.
+// what resolve has set, lastEvent, fixed and release, and counts sends and runs.
 type run struct {
 	se     *Service
 	info   proxy.RequestInfo
@@ -79,6 +79,9 @@
 	// lastEvent is the number of the last event that the caller has, or -1. A standby
 	// reads it while events are forwarded.
 	lastEvent atomic.Int64
+	// release is the software release at which the stream goes on, or nil while any may
+	// begin it. A standby reads it while events are forwarded.
+	release atomic.Pointer[string]
 	// eventsSent counts the events that were sent to the caller, and bytesSent the bytes
 	// of events and bodies.
 	eventsSent, bytesSent int64
@@ -119,9 +122,7 @@
 		}
 	}
 	name := rn.route.ServiceFor(maphash.String(rn.se.seed, string(rn.info.ID)))
-	if rn.service, ok = rn.conf.Service(name); !ok {
-		rn.service = intent.Service{Name: name}
-	}
+	rn.useService(name)
 	rn.demand = place.Demand{Domain: rn.se.opts.domain}
 	if pr := rn.info.Prompt; pr != nil {
 		rn.demand.Prompt = place.Prompt{Input: pr.Input}
@@ -281,6 +282,9 @@
 // the send is taken: another request may have taken it since it was chosen.
 func (rn *run) choose(de place.Demand) (*place.Endpoint, ident.Tokens) {
 	list := rn.se.view.Upstreams().Service(rn.service.Name)
+	if release := rn.release.Load(); release != nil {
+		de = de.WithRelease(*release)
+	}
 	for {
 		now := rn.se.opts.clock.Now()
 		ep, uncached := rn.chooseFrom(list, de, now)
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/app/budget"
+	"github.com/balsamwood/balsamwood/internal/app/resume"
 	"github.com/balsamwood/balsamwood/internal/core/config"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
@@ -76,8 +77,18 @@
 	RecordLeaving(up place.Upstream)
 }
 
+// Streams knows which software releases began the streams in progress.
+type Streams interface {
+	// Began records a stream whose first event is about to reach the caller. Others of
+	// the service that are in progress began at since or later.
+	Began(st resume.Stream, since time.Time)
+	// Find returns what is known of a stream.
+	Find(ctx context.Context, qu resume.Query) (resume.Stream, bool)
+}
+
 type options struct {
 	guard      PartGuard
+	streams    Streams
 	roster     Roster
 	clock      clock.Clock
 	meter      meter.Meter
@@ -118,6 +129,10 @@
 // WithRoster sets what keeps the announcements of upstreams. The default discards them.
 func WithRoster(ro Roster) Option { return func(op *options) { op.roster = ro } }
 
+// WithStreams sets what knows the software releases that began streams. By default, a
+// stream that a caller takes up goes on at any upstream.
+func WithStreams(st Streams) Option { return func(op *options) { op.streams = st } }
+
 // Service serves requests. It is safe for concurrent use.
 type Service struct {
 	view     View
@@ -133,7 +148,7 @@
 
 // New returns a service.
 func New(view View, reserver Reserver, opts ...Option) *Service {
-	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }, guard: noGuard{}, roster: noRoster{}, congested: func(time.Time) bool { return false }}
+	op := options{clock: clock.System{}, meter: meter.Nop{}, preference: config.AvoidRefusal, retries: func() RetryBudget { return noRetries{} }, guard: noGuard{}, streams: noStreams{}, roster: noRoster{}, congested: func(time.Time) bool { return false }}
 	for _, apply := range opts {
 		apply(&op)
 	}
@@ -170,6 +185,10 @@
 		rn.report(re)
 		return false, re
 	}
+	if re := rn.takeUp(ctx); re != nil {
+		rn.report(re)
+		return false, re
+	}
 	hold, re := rn.reserve(ctx)
 	if re == nil {
 		re = rn.serve(ctx)
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -21,6 +21,9 @@
 	// StartedMs is the start of the lifetime of the instance, in Unix milliseconds, or
 	// zero if it is not known. An instance may start again under its id.
 	StartedMs int64
+	// Release is the version of the software of the instance, or empty if it names none.
+	// A stream cannot go on at another release.
+	Release string
 	// Leaving upstreams finish their requests and accept no new ones.
 	Leaving bool
 	// Closed says that the operator has closed the failure domain. Requests in progress
--- a/internal/core/place/explain.go
+++ b/internal/core/place/explain.go
@@ -35,6 +35,7 @@
 // The reasons for which an upstream is excluded.
 const (
 	Tried   Exclusion = "tried"
+	Release Exclusion = "otherRelease"
 	Leaving Exclusion = "leaving"
 	Quiet   Exclusion = "quiet"
 	Closed  Exclusion = "domainClosed"
@@ -46,6 +47,8 @@
 	switch {
 	case de.wasTried(ep):
 		return Tried
+	case de.excludes(ep):
+		return Release
 	case ep.Usable(now):
 		return ""
 	case ep.Leaving:
--- a/internal/core/place/map.go
+++ b/internal/core/place/map.go
@@ -88,6 +88,9 @@
 // must not be changed.
 func (mp EndpointMap) Service(name ident.Service) []*Endpoint { return mp.byService[name] }
 
+// Services returns the names of the services that have upstreams, in order.
+func (mp EndpointMap) Services() []ident.Service { return slices.Sorted(maps.Keys(mp.byService)) }
+
 // Endpoint returns the endpoint of the upstream with the identifier.
 func (mp EndpointMap) Endpoint(id ident.Upstream) (*Endpoint, bool) {
 	ep, ok := mp.byID[id]
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -68,7 +68,7 @@
 const dither = 0.05
 
 // newCheapest returns the choice by a cost that is varied at random.
-func newCheapest[D interface{ wasTried(ep *Endpoint) bool }](cost Cost[D], opts []Option) Cheapest[D] {
+func newCheapest[D interface{ excludes(ep *Endpoint) bool }](cost Cost[D], opts []Option) Cheapest[D] {
 	var op options
 	for _, apply := range opts {
 		apply(&op)
@@ -81,7 +81,7 @@
 		Cost: func(ep *Endpoint, de D, now time.Time) float64 {
 			return cost(ep, de, now) * (1 + dither*(random()-0.5))
 		},
-		Skip:       func(ep *Endpoint, de D) bool { return de.wasTried(ep) },
+		Skip:       func(ep *Endpoint, de D) bool { return de.excludes(ep) },
 		StartIndex: index,
 	}
 }
@@ -109,6 +109,8 @@
 	Prompt Prompt
 	// Tried lists the upstreams to which earlier attempts were sent.
 	Tried []ident.Upstream
+	// release is the software release that the upstream must run, or nil.
+	release *string
 }
 
 func (de Demand) wasTried(ep *Endpoint) bool {
--- a/internal/port/proxy/proxy.go
+++ b/internal/port/proxy/proxy.go
@@ -100,6 +100,9 @@
 	Prompt *Prompt
 	// LastEvent is the number of the last event that the caller has, or -1.
 	LastEvent int64
+	// Resumes is the request that brought the first event of the stream that this one
+	// takes up, or empty if the caller does not name it.
+	Resumes ident.Request
 }
 
 // Attempt is one send of a request.
--- a/internal/role/direct/direct.go
+++ b/internal/role/direct/direct.go
@@ -27,6 +27,7 @@
 	"github.com/balsamwood/balsamwood/internal/app/follow"
 	"github.com/balsamwood/balsamwood/internal/app/hedge"
 	"github.com/balsamwood/balsamwood/internal/app/poison"
+	"github.com/balsamwood/balsamwood/internal/app/resume"
 	"github.com/balsamwood/balsamwood/internal/core/escrow"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
@@ -74,6 +75,9 @@
 	leavePollInterval = 50 * time.Millisecond
 	// expireInterval is the time between two removals of expired upstreams.
 	expireInterval = 200 * time.Millisecond
+	// maxFeedOverdue is how long the feed of the upstreams may be overdue until a new
+	// software release may have been missed.
+	maxFeedOverdue = time.Second
 	// budgetReadInterval is the time between two reads of a budget row while the
 	// router holds unused escrow of the budget.
 	budgetReadInterval = 2 * time.Second
@@ -139,16 +143,19 @@
 	upstreams   *follow.Upstreams
 	closures    *follow.Closures
 	feedLoops   []*follow.Loop
-	fleet       *follow.Fleet
-	ledger      *budget.Ledger
-	platform    Platform
-	holder      *budget.Holder
-	pool        *pool.Pool
+	// upstreamLoop is the feed loop of the upstreams.
+	upstreamLoop *follow.Loop
+	fleet        *follow.Fleet
+	ledger       *budget.Ledger
+	platform     Platform
+	holder       *budget.Holder
+	pool         *pool.Pool
 	// link is the network link of the VM, or nil if its rate is not known.
 	link        *shed.Link
 	rotation    *rotation
 	service     *app.Service
 	parts       *poison.Registry
+	streams     *resume.Registry
 	entry       *entry.Server
 	readyServer *serve.Server
 	peerServer  *serve.Server
@@ -185,10 +192,11 @@
 	table := hedge.NewTable(pf.Table, cl, hedge.WithMeter(me), hedge.WithCongestion(ro.congested))
 	ro.parts = poison.NewRegistry(table, codec.PoisonRecord(), pf.Clock, pool.Refuses, poison.WithMeter(me))
 	partLoop := follow.NewLoop("parts", pf.PoisonRecords, ro.parts, follow.WithMeter(me), follow.WithLongPoll(partLongPoll))
-	ro.feedLoops = []*follow.Loop{configLoop, upstreamLoop, partLoop}
+	ro.feedLoops, ro.upstreamLoop = []*follow.Loop{configLoop, upstreamLoop, partLoop}, upstreamLoop
 	ro.ledger, ro.platform = budget.NewLedger(table, codec.Ledger(), budget.WithEra(pf.Era)), pf
 	ro.fleet = follow.NewFleet(ro.ledger, set.VM, me)
 	ro.rotation = newRotation(ro)
+	ro.streams = resume.NewRegistry(ro.otherRouters, cl, resume.WithMeter(me))
 	ro.peers, ro.statements = cl, budget.NewStatements(ro.ledger, me)
 	ro.gossips = []*follow.Gossip{
 		follow.NewGossip(ro.configs, configLoop, ro.peerAddresses, cl.FetchConfig),
@@ -200,7 +208,7 @@
 		budget.WithTimeLock(timeLock, pf.Clock), budget.WithSharedLock(), budget.WithUncheckedDraws(), budget.WithAveragedUse(),
 		budget.WithFlushInterval(flushInterval), budget.WithFlushParallelism(flushParallelism), budget.WithLenders(cl), budget.WithCongestion(ro.congested))
 	ro.service = app.New(view{ro}, ro.holder, app.WithMeter(me), app.WithDomain(set.Domain), app.WithPreference(set.Preference),
-		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams),
+		app.WithRetries(ro.newRetryBudget), app.WithPartGuard(ro.parts), app.WithRoster(ro.upstreams), app.WithStreams(ro.streams),
 		app.WithLink(ro.link), app.WithCongestion(ro.congested))
 	shares := bound.SharesOf(set.MemoryMB, set.MaxFDs)
 	var err error
@@ -216,7 +224,7 @@
 	}
 	if ro.peerServer, err = serve.New(set.PeerListen, peers.Handler(peers.LocalRouter{
 		Lend: ro.holder.Lend, CurrentConfig: ro.configs.Row, AddStatement: ro.statements.AddStatement, Table: table.DirectTable(),
-		Closures: ro.closures.State, Load: ro.load,
+		Closures: ro.closures.State, Load: ro.load, AddStreams: ro.streams.Add, FindStream: ro.streams.Lookup,
 	})); err != nil {
 		return nil, err
 	}
@@ -362,6 +370,7 @@
 	}
 	workers.Go(func() { ro.watchLink(workCtx) })
 	workers.Go(func() { ro.statements.Run(workCtx) })
+	workers.Go(func() { ro.streams.Run(workCtx) })
 	workers.Go(func() { ro.parts.Run(workCtx) })
 	workers.Go(func() { ro.runHolder(workCtx) })
 	<-serveCtx.Done()
@@ -396,10 +405,28 @@
 			ro.upstreams.RemoveExpired(now)
 			ro.closures.RemoveEnded(now)
 			ro.upstreams.CheckCold(now)
+			ro.observeReleases(now)
 		}
 	}
 }
 
+// observeReleases records the software releases of the upstreams. While their feed is
+// overdue, others may have begun streams.
+func (ro *Router) observeReleases(now time.Time) {
+	if ro.upstreams.Known() {
+		ro.streams.Observe(ro.upstreams.Load(), ro.upstreamLoop.OverdueFor(now) < maxFeedOverdue)
+	}
+}
+
+// otherRouters returns the other routers that the store lists.
+func (ro *Router) otherRouters() []resume.Router {
+	var out []resume.Router
+	for _, pe := range ro.fleet.Peers() {
+		out = append(out, resume.Router{VM: pe.VM, Address: pe.Address})
+	}
+	return out
+}
+
 // leave announces that the router leaves, serves callers that still arrive, and
 // waits for the requests in flight until the drain time has almost passed.
 func (ro *Router) leave() {
