app/update: a document goes on with the parts that have arrived

Related path of the late configuration, routers with sidecars: a watcher read all parts of a document within one timeout of 3 s and, when one was missing, began again with the first. Over a link that callers share, a document of several parts then never arrived; 18 s are allowed.

Change: the parts that have arrived are kept until the head names another document, and the next poll reads the others.

--- a/internal/app/update/table.go
+++ b/internal/app/update/table.go
@@ -41,28 +41,44 @@
 	return au, err == nil, err
 }
 
-// document returns the document that the head names. Its rows are read in
-// parallel, so that a slow table delays the document by one read and not by one
-// read for each row.
+// document returns the document that the head names.
 func (rr rowReader) document(ctx context.Context, he Head) ([]byte, error) {
-	parts, errs := make([][]byte, he.parts()), make([]error, he.parts())
+	parts := make([][]byte, he.parts())
+	if err := rr.readParts(ctx, he, parts); err != nil {
+		return nil, err
+	}
+	return slices.Concat(parts...), nil
+}
+
+// readParts reads the parts of a document that are nil. The rows are read in parallel, so
+// that a slow table delays the document by one read and not by one read for each row.
+// After an error, the parts that have arrived are set.
+func (rr rowReader) readParts(ctx context.Context, he Head, parts [][]byte) error {
+	errs := make([]error, len(parts))
 	var wg sync.WaitGroup
 	for part := range parts {
+		if parts[part] != nil {
+			continue
+		}
 		wg.Go(func() {
 			it, ok, err := rr.table.Get(ctx, partKey(he.Revision, part))
-			if err == nil && !ok {
-				err = errSuperseded
+			switch {
+			case err == nil && !ok:
+				errs[part] = errSuperseded
+			case err != nil:
+				errs[part] = err
+			default:
+				parts[part] = it.Value
 			}
-			parts[part], errs[part] = it.Value, err
 		})
 	}
 	wg.Wait()
 	for _, err := range errs {
 		if err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return slices.Concat(parts...), nil
+	return nil
 }
 
 // decode parses a document and checks that it has the wanted revision.
--- a/internal/app/update/watch.go
+++ b/internal/app/update/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/core/ident"
@@ -33,6 +34,14 @@
 	// readAt is when the document of a newer head is read; zero when no newer head
 	// is known.
 	readAt time.Time
+	// partial is a document that has arrived in part.
+	partial partialDocument
+}
+
+// partialDocument holds the parts of a document that have arrived. The others are nil.
+type partialDocument struct {
+	revision ident.Revision
+	parts    [][]byte
 }
 
 // NewWatcher returns a watcher that updates the follower.
@@ -97,7 +106,7 @@
 	if !wa.readDue(he) {
 		return nil
 	}
-	doc, err := wa.document(ctx, he)
+	doc, err := wa.readDocument(ctx, he)
 	if errors.Is(err, errSuperseded) {
 		// The next poll reads the newer head.
 		return nil
@@ -115,6 +124,20 @@
 	return nil
 }
 
+// readDocument reads the document of the head. On a full link a large one needs several
+// polls, and each goes on with the parts that are missing.
+func (wa *Watcher) readDocument(ctx context.Context, he Head) ([]byte, error) {
+	if wa.partial.revision != he.Revision {
+		wa.partial = partialDocument{he.Revision, make([][]byte, he.parts())}
+	}
+	if err := wa.readParts(ctx, he, wa.partial.parts); err != nil {
+		return nil, err
+	}
+	doc := slices.Concat(wa.partial.parts...)
+	wa.partial = partialDocument{}
+	return doc, nil
+}
+
 // readDue reports whether the document of a newer head is to be read now. Large
 // documents are read after a random delay, because all routers see the new head
 // within one interval. A process without a configuration does not wait.
