--- a/internal/app/direct/release_test.go
+++ b/internal/app/direct/release_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -22,6 +23,7 @@
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
 	"github.com/balsamwood/balsamwood/internal/core/retry"
+	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
 // streamRecords are the known streams of a test.
@@ -156,3 +158,81 @@
 		})
 	}
 }
+
+// racingSender responds to the first send with an event that arrives just when another
+// response has taken over, and to the second one with a whole stream. It keeps the
+// releases of the events that reach the caller.
+type racingSender struct {
+	ups   place.EndpointMap
+	sends int
+	// events are the releases of the events that the caller has.
+	events []string
+}
+
+// Send returns the next response.
+func (rs *racingSender) Send(ctx context.Context, at proxy.Attempt) (proxy.Response, error) {
+	rs.sends++
+	ep, _ := rs.ups.Endpoint(at.Upstream.ID)
+	return &racingResponse{fakeResponse: &fakeResponse{upstreamStep: upstreamStep{status: 200}}, ctx: ctx, release: ep.Release, late: rs.sends == 1}, nil
+}
+
+// WriteResponse does nothing.
+func (rs *racingSender) WriteResponse(proxy.Response, []byte) error { return nil }
+
+// StartStream starts the stream to the caller.
+func (rs *racingSender) StartStream(proxy.Response) (proxy.StreamWriter, error) { return rs, nil }
+
+// WriteEvent keeps the release of the event.
+func (rs *racingSender) WriteEvent(ev proxy.Event) error {
+	rs.events = append(rs.events, string(ev.Data))
+	return nil
+}
+
+// End does nothing.
+func (rs *racingSender) End() error { return nil }
+
+type racingResponse struct {
+	*fakeResponse
+	ctx     context.Context
+	release string
+	late    bool
+	next    int64
+}
+
+// IsStream reports true.
+func (*racingResponse) IsStream() bool { return true }
+
+// NextEvent returns the next of three events, or the only one of the late response.
+func (rr *racingResponse) NextEvent(ctx context.Context) (proxy.Event, error) {
+	if rr.late {
+		<-ctx.Done()
+		if rr.next > 0 {
+			return proxy.Event{}, ctx.Err()
+		}
+	}
+	if rr.next == 3 {
+		return proxy.Event{}, io.EOF
+	}
+	rr.next++
+	return proxy.Event{Number: rr.next - 1, Data: []byte(rr.release)}, nil
+}
+
+// TestStandbyOfOtherRelease guards against a stream that a standby of another software
+// release continues, because the first upstream began it while the standby responded.
+func TestStandbyOfOtherRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rs := &racingSender{ups: place.EndpointMap{}.WithUpstreams(
+			place.Upstream{ID: "i0", Service: "s", Slots: 8, Release: "v1"}, place.Upstream{ID: "i1", Service: "s", Slots: 8, Release: "v2"})}
+		conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
+			Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 10 * time.Second,
+			LatencyGoal: 200 * time.Millisecond, AttemptLimit: 4, Targets: []intent.Target{{Service: "s", Weight: 1}},
+		})
+		svc := direct.New(fixedView{conf, rs.ups}, nil, direct.WithRetries(func() direct.RetryBudget {
+			return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
+		}))
+		_, _ = svc.Serve(t.Context(), proxy.RequestInfo{ID: "a", Host: "h", Path: "/", Arrived: time.Now(), LastEvent: -1}, rs, rs)
+		if len(rs.events) == 0 || rs.events[0] != rs.events[len(rs.events)-1] {
+			t.Errorf("events of the releases %v, want one release", rs.events)
+		}
+	})
+}
--- a/internal/app/resume/resume.go
+++ b/internal/app/resume/resume.go
@@ -236,31 +236,25 @@
 		case <-ctx.Done():
 			return
 		case st := <-re.queue:
-			if !re.collect(ctx, st) {
-				return
-			}
+			re.send(ctx, re.collect(ctx, st))
 		}
 	}
 }
 
-// collect waits for more records and sends them all. It reports false when ctx has ended.
-func (re *Registry) collect(ctx context.Context, first Stream) bool {
-	tm := time.NewTimer(publishInterval)
-	defer tm.Stop()
+// collect returns the record and those that are queued within publishInterval.
+func (re *Registry) collect(ctx context.Context, first Stream) []Stream {
+	ctx, cancel := context.WithTimeout(ctx, publishInterval)
+	defer cancel()
 	batch := []Stream{first}
 	for len(batch) < maxBatch {
 		select {
 		case st := <-re.queue:
 			batch = append(batch, st)
-			continue
-		case <-tm.C:
 		case <-ctx.Done():
-			return false
+			return batch
 		}
-		break
 	}
-	re.send(ctx, batch)
-	return true
+	return batch
 }
 
 // send sends each record to its holders. A lost record is not sent again: another holder
