app/follow: other routers are asked until all rows were read after a loss

Change: while all rows were not read since a loss, other routers are asked for a newer configuration and for the closed failure domains, as while the feed is overdue. While the feed works, nothing is asked, as before.

Result: TestChangeDuringLoss failed before (revision 4 after 2 s).

--- a/internal/app/follow/gossip.go
+++ b/internal/app/follow/gossip.go
@@ -34,8 +34,8 @@
 	gossipFanout = 2
 )
 
-// Gossip asks other routers while a feed is overdue: because its calls fail, or because
-// a large row is slow to arrive.
+// Gossip asks other routers while a feed is overdue, because its calls fail or because a
+// large row is slow to arrive, and while it may lack changes.
 type Gossip struct {
 	subject string
 	feed    *Loop
@@ -72,10 +72,10 @@
 	}}
 }
 
-// Run asks other routers while the feed is overdue, until ctx ends.
+// Run asks other routers while the feed is overdue or may lack changes, until ctx ends.
 func (gs *Gossip) Run(ctx context.Context) {
 	for sleep(ctx, gossipInterval/2+rand.N(gossipInterval)) {
-		if gs.feed.OverdueFor(time.Now()) >= gossipDelay {
+		if gs.feed.OverdueFor(time.Now()) >= gossipDelay || gs.feed.MayLackChanges() {
 			gs.round(ctx)
 		}
 	}
--- a/internal/app/follow/loop.go
+++ b/internal/app/follow/loop.go
@@ -115,11 +115,25 @@
 type contact struct {
 	succeededAt time.Time
 	lostAt      time.Time
+	// incomplete says that the feed was lost and not all rows were read since.
+	incomplete bool
 }
 
 // WithLoss returns a copy in which a call has failed at the time.
 func (co contact) WithLoss(at time.Time) contact {
-	co.lostAt = at
+	co.lostAt, co.incomplete = at, true
+	return co
+}
+
+// WithSuccess returns a copy in which a call has succeeded at the time.
+func (co contact) WithSuccess(at time.Time) contact {
+	co.succeededAt, co.lostAt = at, time.Time{}
+	return co
+}
+
+// WithAllRows returns a copy in which all rows were read.
+func (co contact) WithAllRows() contact {
+	co.incomplete = false
 	return co
 }
 
@@ -148,6 +162,10 @@
 	return max(0, overdue)
 }
 
+// MayLackChanges reports whether changes may have been missed while the feed was lost,
+// because not all rows were read since. It is safe for concurrent use.
+func (lo *Loop) MayLackChanges() bool { return lo.contact.Load().incomplete }
+
 // Run reads the feed until ctx ends.
 func (lo *Loop) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -201,6 +219,7 @@
 		interval := max(rereadInterval, time.Duration(ba.Bytes)*time.Second/rereadBytesPerSecond)
 		lo.rereadAt = now.Add(interval + rand.N(interval/4))
 		lo.mayRereadAt = now.Add(rereadShare * ba.Transfer)
+		lo.contact.Store(lo.contact.Load().WithAllRows())
 		lo.replace(ba)
 	case ba.Position.Era > lo.position.Era:
 		lo.enterEra(ba)
@@ -280,7 +299,7 @@
 // and was made lately.
 func (lo *Loop) recover(now time.Time) {
 	before := lo.contact.Load()
-	lo.contact.Store(contact{succeededAt: now})
+	lo.contact.Store(before.WithSuccess(now))
 	if !before.lost() {
 		return
 	}
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -230,6 +230,36 @@
 	})
 }
 
+// TestChangeDuringLoss guards against a change that the feed omits after a loss, while the
+// read of all rows, which is long, waits for its turn.
+func TestChangeDuringLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10, transfer: 2 * time.Second}
+		co, lo := startFollower(t, sc)
+		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
+			func(_ context.Context, _ string, after ident.Revision) (feed.Row, bool, error) {
+				return row(11, "5"), after < 5, nil
+			})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		time.Sleep(3 * time.Second)
+		sc.set(func(sc *scriptedFeed) { sc.down = true })
+		time.Sleep(time.Second)
+		sc.set(func(sc *scriptedFeed) {
+			sc.down, sc.omitsChanges, sc.rows, sc.version = false, true, []feed.Row{row(11, "5")}, 11
+		})
+		time.Sleep(time.Second)
+		// The feed is available again and not overdue.
+		go func() { defer close(done); gs.Run(ctx) }()
+		time.Sleep(time.Second)
+		if got := co.Load().Revision(); got != 5 {
+			t.Errorf("revision %d is in force 2s after the loss, want 5", got)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // TestBoundUnchangedRows guards against reads of a large row that has not changed:
 // on a narrow link they delay requests and the next change. The planned size
 // allows 24 KB of control traffic a second.
