--- a/internal/adapt/client/client.go
+++ b/internal/adapt/client/client.go
@@ -90,13 +90,14 @@
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	if hc.Transport = tr; se.link != nil {
+	hc.Transport = tr
+	if se.link != nil {
 		hc.Transport = linkTransport{tr, se.link}
 	}
 	return hc
 }
 
-// linkTransport makes calls over a link, whose state extends their deadlines.
+// linkTransport makes calls over a link, whose congestion extends their deadlines.
 type linkTransport struct {
 	*http.Transport
 	link *shed.Link
--- a/internal/app/direct/release.go
+++ b/internal/app/direct/release.go
@@ -65,7 +65,7 @@
 	}, rn.streamsSince())
 }
 
-// mayContinue reports whether the response of the exchange fits to what the caller has.
+// mayContinue reports whether the response of the exchange fits what the caller has.
 func (rn *run) mayContinue(ex *exchange) bool {
 	release := rn.release.Load()
 	return release == nil || *release == ex.ep.Release
--- a/internal/app/direct/service.go
+++ b/internal/app/direct/service.go
@@ -130,7 +130,7 @@
 func WithRoster(ro Roster) Option { return func(op *options) { op.roster = ro } }
 
 // WithStreams sets what knows the software releases that began streams. By default, a
-// stream that a caller takes up goes on at any upstream.
+// stream that a caller takes up goes on only at upstreams that name no release.
 func WithStreams(st Streams) Option { return func(op *options) { op.streams = st } }
 
 // Service serves requests. It is safe for concurrent use.
--- a/internal/app/resume/resume.go
+++ b/internal/app/resume/resume.go
@@ -187,8 +187,9 @@
 	return Stream{ID: qu.ID, Service: qu.Service, Release: release}, ok
 }
 
-// Find returns what any router knows of a stream. It asks the holders of the record and
-// one more router, which may know that there is only one release.
+// Find returns what any router knows of a stream. If this one knows nothing, it asks the
+// holders of the record and one more router, which may know that there is only one
+// release.
 func (re *Registry) Find(ctx context.Context, qu Query) (Stream, bool) {
 	if st, ok := re.Lookup(qu); ok {
 		return st, true
