adapt/peers, app/direct, app/follow: calls and fixtures that were written twice are shared

Found in a read-through. Calls between routers built their requests in five places: get and post serve them. The tests of releases had the listener, the router, the retry budget and the reading of a response of the tests of resumption again, and two tests of gossip the same peers. No check changes; without the filter of the release, and without the check when a standby takes over, the tests of releases fail as before.

--- a/internal/adapt/peers/closures.go
+++ b/internal/adapt/peers/closures.go
@@ -73,12 +73,8 @@
 func (cl *Client) FetchClosures(ctx context.Context, addr string) (follow.ClosureState, bool, error) {
 	ctx, stop := client.WithLowestRate(ctx, time.Now().Add(configTimeout), configRate)
 	defer stop()
-	re, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+closuresPath, nil)
-	if err != nil {
-		return follow.ClosureState{}, false, err
-	}
 	var doc *closures
-	if err := cl.call(re, maxClosuresBytes, &doc); err != nil || doc == nil {
+	if err := cl.get(ctx, addr+closuresPath, maxClosuresBytes, &doc); err != nil || doc == nil {
 		return follow.ClosureState{}, false, err
 	}
 	return doc.state(time.Now()), true, nil
--- a/internal/adapt/peers/peers.go
+++ b/internal/adapt/peers/peers.go
@@ -180,12 +180,8 @@
 	if err != nil {
 		return 0, err
 	}
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+lendPath, bytes.NewReader(body))
-	if err != nil {
-		return 0, err
-	}
 	var got loan
-	if err := cl.call(re, maxMessageBytes, &got); err != nil {
+	if err := cl.post(ctx, addr+lendPath, body, &got); err != nil {
 		return 0, err
 	}
 	if got.Tokens < 0 || got.Tokens > lo.Tokens {
@@ -217,11 +213,7 @@
 func (cl *Client) sendStatement(ctx context.Context, addr string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+statementPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	return cl.call(re, maxMessageBytes, nil)
+	return cl.post(ctx, addr+statementPath, body, nil)
 }
 
 // FetchConfig requests a configuration newer than the revision after from
@@ -242,6 +234,24 @@
 	return doc.row(), doc.Revision > after, nil
 }
 
+// get makes a call without a body. The target is an address and a path.
+func (cl *Client) get(ctx context.Context, target string, limit int64, into any) error {
+	re, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target, nil)
+	if err != nil {
+		return err
+	}
+	return cl.call(re, limit, into)
+}
+
+// post makes a call with a body. The target is an address and a path.
+func (cl *Client) post(ctx context.Context, target string, body []byte, into any) error {
+	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return cl.call(re, maxMessageBytes, into)
+}
+
 // call sends the request and decodes the response, if it has a body.
 func (cl *Client) call(re *http.Request, limit int64, into any) error {
 	return call(cl.http, re, limit, into)
--- a/internal/adapt/peers/streams.go
+++ b/internal/adapt/peers/streams.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -89,11 +88,7 @@
 	if err != nil {
 		return err
 	}
-	re, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+streamsPath, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	return cl.call(re, maxMessageBytes, nil)
+	return cl.post(ctx, addr+streamsPath, body, nil)
 }
 
 // FetchStream requests what the router at addr knows of a stream, and reports whether it
@@ -102,12 +97,8 @@
 	ctx, stop := client.WithLowestRate(ctx, time.Now().Add(streamTimeout), configRate)
 	defer stop()
 	args := url.Values{"id": {string(qu.ID)}, "service": {string(qu.Service)}, "ageMs": {strconv.FormatInt(time.Since(qu.Since).Milliseconds(), 10)}}
-	re, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+streamsPath+"?"+args.Encode(), nil)
-	if err != nil {
-		return resume.Stream{}, false, err
-	}
 	var doc *stream
-	if err := cl.call(re, maxMessageBytes, &doc); err != nil || doc == nil {
+	if err := cl.get(ctx, addr+streamsPath+"?"+args.Encode(), maxMessageBytes, &doc); err != nil || doc == nil {
 		return resume.Stream{}, false, err
 	}
 	return doc.record(time.Now()), true, nil
--- a/internal/app/direct/release_test.go
+++ b/internal/app/direct/release_test.go
@@ -14,15 +14,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/balsamwood/balsamwood/internal/adapt/entry"
-	"github.com/balsamwood/balsamwood/internal/adapt/pool"
-	"github.com/balsamwood/balsamwood/internal/adapt/terms"
 	"github.com/balsamwood/balsamwood/internal/app/direct"
 	"github.com/balsamwood/balsamwood/internal/app/resume"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/core/intent"
 	"github.com/balsamwood/balsamwood/internal/core/place"
-	"github.com/balsamwood/balsamwood/internal/core/retry"
 	"github.com/balsamwood/balsamwood/internal/port/proxy"
 )
 
@@ -42,37 +38,29 @@
 // third, or breaks off after the first two of a whole stream. Its events carry its release.
 func serveRelease(t *testing.T, release string) string {
 	t.Helper()
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ls.Close() })
-	go func() {
-		for {
-			nc, err := ls.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				re, err := http.ReadRequest(bufio.NewReader(nc))
-				if err != nil {
-					return
-				}
-				next := 0
-				_, _ = fmt.Sscan(re.Header.Get("Last-Event-Id"), &next)
-				_, _ = io.WriteString(nc, streamHead+"\r\n")
-				if next > 0 {
-					_, _ = io.WriteString(nc, chunkOf(fmt.Sprintf("id: %d\ndata: %s\n\n", next+1, release))+lastChunk)
-					return
-				}
-				for no := 1; no <= 2; no++ {
-					_, _ = io.WriteString(nc, chunkOf(fmt.Sprintf("id: %d\ndata: %s\n\n", no, release)))
-				}
-			}()
+	event := func(number int) string { return chunkOf(fmt.Sprintf("id: %d\ndata: %s\n\n", number, release)) }
+	return listen(t, func(nc net.Conn) {
+		defer func() { _ = nc.Close() }()
+		re, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
 		}
-	}()
-	return ls.Addr().String()
+		last := 0
+		_, _ = fmt.Sscan(re.Header.Get("Last-Event-Id"), &last)
+		body := event(1) + event(2)
+		if last > 0 {
+			body = event(last+1) + lastChunk
+		}
+		_, _ = io.WriteString(nc, streamHead+"\r\n"+body)
+	})
+}
+
+// streamRoutes returns a configuration with one route, whose streams may be resumed.
+func streamRoutes(goal time.Duration) intent.Config {
+	return intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
+		Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 5 * time.Second,
+		LatencyGoal: goal, AttemptLimit: 4, Targets: []intent.Target{{Service: "s", Weight: 1}},
+	})
 }
 
 // callReleases sends a request to a router with one upstream of each release, which is the
@@ -84,36 +72,14 @@
 	for no, name := range names {
 		ups = append(ups, place.Upstream{ID: ident.Upstream(fmt.Sprint("i", no)), Address: serveRelease(t, name), Service: "s", Slots: 64 >> (3 * no), Release: name})
 	}
-	conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
-		Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 5 * time.Second,
-		LatencyGoal: 4 * time.Second, AttemptLimit: 4, Targets: []intent.Target{{Service: "s", Weight: 1}},
-	})
-	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, nil, direct.WithStreams(sr), direct.WithRetries(func() direct.RetryBudget {
-		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
-	}))
-	sv, err := entry.New("127.0.0.1:0", svc, pool.New(terms.Default()), terms.Default(), func() intent.Limits { return intent.Limits{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = sv.Serve() }()
-	t.Cleanup(func() { _ = sv.Close() })
-	nc, err := net.Dial("tcp", sv.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = nc.Close() }()
-	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+scriptedField+fields+"Connection: close\r\n\r\n")
-	rsp, err := http.ReadResponse(bufio.NewReader(nc), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	body, _ := io.ReadAll(rsp.Body)
-	for line := range strings.SplitSeq(string(body), "\n") {
+	addr := startRouter(t, fixedView{streamRoutes(4 * time.Second), place.EndpointMap{}.WithUpstreams(ups...)}, direct.WithStreams(sr))
+	rsp := readResponse(t, addr, fields)
+	for line := range strings.SplitSeq(rsp.Body, "\n") {
 		if release, ok := strings.CutPrefix(line, "data: "); ok {
 			events = append(events, release)
 		}
 	}
-	return rsp.StatusCode, events
+	return rsp.Status, events
 }
 
 // TestStreamOfOneRelease guards against a stream that breaks off and goes on at an
@@ -222,13 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rs := &racingSender{ups: place.EndpointMap{}.WithUpstreams(
 			place.Upstream{ID: "i0", Service: "s", Slots: 8, Release: "v1"}, place.Upstream{ID: "i1", Service: "s", Slots: 8, Release: "v2"})}
-		conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
-			Name: "r", Host: "h", Prefix: "/", Kind: intent.Stream, Resumable: true, Timeout: 10 * time.Second,
-			LatencyGoal: 200 * time.Millisecond, AttemptLimit: 4, Targets: []intent.Target{{Service: "s", Weight: 1}},
-		})
-		svc := direct.New(fixedView{conf, rs.ups}, nil, direct.WithRetries(func() direct.RetryBudget {
-			return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
-		}))
+		svc := direct.New(fixedView{streamRoutes(200 * time.Millisecond), rs.ups}, nil, direct.WithRetries(tenRetries))
 		_, _ = svc.Serve(t.Context(), proxy.RequestInfo{ID: "a", Host: "h", Path: "/", Arrived: time.Now(), LastEvent: -1}, rs, rs)
 		if len(rs.events) == 0 || rs.events[0] != rs.events[len(rs.events)-1] {
 			t.Errorf("events of the releases %v, want one release", rs.events)
--- a/internal/app/direct/resume_test.go
+++ b/internal/app/direct/resume_test.go
@@ -55,36 +55,51 @@
 	}
 	var ups []place.Upstream
 	for no := range len(script) + 1 {
-		ls, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = ls.Close() })
-		go func() {
-			for {
-				nc, err := ls.Accept()
-				if err != nil {
-					return
-				}
-				go respond(nc)
-			}
-		}()
-		ups = append(ups, place.Upstream{ID: ident.Upstream(fmt.Sprint("i", no)), Address: ls.Addr().String(), Service: "s", Slots: 8})
+		ups = append(ups, place.Upstream{ID: ident.Upstream(fmt.Sprint("i", no)), Address: listen(t, respond), Service: "s", Slots: 8})
 	}
 	conf := intent.New(3, intent.Limits{}).WithServices(intent.Service{Name: "s"}).WithRoutes(intent.Route{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Resumable: kind == intent.Stream, Timeout: 20 * time.Second,
 		LatencyGoal: 10 * time.Second, AttemptLimit: attemptLimit, Targets: []intent.Target{{Service: "s", Weight: 1}},
 	})
-	svc := direct.New(fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}, nil, direct.WithRetries(func() direct.RetryBudget {
-		return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
-	}))
+	return startRouter(t, fixedView{conf, place.EndpointMap{}.WithUpstreams(ups...)}), arrived
+}
+
+// listen starts an upstream that answers each connection, and returns its address.
+func listen(t *testing.T, respond func(nc net.Conn)) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	go func() {
+		for {
+			nc, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			go respond(nc)
+		}
+	}()
+	return ls.Addr().String()
+}
+
+// tenRetries is a retry budget that is never used up in a test.
+func tenRetries() direct.RetryBudget {
+	return retry.NewBudget(retry.WithRatio(0), retry.WithReserve(10))
+}
+
+// startRouter starts a router with the view, and returns its address.
+func startRouter(t *testing.T, view fixedView, opts ...direct.Option) string {
+	t.Helper()
+	svc := direct.New(view, nil, append(opts, direct.WithRetries(tenRetries))...)
 	sv, err := entry.New("127.0.0.1:0", svc, pool.New(terms.Default()), terms.Default(), func() intent.Limits { return intent.Limits{} })
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = sv.Serve() }()
 	t.Cleanup(func() { _ = sv.Close() })
-	return sv.Addr(), arrived
+	return sv.Addr()
 }
 
 // callerResponse is what the caller reads from its connection until the end.
@@ -98,15 +113,16 @@
 	Rest string
 }
 
-// readResponse sends one request and reads the connection to its end.
-func readResponse(t *testing.T, addr string) callerResponse {
+// readResponse sends one request with the header fields and reads the connection to its
+// end.
+func readResponse(t *testing.T, addr, fields string) callerResponse {
 	t.Helper()
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = nc.Close() }()
-	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+scriptedField+"Connection: close\r\n\r\n")
+	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n"+scriptedField+fields+"Connection: close\r\n\r\n")
 	br := bufio.NewReader(nc)
 	rsp, err := http.ReadResponse(br, nil)
 	if err != nil {
@@ -134,7 +150,7 @@
 		3: {Status: 200, Stamp: "s1", Body: begun + "id: 2\ndata: x\n\n", Complete: true},
 	} {
 		addr, arrived := newScriptedRouter(t, intent.Stream, attempts, first, second, rest)
-		got := readResponse(t, addr)
+		got := readResponse(t, addr, "")
 		if diff := cmp.Diff(result{int64(attempts), want}, result{arrived.Load(), got}); diff != "" {
 			t.Errorf("with %d attempts (-want +got):\n%s", attempts, diff)
 		}
@@ -197,7 +213,7 @@
 			whole := secondHead + eventOf(0) + chunkOf("data: y\n\n") + eventOf(1) + lastChunk
 			addr, arrived := newScriptedRouter(t, tc.kind, 2, streamHead+"Server-Stamp: s1\r\n\r\n"+tc.first, whole)
 			want := callerResponse{Status: 200, Stamp: "s1", Body: tc.want}
-			if diff := cmp.Diff(want, readResponse(t, addr)); diff != "" || arrived.Load() != 1 {
+			if diff := cmp.Diff(want, readResponse(t, addr, "")); diff != "" || arrived.Load() != 1 {
 				t.Errorf("%d attempts, response (-want +got):\n%s", arrived.Load(), diff)
 			}
 		})
@@ -210,7 +226,7 @@
 	first := streamHead + "Server-Stamp: s1\r\n\r\n" + chunkOf(": ping\n\n")
 	addr, _ := newScriptedRouter(t, intent.Stream, 2, first, secondHead+eventOf(0)+eventOf(1)+lastChunk)
 	want := callerResponse{Status: 200, Stamp: "s1", Body: ": ping\n\nid: 0\ndata: x\n\nid: 1\ndata: x\n\n", Complete: true}
-	if diff := cmp.Diff(want, readResponse(t, addr)); diff != "" {
+	if diff := cmp.Diff(want, readResponse(t, addr, "")); diff != "" {
 		t.Errorf("response (-want +got):\n%s", diff)
 	}
 }
--- a/internal/app/follow/loop_test.go
+++ b/internal/app/follow/loop_test.go
@@ -203,6 +203,14 @@
 	})
 }
 
+// newerPeers returns the gossip of a router whose peers have revision 5 in force.
+func newerPeers(co *follow.Config, lo *follow.Loop) *follow.Gossip {
+	return follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
+		func(_ context.Context, _ string, after ident.Revision) (feed.Row, bool, error) {
+			return row(11, "5"), after < 5, nil
+		})
+}
+
 // TestSlowTransfer guards against a change that waits for the transfer of a large
 // row on a narrow link although other routers, which send it compressed, have it.
 func TestSlowTransfer(t *testing.T) {
@@ -210,10 +218,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10}
 		co, lo := startFollower(t, sc)
-		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
-			func(_ context.Context, _ string, after ident.Revision) (feed.Row, bool, error) {
-				return row(11, "5"), after < 5, nil
-			})
+		gs := newerPeers(co, lo)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); gs.Run(ctx) }()
@@ -236,10 +241,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		sc := &scriptedFeed{rows: []feed.Row{row(10, "4")}, version: 10, transfer: 2 * time.Second}
 		co, lo := startFollower(t, sc)
-		gs := follow.NewGossip(co, lo, func() []string { return []string{"a", "b", "c"} },
-			func(_ context.Context, _ string, after ident.Revision) (feed.Row, bool, error) {
-				return row(11, "5"), after < 5, nil
-			})
+		gs := newerPeers(co, lo)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		time.Sleep(3 * time.Second)
