--- a/internal/bench/crowd/router.go
+++ b/internal/bench/crowd/router.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/balsamwood/balsamwood/internal/bench/procs"
@@ -20,9 +17,8 @@
 	path        = "/voucher/"
 	ordinaryKey = "ordinary-key"
 	// Key is the API key of an account for the crowd.
-	Key          = "crowd-key"
-	readyTimeout = 20 * time.Second
-	callTimeout  = 5 * time.Second
+	Key         = "crowd-key"
+	callTimeout = 5 * time.Second
 	// maxCalls is the number of times that an ordinary request is sent until it is
 	// served. A refusal guarantees that it did not run.
 	maxCalls = 10
@@ -63,47 +59,15 @@
 }
 
 func (ro *Router) start(ctx context.Context, bin, dir string, li Limits) error {
-	var addrs [4]string
-	for ix := range addrs {
-		ls, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		addrs[ix] = ls.Addr().String()
-		if err := ls.Close(); err != nil {
-			return err
-		}
-	}
-	text := fmt.Sprintf("vm: edge\ndomain: z\nstore: %q\nlisten: %q\nready: {listen: %q, path: /ready}\npeerListen: %q\nmetricsListen: %q\nmemoryMB: %d\nmaxFDs: %d\n",
-		ro.store.Addr(), addrs[0], addrs[1], addrs[2], addrs[3], li.MemoryMB, li.MaxFDs)
-	file := filepath.Join(dir, "direct.yaml")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
-	}
-	var err error
-	ro.Target = Target{Addr: addrs[0], Path: path, Key: Key}
-	if ro.Proc, err = procs.Start("edge", filepath.Join(bin, "balsamwood"), nil, "direct", "-s", file); err != nil {
+	addrs, err := procs.FreeRouterAddrs()
+	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for {
-		re, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addrs[1]+"/ready", nil)
-		if err != nil {
-			return err
-		}
-		if resp, err := http.DefaultClient.Do(re); err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("crowd: the router is not ready; last output: %q", ro.Tail(3))
-		case <-time.After(pollInterval):
-		}
-	}
+	ro.Target = Target{Addr: addrs.Callers, Path: path, Key: Key}
+	ro.Proc, err = procs.StartRouter(ctx, bin, dir, procs.RouterSettings{
+		VM: "edge", Store: ro.store.Addr(), Addrs: addrs, MemoryMB: li.MemoryMB, MaxFDs: li.MaxFDs,
+	})
+	return err
 }
 
 // Call sends an ordinary request until it is served, at most maxCalls times.
--- a/internal/role/direct/direct_test.go
+++ b/internal/role/direct/direct_test.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/balsamwood/balsamwood/internal/adapt/conf"
+	"github.com/balsamwood/balsamwood/internal/bench/procs"
 	"github.com/balsamwood/balsamwood/internal/core/ident"
 	"github.com/balsamwood/balsamwood/internal/fake/opstor"
 	"github.com/balsamwood/balsamwood/internal/fake/origin"
@@ -43,29 +41,16 @@
 	done   chan error
 }
 
-// freePort returns a free port on a loopback address of this process. On
-// 127.0.0.1 another process, or an outgoing connection, may take the port
-// before the router listens.
+// freePort returns a free address on loopback.
 func freePort(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	for {
-		ls, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16%250, pid>>8%256, 1+pid%254))
-		if err != nil {
-			t.Fatal(err)
-		}
-		addr := ls.Addr().String()
-		_ = ls.Close()
-		if _, taken := returnedPorts.LoadOrStore(addr, true); !taken {
-			return addr
-		}
+	addr, err := procs.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
 	}
+	return addr
 }
 
-// returnedPorts holds the addresses that freePort has returned. The system may
-// choose the port of a closed listener again.
-var returnedPorts sync.Map
-
 // TestFreePort guards against two listeners of a test that get the same port.
 func TestFreePort(t *testing.T) {
 	seen := map[string]bool{}
