--- a/internal/fake/opstor/operator.go
+++ b/internal/fake/opstor/operator.go
@@ -1,7 +1,11 @@
 package opstor
 
 // Route is a configured route.
-type Route struct{ Prefix, Kind, Service string }
+type Route struct {
+	Prefix, Kind, Service string
+	// Resumable says that a stream may go on at another upstream.
+	Resumable bool
+}
 
 // Account is a configured client account.
 type Account struct {
@@ -31,7 +35,7 @@
 	for _, ro := range co.Routes {
 		routes = append(routes, map[string]any{
 			"Name": ro.Prefix, "Hostname": co.Host, "Prefix": ro.Prefix, "RouteType": ro.Kind, "TimeoutMs": 5000,
-			"LatencyGoalMs": 500, "Service": ro.Service, "MaxAttempts": 1,
+			"LatencyGoalMs": 500, "Service": ro.Service, "MaxAttempts": 1, "Resumable": ro.Resumable,
 		})
 	}
 	for _, name := range co.Engines {
@@ -49,7 +53,14 @@
 	})
 }
 
-// Register writes the row of an upstream.
-func (st *Store) Register(id, service, addr string) {
-	st.Put("servers", id, map[string]any{"Service": service, "Address": addr, "Zone": "z", "Slots": 8, "State": "ready"})
+// Register writes the row of an upstream that names no software release.
+func (st *Store) Register(id, service, addr string) { st.RegisterRelease(id, service, addr, "") }
+
+// RegisterRelease writes the row of an upstream of a software release.
+func (st *Store) RegisterRelease(id, service, addr, release string) {
+	row := map[string]any{"Service": service, "Address": addr, "Zone": "z", "Slots": 8, "State": "ready"}
+	if release != "" {
+		row["Version"] = release
+	}
+	st.Put("servers", id, row)
 }
