bench/rejoin: a stream is taken up twice

Each take-up names the request that brought the first event, so that the record has to outlive the first one.

--- a/internal/bench/rejoin/rejoin_test.go
+++ b/internal/bench/rejoin/rejoin_test.go
@@ -148,13 +148,13 @@
 	return out
 }
 
-// takeUp takes the streams up at the second router and returns their upstreams, or the
-// status of a refusal.
-func (fl *fleet) takeUp() []string {
+// takeUp takes the streams up at the second router, by requests whose ids begin with the
+// prefix, and returns their upstreams, or the status of a refusal.
+func (fl *fleet) takeUp(prefix string) []string {
 	fl.t.Helper()
 	var out []string
 	for no := range streams {
-		resp := fl.send(1, fmt.Sprint("again", no), fmt.Sprint("stream", no))
+		resp := fl.send(1, fmt.Sprint(prefix, no), fmt.Sprint("stream", no))
 		if resp.StatusCode != http.StatusOK {
 			out = append(out, fmt.Sprint(resp.StatusCode))
 			continue
@@ -195,8 +195,10 @@
 	began := fl.begin()
 	fl.awaitRecords()
 	fl.killOne(0)
-	if diff := cmp.Diff(began, fl.takeUp()); diff != "" {
-		t.Errorf("upstreams (-want +got):\n%s", diff)
+	for _, prefix := range []string{"first", "second"} {
+		if diff := cmp.Diff(began, fl.takeUp(prefix)); diff != "" {
+			t.Errorf("upstreams, taken up for the %s time (-want +got):\n%s", prefix, diff)
+		}
 	}
 }
 
@@ -214,12 +216,12 @@
 	for range streams {
 		refused = append(refused, "503")
 	}
-	if diff := cmp.Diff(refused, fl.takeUp()); diff != "" {
+	if diff := cmp.Diff(refused, fl.takeUp("first")); diff != "" {
 		t.Errorf("streams from before (-want +got):\n%s", diff)
 	}
 	began := fl.begin()
 	fl.awaitRecords()
-	if diff := cmp.Diff(began, fl.takeUp()); diff != "" {
+	if diff := cmp.Diff(began, fl.takeUp("second")); diff != "" {
 		t.Errorf("streams after the start (-want +got):\n%s", diff)
 	}
 }
